--- /dev/null
+++ b/crates/carob-entry/src/forward.rs
@@ -0,0 +1,188 @@
+//! Sending a request to an upstream and reading its answer.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use carob_net::{Caller, Streamed};
+use carobglade::{
+    Error, ErrorKind, Fingerprint, Progress, ProgressSettings, Record, Result, Suspicion,
+    UpstreamName, is_key_header,
+};
+use http::header::{CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING};
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+
+use crate::core::Core;
+use crate::settings::millis;
+
+/// The header that names a request.
+pub const REQUEST_ID: &str = "x-request-id";
+
+const HOP_HEADERS: [HeaderName; 4] = [CONNECTION, CONTENT_LENGTH, HOST, TRANSFER_ENCODING];
+const FIRST_FLOOR: Duration = Duration::from_millis(1500); // silence allowed before any answer
+const FIRST_FACTOR: f64 = 8.0; // times the mean that a first byte may take
+const MEAN_WEIGHT: f64 = 0.1; // of the newest first byte in the mean
+
+/// A request as it is sent on.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// Headers, without keys.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Its id.
+    pub id: String,
+    /// Its fingerprint.
+    pub request: Fingerprint,
+    /// Tokens of its prompt.
+    pub prompt: u64,
+}
+
+/// The headers that go on: no key, nothing that belongs to the connection.
+pub fn clean_headers(headers: &HeaderMap, key: Option<&str>, id: &str) -> HeaderMap {
+    let mut kept = HeaderMap::new();
+    for (name, value) in headers {
+        let holds_key = key.is_some_and(|key| contains(value.as_bytes(), key.as_bytes()));
+        if !is_key_header(name.as_str()) && !HOP_HEADERS.contains(name) && !holds_key {
+            kept.append(name.clone(), value.clone());
+        }
+    }
+    if let Ok(id) = HeaderValue::from_str(id) {
+        kept.insert(REQUEST_ID, id);
+    }
+    kept
+}
+
+/// Whether `text` holds `part`.
+pub fn contains(text: &[u8], part: &[u8]) -> bool {
+    !part.is_empty() && text.windows(part.len()).any(|window| window == part)
+}
+
+impl Core {
+    /// The bounds of silence for a request to `upstream`.
+    pub fn progress(&self, upstream: &UpstreamName, prompt: u64) -> Progress {
+        let times = &self.settings.times;
+        let longest = millis(times.first);
+        let mean = self.lock().upstream(upstream).first_byte;
+        let first = mean.map_or(longest, |mean| {
+            (FIRST_FLOOR + Duration::from_secs_f64(mean * FIRST_FACTOR)).min(longest)
+        });
+        let settings = ProgressSettings {
+            first,
+            between: millis(times.between),
+            ..ProgressSettings::default()
+        };
+        Progress::new(settings, prompt)
+    }
+
+    /// Notes how a request to `upstream` ended.
+    pub fn note_end(&self, upstream: &UpstreamName, result: std::result::Result<(), ErrorKind>) {
+        let now = self.now();
+        let mut inner = self.lock();
+        let used = inner.upstream(upstream);
+        match result {
+            Ok(()) => used.health.succeed(),
+            Err(kind) => {
+                used.health.fail(now);
+                if kind == ErrorKind::Timeout {
+                    used.caller = Caller::pooled();
+                }
+            }
+        }
+    }
+
+    fn note_first(&self, upstream: &UpstreamName, time: Duration) {
+        let mut inner = self.lock();
+        let mean = &mut inner.upstream(upstream).first_byte;
+        let time = time.as_secs_f64();
+        *mean = Some(mean.map_or(time, |old| old + (time - old) * MEAN_WEIGHT));
+    }
+
+    /// Records that a request was in flight when `upstream` broke off, and waits until the record
+    /// is applied, so that its resend is judged by it.
+    pub async fn suspect(&self, upstream: &UpstreamName, request: Fingerprint) {
+        let incarnation = {
+            let inner = self.lock();
+            let account = inner.control.state().ledger().account(upstream);
+            account
+                .map(|account| account.incarnation)
+                .unwrap_or_default()
+        };
+        let upstream = upstream.clone();
+        let suspicion = Suspicion {
+            upstream,
+            incarnation,
+            requests: vec![request],
+        };
+        let before = self.lock().control.state().suspects().crashes(request);
+        drop(self.control_log.add(Record::Suspicion(suspicion)));
+        let until = self.now() + SUSPECT_WAIT;
+        while self.now() < until {
+            let applied = self.applied.notified();
+            if self.lock().control.state().suspects().crashes(request) > before {
+                return;
+            }
+            let _ = tokio::time::timeout(SUSPECT_POLL, applied).await;
+        }
+    }
+}
+
+const SUSPECT_WAIT: Duration = Duration::from_secs(1);
+const SUSPECT_POLL: Duration = Duration::from_millis(50);
+
+/// Sends a request and waits for the head of the answer.
+///
+/// # Errors
+///
+/// `UpstreamUnavailable` when nothing was sent; `Timeout` or `UpstreamFailed` otherwise.
+pub async fn open(
+    core: &Core,
+    caller: &Caller,
+    upstream: &UpstreamName,
+    outgoing: &Outgoing,
+) -> Result<Streamed> {
+    let address = {
+        let inner = core.lock();
+        inner
+            .control
+            .state()
+            .config()
+            .upstreams
+            .get(upstream)
+            .map(|upstream| upstream.address)
+    };
+    let Some(address) = address else {
+        let message = format!("upstream {:?} does not exist", upstream.as_str());
+        return Err(Error::new(ErrorKind::UpstreamUnavailable, message));
+    };
+    let started = core.now();
+    let url = format!("http://{address}{}", outgoing.target);
+    let silence = core.progress(upstream, outgoing.prompt).silence();
+    let (method, headers, body) = (
+        outgoing.method.clone(),
+        outgoing.headers.clone(),
+        outgoing.body.clone(),
+    );
+    let streamed = caller.open(method, &url, headers, body, silence).await?;
+    core.note_first(upstream, core.now() - started);
+    check_id(&streamed, &outgoing.id)?;
+    Ok(streamed)
+}
+
+/// An answer that carries another request's id is not passed on.
+fn check_id(streamed: &Streamed, id: &str) -> Result<()> {
+    let given = streamed
+        .headers
+        .get(REQUEST_ID)
+        .and_then(|value| value.to_str().ok());
+    match given {
+        Some(given) if given != id => {
+            let message = format!("the answer belongs to request {given:?}");
+            Err(Error::new(ErrorKind::UpstreamFailed, message))
+        }
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/front.rs
@@ -0,0 +1,236 @@
+//! What callers reach: authentication, routing, and the shape of errors.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carob_net::{Reply, Request};
+use carobglade::{
+    Config, Error, ErrorKind, FRESH_FOR, KeyIndex, Result, Route, Standing, Tenant, take_key,
+};
+use http::{HeaderMap, Method};
+use rand::Rng;
+use serde_json::json;
+
+use crate::core::Core;
+use crate::forward::{REQUEST_ID, contains};
+use crate::settings::millis;
+use crate::{model, service};
+
+const ID_MAX: usize = 64; // bytes of a request id
+
+/// A caller's request, read whole.
+#[derive(Clone, Debug)]
+pub struct Incoming {
+    /// Method.
+    pub method: Method,
+    /// Path.
+    pub path: String,
+    /// Query.
+    pub query: String,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Its id.
+    pub id: String,
+    /// When it came.
+    pub started: Duration,
+}
+
+/// Counts a request while it runs.
+pub struct InFlight {
+    core: Arc<Core>,
+}
+
+impl InFlight {
+    fn enter(core: &Arc<Core>) -> Result<Self> {
+        let mut inner = core.lock();
+        if inner.draining {
+            let err = Error::new(ErrorKind::Draining, "the process is stopping");
+            return Err(err.with_retry(Duration::from_secs(1)));
+        }
+        inner.in_flight += 1;
+        Ok(InFlight {
+            core: Arc::clone(core),
+        })
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        let mut inner = self.core.lock();
+        inner.in_flight -= 1;
+    }
+}
+
+/// Answers a caller.
+pub async fn handle(
+    core: Arc<Core>,
+    runtime: tokio::runtime::Handle,
+    mut request: Request,
+) -> Reply {
+    let started = core.now();
+    let id = request_id(request.headers());
+    let outcome = match InFlight::enter(&core) {
+        Ok(guard) => {
+            let limits = (core.settings.limits.body, millis(core.settings.times.body));
+            match request.read_body(limits.0, limits.1).await {
+                Ok(body) => {
+                    let incoming = Incoming {
+                        method: request.method().clone(),
+                        path: request.path().to_owned(),
+                        query: request.query().to_owned(),
+                        headers: request.headers().clone(),
+                        body,
+                        id: id.clone(),
+                        started,
+                    };
+                    run(&core, &runtime, incoming, guard).await
+                }
+                Err(err) => Err(err),
+            }
+        }
+        Err(err) => Err(err),
+    };
+    let reply = outcome.unwrap_or_else(|err| {
+        core.metrics.refused(err.kind());
+        log::info!("front: Request {id} was refused: {err}.");
+        error_reply(&err)
+    });
+    reply.with_header(REQUEST_ID, &id)
+}
+
+/// Runs a request on the process's runtime, so that it outlives the connection where it must.
+async fn run(
+    core: &Arc<Core>,
+    runtime: &tokio::runtime::Handle,
+    incoming: Incoming,
+    guard: InFlight,
+) -> Result<Reply> {
+    let core = Arc::clone(core);
+    let task = runtime.spawn(async move { route(core, incoming, guard).await });
+    task.await
+        .unwrap_or_else(|err| Err(Error::new(ErrorKind::Internal, err.to_string())))
+}
+
+async fn route(core: Arc<Core>, incoming: Incoming, guard: InFlight) -> Result<Reply> {
+    let (config, keys) = {
+        let inner = core.lock();
+        let state = inner.control.state();
+        (Arc::clone(state.config()), Arc::clone(state.keys()))
+    };
+    match incoming.path.as_str() {
+        "/v1/models" => {
+            let tenant = authenticate(&core, &config, &keys, &incoming)?.0;
+            expect_method(&incoming, &Method::GET)?;
+            Ok(model::list(tenant))
+        }
+        "/v1/chat/completions" | "/v1/completions" => {
+            let (tenant, key) = authenticate(&core, &config, &keys, &incoming)?;
+            expect_method(&incoming, &Method::POST)?;
+            let tenant = tenant.clone();
+            model::complete(core, config, tenant, key, incoming, guard).await
+        }
+        path => {
+            let route = config.route(path).cloned().ok_or_else(|| {
+                Error::new(
+                    ErrorKind::UnknownRoute,
+                    format!("no route for path {path:?}"),
+                )
+            })?;
+            let caller = match route.open {
+                true => None,
+                false => Some(authenticate(&core, &config, &keys, &incoming)?),
+            };
+            let caller = caller.map(|(tenant, key)| (tenant.clone(), key));
+            check_route(&route, caller.as_ref().map(|(tenant, _)| tenant), &incoming)?;
+            service::call(core, config, route, caller, incoming, guard).await
+        }
+    }
+}
+
+fn expect_method(incoming: &Incoming, method: &Method) -> Result<()> {
+    if incoming.method == *method {
+        return Ok(());
+    }
+    let message = format!("{} is not allowed on {:?}", incoming.method, incoming.path);
+    Err(Error::new(ErrorKind::MethodRefused, message))
+}
+
+fn check_route(route: &Route, tenant: Option<&Tenant>, incoming: &Incoming) -> Result<()> {
+    if !route.methods.contains(incoming.method.as_str()) {
+        let message = format!("{} is not allowed on {:?}", incoming.method, route.prefix);
+        return Err(Error::new(ErrorKind::MethodRefused, message));
+    }
+    let Some(tenant) = tenant.filter(|_| !route.tenants.is_empty()) else {
+        return Ok(());
+    };
+    if !route.tenants.contains(&tenant.name) {
+        let message = format!("tenant {} may not use {:?}", tenant.name, route.prefix);
+        return Err(Error::new(ErrorKind::Forbidden, message));
+    }
+    Ok(())
+}
+
+/// Finds the tenant whose key came with the request.
+fn authenticate<'a>(
+    core: &Core,
+    config: &'a Config,
+    keys: &KeyIndex,
+    incoming: &Incoming,
+) -> Result<(&'a Tenant, String)> {
+    let now = core.now();
+    if core.lock().standing(&core.me, now) == Standing::Isolated {
+        let message = "the keys in force are not known here";
+        return Err(Error::new(ErrorKind::NotReady, message).with_retry(FRESH_FOR));
+    }
+    let headers = incoming.headers.iter();
+    let pairs = headers.filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)));
+    let key = take_key(pairs)?;
+    let tenant = keys.find(&key).and_then(|name| config.tenants.get(name));
+    let tenant = tenant
+        .ok_or_else(|| Error::new(ErrorKind::KeyRefused, "the key is unknown or withdrawn"))?;
+    let in_path = contains(incoming.path.as_bytes(), key.as_bytes());
+    if in_path || contains(&incoming.body, key.as_bytes()) {
+        let message = "the key must stand in a header only, not in the path or body";
+        return Err(Error::new(ErrorKind::InvalidRequest, message));
+    }
+    Ok((tenant, key))
+}
+
+/// The caller's request id, when it is plain text, or a new one.
+fn request_id(headers: &HeaderMap) -> String {
+    let given = headers
+        .get(REQUEST_ID)
+        .and_then(|value| value.to_str().ok());
+    let plain = |id: &&str| {
+        let chars = id
+            .bytes()
+            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b));
+        !id.is_empty() && id.len() <= ID_MAX && chars && !id.starts_with("ck-")
+    };
+    match given.filter(plain) {
+        Some(id) => id.to_owned(),
+        None => format!("r-{:016x}", rand::rng().random::<u64>()),
+    }
+}
+
+/// The answer for an error, in the shape that model clients expect.
+pub fn error_reply(err: &Error) -> Reply {
+    let answer = err.kind().answer();
+    let body = json!({
+        "error": {
+            "message": err.message(),
+            "type": answer.family,
+            "code": answer.code,
+            "run": answer.run.as_str(),
+            "retry_after": err.retry_seconds(),
+        }
+    });
+    let reply = Reply::json(answer.status, &body);
+    match err.retry_seconds() {
+        Some(seconds) => reply.with_header("retry-after", &seconds.to_string()),
+        None => reply,
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/orders.rs
@@ -0,0 +1,332 @@
+//! Polls upstreams, sends orders to them and records their ends.
+
+use std::collections::BTreeMap;
+use std::collections::btree_map::Entry;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carob_net::Caller;
+use carobglade::{
+    Account, Charge, Incarnation, Intent, IntentKind, ModelName, Offset, Phase, PlacementSettings,
+    PlanInput, Record, Resolve, Restarted, Upstream, UpstreamName, Verdict, plan,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::core::Core;
+
+const TICK: Duration = Duration::from_millis(100);
+const POLL_IDLE: Duration = Duration::from_millis(500); // polls without orders under way
+const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
+const RESEND: Duration = Duration::from_secs(2); // of an order that was not reported as done
+const PLAN_EVERY: Duration = Duration::from_millis(250);
+const REACHABLE_FOR: Duration = Duration::from_secs(3); // after an answer to a poll
+const INTENT_WAIT: Duration = Duration::from_secs(3); // for an intent to come back from the log
+
+/// What an upstream reports of itself.
+#[derive(Clone, Debug, Deserialize)]
+struct Report {
+    incarnation: Incarnation,
+    done: Vec<Offset>,
+    leaving: bool,
+}
+
+#[derive(Serialize)]
+struct OrderWire<'a> {
+    order: Offset,
+    kind: &'a str,
+    model: &'a ModelName,
+    size: u64,
+    adapter: bool,
+}
+
+/// Directs the upstreams that this process is in charge of until it ends.
+pub async fn direct(core: Arc<Core>) {
+    let caller = Caller::pooled();
+    let mut polled: BTreeMap<UpstreamName, Duration> = BTreeMap::new();
+    let mut sent: BTreeMap<Offset, Duration> = BTreeMap::new();
+    loop {
+        tokio::time::sleep(TICK).await;
+        let now = core.now();
+        sent.retain(|_, at| now.saturating_sub(*at) < RESEND);
+        for (upstream, account) in due(&core, &polled, now) {
+            polled.insert(upstream.name.clone(), now);
+            let orders = unsent(&account, &mut sent, now);
+            let (core, caller) = (Arc::clone(&core), caller.clone());
+            tokio::spawn(async move {
+                for order in orders {
+                    send_order(&core, &caller, &upstream, order).await;
+                }
+                poll(&core, &caller, &upstream).await;
+            });
+        }
+    }
+}
+
+/// The upstreams to poll now: this process is in charge of them.
+fn due(
+    core: &Core,
+    polled: &BTreeMap<UpstreamName, Duration>,
+    now: Duration,
+) -> Vec<(Upstream, Account)> {
+    let inner = core.lock();
+    if inner.confirmed.is_none() {
+        return Vec::new();
+    }
+    let state = inner.control.state();
+    let engines = state.config().engines().filter(|upstream| {
+        let duty = format!("upstream:{}", upstream.name);
+        inner.fleet.in_charge(&duty, &core.me, now) == core.me
+    });
+    let accounts = engines.filter_map(|upstream| {
+        let account = state.ledger().account(&upstream.name)?;
+        let busy = account.charges.values().any(under_way);
+        let pause = if busy { TICK } else { POLL_IDLE };
+        let last = polled.get(&upstream.name);
+        let due = last.is_none_or(|at| now.saturating_sub(*at) >= pause);
+        due.then(|| (upstream.clone(), account.clone()))
+    });
+    accounts.collect()
+}
+
+fn under_way(charge: &Charge) -> bool {
+    matches!(charge.phase, Phase::Loading | Phase::Evicting)
+}
+
+fn unsent(
+    account: &Account,
+    sent: &mut BTreeMap<Offset, Duration>,
+    now: Duration,
+) -> Vec<(ModelName, Charge)> {
+    let mut orders = Vec::new();
+    for (model, charge) in account
+        .charges
+        .iter()
+        .filter(|(_, charge)| under_way(charge))
+    {
+        if let Entry::Vacant(slot) = sent.entry(charge.order) {
+            slot.insert(now);
+            orders.push((model.clone(), charge.clone()));
+        }
+    }
+    orders
+}
+
+async fn send_order(
+    core: &Core,
+    caller: &Caller,
+    upstream: &Upstream,
+    (model, charge): (ModelName, Charge),
+) {
+    let kind = if charge.phase == Phase::Loading {
+        "load"
+    } else {
+        "evict"
+    };
+    let adapter = {
+        let inner = core.lock();
+        let config = inner.control.state().config();
+        config
+            .models
+            .get(&model)
+            .is_some_and(|model| model.base.is_some())
+    };
+    let order = OrderWire {
+        order: charge.order,
+        kind,
+        model: &model,
+        size: charge.size.0,
+        adapter,
+    };
+    let Ok(body) = serde_json::to_vec(&order) else {
+        return;
+    };
+    core.metrics.ordered(kind);
+    log::info!(
+        "orders: Order {}: {kind} {model} on {}.",
+        charge.order,
+        upstream.name
+    );
+    let url = format!("http://{}/control/orders", upstream.address);
+    if let Err(err) = caller.post(&url, body.into(), CALL_TIMEOUT).await {
+        log::warn!(
+            "orders: Order {} to {} failed: {err}.",
+            charge.order,
+            upstream.name
+        );
+    }
+}
+
+async fn poll(core: &Core, caller: &Caller, upstream: &Upstream) {
+    let url = format!("http://{}/control/report", upstream.address);
+    let answer = caller.get(&url, CALL_TIMEOUT).await;
+    let report = answer.ok().filter(|answer| answer.status == 200);
+    let report = report.and_then(|answer| serde_json::from_slice::<Report>(&answer.body).ok());
+    if let Some(report) = report {
+        take_report(core, &upstream.name, &report);
+    }
+}
+
+/// Records what a report proves: a new incarnation, and the ends of orders that it names.
+fn take_report(core: &Core, name: &UpstreamName, report: &Report) {
+    let now = core.now();
+    let mut inner = core.lock();
+    inner.upstream(name).answered = Some(now);
+    let leaving = format!("report:{name}");
+    match report.leaving {
+        true => inner.leaving.insert(leaving),
+        false => inner.leaving.remove(&leaving),
+    };
+    let Some(account) = inner.control.state().ledger().account(name).cloned() else {
+        return;
+    };
+    drop(inner);
+    if report.incarnation > account.incarnation {
+        let restarted = Restarted {
+            upstream: name.clone(),
+            incarnation: report.incarnation,
+        };
+        core.add_new(Record::Restarted(restarted), now);
+        return;
+    }
+    if report.incarnation < account.incarnation {
+        return;
+    }
+    for charge in account.charges.values().filter(|charge| under_way(charge)) {
+        if report.done.contains(&charge.order) {
+            let (upstream, incarnation) = (name.clone(), report.incarnation);
+            let resolve = Resolve {
+                upstream,
+                incarnation,
+                order: charge.order,
+            };
+            core.add_new(Record::Resolve(resolve), now);
+        }
+    }
+}
+
+impl Core {
+    /// Adds a record unless the same one was added within the last second.
+    fn add_new(&self, record: Record, now: Duration) {
+        let Ok(text) = serde_json::to_string(&record) else {
+            return;
+        };
+        let mut inner = self.lock();
+        inner
+            .added
+            .retain(|_, at| now.saturating_sub(*at) < Duration::from_secs(1));
+        if inner.added.insert(text, now).is_none() {
+            drop(self.control_log.add(record));
+        }
+    }
+}
+
+/// Plans placement until the process ends; only the process in charge proposes orders.
+pub async fn place(core: Arc<Core>) {
+    let store = &core.settings.store;
+    let settings = PlacementSettings {
+        loads: store.loads,
+        adapters: store.adapters,
+        ..PlacementSettings::default()
+    };
+    loop {
+        let _ = tokio::time::timeout(PLAN_EVERY, core.planning.notified()).await;
+        let mut pending = Vec::new();
+        for intent in propose(&core, &settings) {
+            let id = core.control_log.add_solo(Record::Intent(intent.clone()));
+            pending.push((intent, id));
+        }
+        for (intent, id) in pending {
+            if let Ok(id) = id.await {
+                settle(&core, &intent, &id).await;
+            }
+        }
+    }
+}
+
+fn propose(core: &Core, settings: &PlacementSettings) -> Vec<Intent> {
+    let now = core.now();
+    let inner = core.lock();
+    if inner.confirmed.is_none() || inner.fleet.in_charge("planner", &core.me, now) != core.me {
+        return Vec::new();
+    }
+    let state = inner.control.state();
+    let mut demand = inner.fleet.demand(now);
+    for (model, own) in inner.own_demand(now) {
+        demand.entry(model).or_default().add(&own);
+    }
+    let log_time = inner.log_time(now);
+    let used = inner.models.iter().map(|(model, used)| {
+        let ago = now.saturating_sub(used.used).as_millis() as u64;
+        (model.clone(), log_time.saturating_sub(ago))
+    });
+    let used = used.collect();
+    let reachable = |name: &UpstreamName| {
+        let taking = inner.takes_new(name);
+        let usable = inner.upstreams.get(name).is_none_or(|u| {
+            u.health.usable(now) && u.answered.is_none_or(|at| now - at < REACHABLE_FOR)
+        });
+        taking && usable
+    };
+    let input = PlanInput {
+        config: state.config(),
+        ledger: state.ledger(),
+        demand: &demand,
+        used: &used,
+        reachable: &reachable,
+        time: log_time,
+    };
+    plan(&input, settings)
+}
+
+/// Waits for the verdict on an intent, so that the next plan sees it.
+async fn settle(core: &Core, intent: &Intent, id: &str) {
+    let until = core.now() + INTENT_WAIT;
+    while core.now() < until {
+        let applied = core.applied.notified();
+        let verdict = core.lock().control.state().verdict(id).cloned();
+        match verdict {
+            Some(Verdict::Accepted(offset)) => {
+                let kind = if intent.kind == IntentKind::Load {
+                    "load"
+                } else {
+                    "evict"
+                };
+                log::info!(
+                    "orders: Intent {offset}: {kind} {} on {}.",
+                    intent.model,
+                    intent.upstream
+                );
+                return;
+            }
+            Some(Verdict::Void(reason)) => {
+                log::info!("orders: Intent for {} is void: {reason}.", intent.model);
+                return;
+            }
+            None => {
+                let _ = tokio::time::timeout(TICK, applied).await;
+            }
+        }
+    }
+}
+
+/// Reads the platform's list of leaving upstreams until the process ends.
+pub async fn watch_list(core: Arc<Core>) {
+    let Some(list) = core.settings.list else {
+        return;
+    };
+    let caller = Caller::pooled();
+    let url = format!("http://{list}/vms");
+    loop {
+        tokio::time::sleep(POLL_IDLE).await;
+        let Ok(answer) = caller.get(&url, CALL_TIMEOUT).await else {
+            continue;
+        };
+        let Ok(states) = serde_json::from_slice::<BTreeMap<String, String>>(&answer.body) else {
+            continue;
+        };
+        let mut inner = core.lock();
+        inner.leaving.retain(|name| name.starts_with("report:"));
+        let leaving = states.into_iter().filter(|(_, state)| state == "leaving");
+        inner.leaving.extend(leaving.map(|(name, _)| name));
+    }
+}
--- /dev/null
+++ b/crates/carob-entry/src/service.rs
@@ -0,0 +1,318 @@
+//! Calls to plain services, those that may not be repeated among them.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use carob_net::{Caller, Received, Reply};
+use carobglade::{
+    Claim, ClaimDone, ClaimRef, Config, Decision, Error, ErrorKind, Fingerprint, Outcome, Record,
+    Result, Route, Tenant, TenantName, UpstreamName, check_key, strip_key,
+};
+use rand::Rng;
+
+use crate::append::unavailable;
+use crate::core::Core;
+use crate::forward::{self, Outgoing, clean_headers};
+use crate::front::{InFlight, Incoming};
+use crate::settings::millis;
+
+const KEY_HEADER: &str = "idempotency-key";
+const TRIES: usize = 3; // of a call that may be repeated
+const POLL: Duration = Duration::from_millis(100);
+const OPEN_TENANT: &str = "open"; // owner of idempotency keys on routes open to all
+const REPLAYED: &str = "idempotent-replayed";
+
+/// Calls a plain service.
+pub async fn call(
+    core: Arc<Core>,
+    config: Arc<Config>,
+    route: Route,
+    caller: Option<(Tenant, String)>,
+    incoming: Incoming,
+    _guard: InFlight,
+) -> Result<Reply> {
+    let key = caller.as_ref().map(|(_, key)| key.as_str());
+    let query = strip_key(&incoming.query, key);
+    let target = if query.is_empty() {
+        incoming.path.clone()
+    } else {
+        format!("{}?{query}", incoming.path)
+    };
+    let request = Fingerprint::of(incoming.method.as_str(), &target, &incoming.body);
+    let outgoing = Outgoing {
+        headers: clean_headers(&incoming.headers, key, &incoming.id),
+        method: incoming.method.clone(),
+        target,
+        body: incoming.body.clone(),
+        id: incoming.id.clone(),
+        request,
+        prompt: 0,
+    };
+    let service = config.services.get(&route.service);
+    let upstreams = service
+        .map(|service| service.upstreams.clone())
+        .unwrap_or_default();
+    let reply = if route.once.contains(incoming.method.as_str()) {
+        let tenant = caller.as_ref().map(|(tenant, _)| tenant.name.clone());
+        let tenant = tenant.unwrap_or_else(|| OPEN_TENANT.parse().unwrap_or_default());
+        call_once(&core, &route, tenant, &incoming, &upstreams, &outgoing).await
+    } else {
+        call_again(&core, &upstreams, &outgoing).await
+    };
+    let name = caller
+        .as_ref()
+        .map_or(OPEN_TENANT, |(tenant, _)| tenant.name.as_str());
+    let class = caller
+        .as_ref()
+        .map(|(tenant, _)| tenant.class)
+        .unwrap_or_default();
+    core.metrics
+        .ended(name, class, core.now() - incoming.started);
+    reply
+}
+
+/// Upstreams of a service that may be called, the least used first.
+fn usable(core: &Core, upstreams: &[UpstreamName]) -> Vec<UpstreamName> {
+    let now = core.now();
+    let mut inner = core.lock();
+    let taking = upstreams.iter().filter(|name| inner.takes_new(name));
+    let mut list: Vec<UpstreamName> = taking.cloned().collect();
+    let order = |name: &UpstreamName| {
+        let used = inner.upstream(name);
+        (
+            !used.health.usable(now),
+            used.running,
+            rand::rng().random::<u32>(),
+        )
+    };
+    list.sort_by_cached_key(order);
+    list
+}
+
+fn no_upstream() -> Error {
+    let err = Error::new(
+        ErrorKind::UpstreamUnavailable,
+        "no upstream of the service answers",
+    );
+    err.with_retry(Duration::from_secs(1))
+}
+
+/// Calls that may be repeated are tried on several upstreams, within the budget.
+async fn call_again(core: &Core, upstreams: &[UpstreamName], outgoing: &Outgoing) -> Result<Reply> {
+    core.lock().budget.deposit();
+    let mut last = no_upstream();
+    for (i, upstream) in usable(core, upstreams).iter().take(TRIES).enumerate() {
+        let now = core.now();
+        if i > 0 && !core.lock().budget.withdraw(now) {
+            break;
+        }
+        let caller = core.lock().upstream(upstream).caller.clone();
+        match exchange(core, &caller, upstream, outgoing).await {
+            Ok(received) => return Ok(reply(received)),
+            Err(err) => last = err,
+        }
+    }
+    Err(last)
+}
+
+async fn exchange(
+    core: &Core,
+    caller: &Caller,
+    upstream: &UpstreamName,
+    outgoing: &Outgoing,
+) -> Result<Received> {
+    core.lock().upstream(upstream).running += 1;
+    let result = match forward::open(core, caller, upstream, outgoing).await {
+        Ok(streamed) => streamed.whole(millis(core.settings.times.between)).await,
+        Err(err) => Err(err),
+    };
+    core.lock().upstream(upstream).running -= 1;
+    core.note_end(upstream, result.as_ref().map(|_| ()).map_err(Error::kind));
+    result
+}
+
+fn reply(received: Received) -> Reply {
+    let headers = clean_headers(&received.headers, None, "");
+    Reply::new(received.status, "application/octet-stream", received.body).with_headers(headers)
+}
+
+async fn call_once(
+    core: &Arc<Core>,
+    route: &Route,
+    tenant: TenantName,
+    incoming: &Incoming,
+    upstreams: &[UpstreamName],
+    outgoing: &Outgoing,
+) -> Result<Reply> {
+    let key = incoming
+        .headers
+        .get(KEY_HEADER)
+        .map(|value| value.to_str().unwrap_or(""));
+    let Some(key) = key else {
+        if route.key_required {
+            let message = format!(
+                "{} on {:?} needs Idempotency-Key",
+                incoming.method, route.prefix
+            );
+            return Err(Error::new(ErrorKind::KeyRequired, message));
+        }
+        return send_once(core, upstreams, outgoing).await.map(reply);
+    };
+    check_key(key)?;
+    let attempt = format!("{}-{:016x}", core.me, rand::rng().random::<u64>());
+    let claim = ClaimRef {
+        tenant,
+        key: key.to_owned(),
+        attempt,
+    };
+    let running = Running::enter(core, &claim);
+    match decide(core, &claim, outgoing.request) {
+        Decision::Append => {}
+        decision => return not_sent(decision),
+    }
+    match win(core, &claim, outgoing.request).await? {
+        Decision::Send => {}
+        decision => return not_sent(decision),
+    }
+    core.lock().sent.insert(claim.attempt.clone());
+    drop(running);
+    let result = send_once(core, upstreams, outgoing).await;
+    record_end(core, &claim, &result);
+    result.map(reply)
+}
+
+/// Marks a claim as backed by a request that runs, so that it is not released as an orphan.
+struct Running {
+    core: Arc<Core>,
+    attempt: String,
+}
+
+impl Running {
+    fn enter(core: &Arc<Core>, claim: &ClaimRef) -> Self {
+        core.lock().attempts.insert(claim.attempt.clone());
+        Running {
+            core: Arc::clone(core),
+            attempt: claim.attempt.clone(),
+        }
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.core.lock().attempts.remove(&self.attempt);
+    }
+}
+
+fn decide(core: &Core, claim: &ClaimRef, request: Fingerprint) -> Decision {
+    let now = core.now();
+    let inner = core.lock();
+    let alive = |vm: &carobglade::VmRef| *vm == core.me || inner.fleet.alive(vm, now);
+    inner.claims.state().decide(claim, request, alive)
+}
+
+fn not_sent(decision: Decision) -> Result<Reply> {
+    match decision {
+        Decision::Replay(Outcome::Answered {
+            status,
+            content,
+            body,
+        }) => {
+            let body = STANDARD.decode(body).unwrap_or_default();
+            Ok(Reply::new(status, &content, body).with_header(REPLAYED, "true"))
+        }
+        Decision::Refuse(err) => Err(err),
+        _ => Err(Error::new(
+            ErrorKind::Internal,
+            "the claim is in no state to answer from",
+        )),
+    }
+}
+
+/// Appends a claim and waits until the log tells which claim won.
+///
+/// An attempt that is given up here never sends: its claim, should it turn up later, is released
+/// as an orphan.
+async fn win(core: &Core, claim: &ClaimRef, request: Fingerprint) -> Result<Decision> {
+    core.claims_log.check(core.now())?;
+    let record = Claim {
+        claim: claim.clone(),
+        request,
+        vm: core.me.clone(),
+    };
+    drop(core.claims_log.add(Record::Claim(record)));
+    let until = core.now() + millis(core.settings.times.claim);
+    while core.now() < until {
+        let applied = core.applied.notified();
+        match decide(core, claim, request) {
+            Decision::Append => {}
+            decision => return Ok(decision),
+        }
+        core.claims_log.check(core.now())?;
+        let _ = tokio::time::timeout(POLL, applied).await;
+    }
+    Err(unavailable())
+}
+
+/// Sends a call that may not be repeated. Another upstream is tried only after a failure to
+/// connect, which proves that nothing was sent.
+async fn send_once(
+    core: &Core,
+    upstreams: &[UpstreamName],
+    outgoing: &Outgoing,
+) -> Result<Received> {
+    let mut last = no_upstream();
+    for upstream in usable(core, upstreams) {
+        match exchange(core, &core.fresh, &upstream, outgoing).await {
+            Err(err) if err.kind() == ErrorKind::UpstreamUnavailable => last = err,
+            result => return result,
+        }
+    }
+    Err(last.with_retry(Duration::from_secs(1)))
+}
+
+fn record_end(core: &Core, claim: &ClaimRef, result: &Result<Received>) {
+    let outcome = match result {
+        Ok(received) if received.body.len() <= core.settings.limits.outcome => {
+            let content = received
+                .headers
+                .get("content-type")
+                .and_then(|v| v.to_str().ok());
+            Outcome::Answered {
+                status: received.status,
+                content: content.unwrap_or("application/octet-stream").to_owned(),
+                body: STANDARD.encode(&received.body),
+            }
+        }
+        Ok(_) => Outcome::Ran,
+        Err(err) if err.kind() == ErrorKind::UpstreamUnavailable => {
+            drop(core.claims_log.add(Record::Release(claim.clone())));
+            return;
+        }
+        Err(_) => Outcome::Unknown,
+    };
+    let done = ClaimDone {
+        claim: claim.clone(),
+        outcome,
+    };
+    drop(core.claims_log.add(Record::Done(done)));
+}
+
+/// Releases claims that no request stands behind, until the process ends.
+pub async fn release_orphans(core: Arc<Core>) {
+    loop {
+        tokio::time::sleep(POLL * 10).await;
+        let mut inner = core.lock();
+        inner.forget_ended(&core.me);
+        let orphans = inner.orphans(&core.me);
+        inner
+            .releasing
+            .retain(|attempt| orphans.iter().any(|claim| claim.attempt == *attempt));
+        for claim in orphans {
+            if inner.releasing.insert(claim.attempt.clone()) {
+                drop(core.claims_log.add(Record::Release(claim)));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-net/src/lib.rs
@@ -0,0 +1,18 @@
+//! HTTP serving and calling, and the platform log's client, for the programs of carobglade.
+//!
+//! ```no_run
+//! use carob_net::{Reply, ServeOptions, serve};
+//!
+//! let options = ServeOptions { address: "127.0.0.1:8080".parse().unwrap(), ..Default::default() };
+//! serve(options, |request| async move { Reply::text(200, request.path()) }).unwrap();
+//! ```
+
+mod call;
+mod clock;
+mod platform;
+mod serve;
+
+pub use call::{Caller, Received, Streamed};
+pub use clock::{Clock, SystemClock};
+pub use platform::{LogClient, LogPage};
+pub use serve::{ChunkSender, Reply, Request, ServeOptions, Server, serve};
--- /dev/null
+++ b/crates/carobctl/src/apply.rs
@@ -0,0 +1,207 @@
+//! Applying a configuration: compare and set against the version in force.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use carob_net::{Caller, Clock, LogClient, SystemClock};
+use carobglade::{
+    Change, ConfigChange, ConfigWire, ControlState, Offset, Page, Record, Replay, ReplayStatus,
+    Verdict,
+};
+use clap::ArgMatches;
+use eyre::{Result, bail, eyre};
+use rand::Rng;
+
+use crate::{Ended, checked, describe, read};
+
+const APPEND_TIMEOUT: Duration = Duration::from_secs(3);
+const TRIES: u32 = 10; // to append or to find the append
+const PAUSE: Duration = Duration::from_millis(500);
+
+/// The control stream as an operator follows it.
+pub struct Follower {
+    client: LogClient,
+    replay: Replay<ControlState>,
+}
+
+impl Follower {
+    /// Reads the stream up to its tail.
+    pub async fn open(log: SocketAddr) -> Result<Self> {
+        let client = LogClient::new(&log.to_string(), "control");
+        let mut follower = Follower {
+            client,
+            replay: Replay::default(),
+        };
+        follower.catch_up().await?;
+        Ok(follower)
+    }
+
+    /// The state.
+    pub fn state(&self) -> &ControlState {
+        self.replay.state()
+    }
+
+    /// Reads up to the tail.
+    pub async fn catch_up(&mut self) -> Result<()> {
+        loop {
+            let page = self.client.read(self.replay.next(), Duration::ZERO).await;
+            let page = page.map_err(|err| eyre!("{err}"))?;
+            let next = page.next;
+            self.replay.page(&Page {
+                first: page.first,
+                next,
+                entries: page.entries,
+            });
+            if self.replay.next() >= next {
+                break;
+            }
+        }
+        match self.replay.status() {
+            ReplayStatus::Current => Ok(()),
+            ReplayStatus::Searching => bail!("the log holds no snapshot that reaches back"),
+        }
+    }
+
+    /// Appends a record once and returns what became of it. An append without an answer is
+    /// looked for in the log before it is made again.
+    pub async fn append(&mut self, record: Record) -> Result<(String, Offset)> {
+        let id = format!("ctl-{:032x}", rand::rng().random::<u128>());
+        for _ in 0..TRIES {
+            let records = std::slice::from_ref(&record);
+            match self.client.append(&id, records, APPEND_TIMEOUT).await {
+                Ok(offset) => return Ok((id, offset)),
+                Err(err) => eprintln!("{err}; looking for the change in the log"),
+            }
+            tokio::time::sleep(PAUSE).await;
+            if self.catch_up().await.is_ok() && self.state().verdict(&id).is_some() {
+                return Ok((id, Offset(0)));
+            }
+        }
+        bail!("the log does not answer; what became of the change is not known (id {id})")
+    }
+}
+
+fn log_of(args: &ArgMatches) -> Result<SocketAddr> {
+    args.get_one::<SocketAddr>("log")
+        .copied()
+        .ok_or_else(|| eyre!("no --log"))
+}
+
+fn file_of(args: &ArgMatches) -> Result<ConfigWire> {
+    let path = args
+        .get_one::<PathBuf>("file")
+        .ok_or_else(|| eyre!("no file"))?;
+    read(path)
+}
+
+/// Prints the configuration in force.
+pub async fn show(args: &ArgMatches) -> Result<Ended> {
+    let follower = Follower::open(log_of(args)?).await?;
+    eprintln!("version {}", follower.state().version());
+    println!("{}", serde_json::to_string_pretty(follower.state().wire())?);
+    Ok(Ended::Done)
+}
+
+/// Prints what a file would change.
+pub async fn diff(args: &ArgMatches) -> Result<Ended> {
+    let wire = file_of(args)?;
+    if checked(&wire).is_none() {
+        return Ok(Ended::Invalid);
+    }
+    let follower = Follower::open(log_of(args)?).await?;
+    let changes = Change::diff(follower.state().wire(), &wire);
+    println!(
+        "against version {}: {} changes",
+        follower.state().version(),
+        changes.len()
+    );
+    changes
+        .iter()
+        .for_each(|change| println!("{}", describe(change)));
+    Ok(Ended::Done)
+}
+
+/// Applies a file.
+pub async fn apply(args: &ArgMatches) -> Result<Ended> {
+    let wire = file_of(args)?;
+    if checked(&wire).is_none() {
+        return Ok(Ended::Invalid);
+    }
+    let mut follower = match Follower::open(log_of(args)?).await {
+        Ok(follower) => follower,
+        Err(err) => {
+            eprintln!("{err:#}");
+            return Ok(Ended::Unreachable);
+        }
+    };
+    let state = follower.state();
+    let base = args
+        .get_one::<u64>("base")
+        .copied()
+        .map_or(state.version(), Offset);
+    let changes = Change::diff(state.wire(), &wire);
+    if changes.is_empty() && base == state.version() {
+        println!("version {base} is in force already");
+        return Ok(Ended::Done);
+    }
+    let count = changes.len();
+    let (id, _) = follower
+        .append(Record::Config(ConfigChange { base, changes }))
+        .await?;
+    follower.catch_up().await?;
+    match follower.state().verdict(&id) {
+        Some(Verdict::Accepted(version)) => {
+            println!("version {version} was accepted: {count} changes");
+            if args.get_flag("wait") {
+                wait(args, &follower, *version).await
+            } else {
+                Ok(Ended::Done)
+            }
+        }
+        Some(Verdict::Void(reason)) => {
+            eprintln!("not applied: {reason}");
+            Ok(Ended::Conflict)
+        }
+        None => bail!("the log holds no verdict on the change (id {id})"),
+    }
+}
+
+/// Waits until every process that joined reports `version` or a later one.
+async fn wait(args: &ArgMatches, follower: &Follower, version: Offset) -> Result<Ended> {
+    let clock = SystemClock::default();
+    let within = Duration::from_secs(args.get_one::<u64>("within").copied().unwrap_or(18));
+    let members = follower.state().members();
+    let caller = Caller::pooled();
+    let mut waiting: Vec<_> = members.values().collect();
+    while clock.now() < within {
+        let mut left = Vec::new();
+        for member in waiting {
+            let url = format!("http://{}/status", member.admin);
+            let answer = caller.get(&url, Duration::from_secs(1)).await.ok();
+            let body =
+                answer.and_then(|a| serde_json::from_slice::<serde_json::Value>(&a.body).ok());
+            let seen = body.and_then(|body| body["version"].as_u64());
+            if seen.is_none_or(|seen| seen < version.0) {
+                left.push(member);
+            }
+        }
+        println!(
+            "in force on {} of {} vms",
+            members.len() - left.len(),
+            members.len()
+        );
+        if left.is_empty() {
+            return Ok(Ended::Done);
+        }
+        waiting = left;
+        tokio::time::sleep(PAUSE).await;
+    }
+    let names: Vec<String> = waiting.iter().map(|member| member.vm.to_string()).collect();
+    eprintln!(
+        "not in force within {} s on: {}",
+        within.as_secs(),
+        names.join(", ")
+    );
+    Ok(Ended::Waiting)
+}
--- /dev/null
+++ b/crates/carobctl/src/cert.rs
@@ -0,0 +1,42 @@
+//! Certificates for the connections between vms.
+
+use std::path::{Path, PathBuf};
+
+use clap::ArgMatches;
+use eyre::{Context, Result, eyre};
+use rcgen::{BasicConstraints, CertificateParams, DnType, IsCa, Issuer, KeyPair};
+
+use crate::Ended;
+
+const PEER_NAME: &str = "carobglade-peer";
+
+/// Writes an authority's certificate, and one certificate with its key that it signed. The
+/// authority's own key is thrown away: to replace one certificate, replace them all.
+pub fn write(args: &ArgMatches) -> Result<Ended> {
+    let directory = args
+        .get_one::<PathBuf>("directory")
+        .ok_or_else(|| eyre!("no directory"))?;
+    std::fs::create_dir_all(directory)?;
+    let mut authority = CertificateParams::new(Vec::new())?;
+    authority.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    authority
+        .distinguished_name
+        .push(DnType::CommonName, "carobglade authority");
+    let authority_key = KeyPair::generate()?;
+    let ca = authority.self_signed(&authority_key)?;
+    let issuer = Issuer::new(authority, authority_key);
+    let key = KeyPair::generate()?;
+    let mut leaf = CertificateParams::new(vec![PEER_NAME.to_owned()])?;
+    leaf.distinguished_name.push(DnType::CommonName, PEER_NAME);
+    let cert = leaf.signed_by(&key, &issuer)?;
+    put(directory, "ca.pem", &ca.pem())?;
+    put(directory, "vm.pem", &cert.pem())?;
+    put(directory, "vm.key", &key.serialize_pem())?;
+    println!("wrote ca.pem, vm.pem and vm.key to {}", directory.display());
+    Ok(Ended::Done)
+}
+
+fn put(directory: &Path, name: &str, text: &str) -> Result<()> {
+    let path = directory.join(name);
+    std::fs::write(&path, text).wrap_err_with(|| path.display().to_string())
+}
--- /dev/null
+++ b/crates/carobctl/src/fleet.rs
@@ -0,0 +1,130 @@
+//! Looking at the processes and stopping them.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carob_net::Caller;
+use carobglade::Record;
+use clap::ArgMatches;
+use eyre::{Result, eyre};
+use serde_json::Value;
+
+use crate::Ended;
+use crate::apply::Follower;
+
+const TIMEOUT: Duration = Duration::from_secs(3);
+
+fn admin_of(args: &ArgMatches) -> Result<SocketAddr> {
+    args.get_one::<SocketAddr>("admin")
+        .copied()
+        .ok_or_else(|| eyre!("no --admin"))
+}
+
+/// Prints the status of the fleet as one process sees it.
+pub async fn status(args: &ArgMatches) -> Result<Ended> {
+    let url = format!("http://{}/status", admin_of(args)?);
+    let answer = match Caller::pooled().get(&url, TIMEOUT).await {
+        Ok(answer) => answer,
+        Err(err) => {
+            eprintln!("{err}");
+            return Ok(Ended::Unreachable);
+        }
+    };
+    let status: Value = serde_json::from_slice(&answer.body)?;
+    if args.get_flag("json") {
+        println!("{}", serde_json::to_string_pretty(&status)?);
+    } else {
+        print_status(&status);
+    }
+    Ok(Ended::Done)
+}
+
+fn text(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        Value::Null => "-".into(),
+        other => other.to_string(),
+    }
+}
+
+fn print_status(status: &Value) {
+    println!(
+        "version {}  standing {}  slots {} of {}  claims {}  suspects {}",
+        text(&status["version"]),
+        text(&status["standing"]),
+        text(&status["slots"]["held"]),
+        text(&status["slots"]["of"]),
+        text(&status["claims"]),
+        text(&status["suspects"]),
+    );
+    println!(
+        "\n{:<16} {:<14} {:>6} {:>8} {:>8} {:>6}",
+        "VM", "DATA CENTRE", "ALIVE", "VERSION", "RUNNING", "SLOTS"
+    );
+    for member in status["members"].as_array().into_iter().flatten() {
+        println!(
+            "{:<16} {:<14} {:>6} {:>8} {:>8} {:>6}",
+            text(&member["vm"]),
+            text(&member["data_centre"]),
+            text(&member["alive"]),
+            text(&member["version"]),
+            text(&member["running"]),
+            text(&member["slots"]),
+        );
+    }
+    println!(
+        "\n{:<16} {:>10} {:>10}  MODELS",
+        "UPSTREAM", "MEMORY", "CHARGED"
+    );
+    for (name, upstream) in status["upstreams"].as_object().into_iter().flatten() {
+        let models = upstream["models"].as_array().into_iter().flatten();
+        let models: Vec<String> = models
+            .map(|m| format!("{} ({})", text(&m["model"]), text(&m["phase"])))
+            .collect();
+        println!(
+            "{:<16} {:>10} {:>10}  {}",
+            name,
+            text(&upstream["memory"]),
+            text(&upstream["charged"]),
+            models.join(", ")
+        );
+    }
+}
+
+/// Tells a process to stop, planned.
+pub async fn drain(args: &ArgMatches) -> Result<Ended> {
+    let url = format!("http://{}/drain", admin_of(args)?);
+    match Caller::pooled().post(&url, "{}".into(), TIMEOUT).await {
+        Ok(answer) if answer.status == 202 => {
+            println!("draining");
+            Ok(Ended::Done)
+        }
+        Ok(answer) => Err(eyre!("the process answered {}", answer.status)),
+        Err(err) => {
+            eprintln!("{err}");
+            Ok(Ended::Unreachable)
+        }
+    }
+}
+
+/// States in the log that a vm is gone, which frees what it held.
+pub async fn gone(args: &ArgMatches) -> Result<Ended> {
+    let log = args
+        .get_one::<SocketAddr>("log")
+        .copied()
+        .ok_or_else(|| eyre!("no --log"))?;
+    let name = args.get_one::<String>("vm").cloned().unwrap_or_default();
+    let mut follower = Follower::open(log).await?;
+    let members = follower.state().members().values();
+    let Some(vm) = members
+        .map(|member| &member.vm)
+        .find(|vm| vm.vm.as_str() == name)
+        .cloned()
+    else {
+        eprintln!("vm {name:?} is not a member");
+        return Ok(Ended::Invalid);
+    };
+    let (_, offset) = follower.append(Record::Gone(vm.clone())).await?;
+    println!("{vm} is gone as of {offset}");
+    Ok(Ended::Done)
+}
--- /dev/null
+++ b/crates/carobctl/src/main.rs
@@ -0,0 +1,280 @@
+//! The operators' command line of carobglade.
+
+mod apply;
+mod cert;
+mod fleet;
+mod key;
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use carobglade::{Change, Config, ConfigWire, Offset, check};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use clap_complete::Shell;
+use eyre::{Context, Result, bail};
+
+const EXIT_INVALID: u8 = 2;
+const EXIT_CONFLICT: u8 = 3;
+const EXIT_UNREACHABLE: u8 = 4;
+const EXIT_WAITING: u8 = 5;
+
+/// How a command ended, as its exit code tells.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// Done.
+    Done,
+    /// The file or the arguments are not valid.
+    Invalid,
+    /// Another change was accepted first.
+    Conflict,
+    /// The log or a process does not answer.
+    Unreachable,
+    /// Accepted, but not in force everywhere in time.
+    Waiting,
+}
+
+impl From<Ended> for ExitCode {
+    fn from(ended: Ended) -> Self {
+        match ended {
+            Ended::Done => ExitCode::SUCCESS,
+            Ended::Invalid => ExitCode::from(EXIT_INVALID),
+            Ended::Conflict => ExitCode::from(EXIT_CONFLICT),
+            Ended::Unreachable => ExitCode::from(EXIT_UNREACHABLE),
+            Ended::Waiting => ExitCode::from(EXIT_WAITING),
+        }
+    }
+}
+
+fn file() -> Arg {
+    Arg::new("file")
+        .required(true)
+        .value_name("FILE")
+        .help("The configuration")
+        .value_parser(value_parser!(PathBuf))
+}
+
+fn address(name: &'static str, help: &'static str) -> Arg {
+    Arg::new(name)
+        .long(name)
+        .value_name("ADDRESS")
+        .required(true)
+        .help(help)
+        .value_parser(value_parser!(SocketAddr))
+}
+
+fn log_address() -> Arg {
+    address("log", "Address of the platform's log")
+}
+
+fn admin_address() -> Arg {
+    address("admin", "Operators' address of any entry process")
+}
+
+fn command() -> Command {
+    let flag = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .action(ArgAction::SetTrue)
+            .help(help)
+    };
+    Command::new("carobctl")
+        .about("Drives carobglade")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(
+            Command::new("check")
+                .about("Check a file; every error at once")
+                .arg(file()),
+        )
+        .subcommand(
+            Command::new("diff")
+                .about("Show what a file would change")
+                .arg(file())
+                .arg(log_address()),
+        )
+        .subcommand(
+            Command::new("apply")
+                .about("Apply a file, whole or not at all")
+                .arg(file())
+                .arg(log_address())
+                .arg(
+                    Arg::new("base")
+                        .long("base")
+                        .value_name("VERSION")
+                        .help("Apply only if this version is in force [default: the one read now]")
+                        .value_parser(value_parser!(u64)),
+                )
+                .arg(flag("wait", "Wait until it is in force everywhere"))
+                .arg(
+                    Arg::new("within")
+                        .long("within")
+                        .value_name("SECONDS")
+                        .help("Longest wait")
+                        .default_value("18")
+                        .value_parser(value_parser!(u64)),
+                ),
+        )
+        .subcommand(
+            Command::new("show")
+                .about("Print the configuration in force")
+                .arg(log_address()),
+        )
+        .subcommand(
+            Command::new("status")
+                .about("Show processes, versions, slots and placement")
+                .arg(admin_address())
+                .arg(flag("json", "Print JSON")),
+        )
+        .subcommand(
+            Command::new("key")
+                .about("Keys of callers")
+                .subcommand_required(true)
+                .subcommand(Command::new("new").about("Make a key and its digest")),
+        )
+        .subcommand(
+            Command::new("cert")
+                .about("Make certificates for the connections between vms")
+                .arg(
+                    Arg::new("directory")
+                        .required(true)
+                        .value_name("DIRECTORY")
+                        .help("Where ca.pem, vm.pem and vm.key are written")
+                        .value_parser(value_parser!(PathBuf)),
+                ),
+        )
+        .subcommand(
+            Command::new("drain")
+                .about("Stop an entry process, planned")
+                .arg(admin_address()),
+        )
+        .subcommand(
+            Command::new("gone")
+                .about("State that a vm was switched off and will not come back")
+                .arg(
+                    Arg::new("vm")
+                        .required(true)
+                        .value_name("VM")
+                        .help("Name of the vm"),
+                )
+                .arg(log_address()),
+        )
+        .subcommand(Command::new("schema").about("Print the JSON Schema of the configuration"))
+        .subcommand(
+            Command::new("completions")
+                .about("Print completions for a shell")
+                .arg(
+                    Arg::new("shell")
+                        .required(true)
+                        .value_parser(value_parser!(Shell)),
+                ),
+        )
+        .after_help(
+            "Exit codes:\n  0  done\n  1  failed\n  2  invalid file or arguments\n  \
+             3  another change was accepted first\n  4  log or process not reached\n  \
+             5  accepted, but not in force everywhere in time",
+        )
+}
+
+/// Reads a configuration file.
+pub fn read(path: &PathBuf) -> Result<ConfigWire> {
+    let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+    serde_json::from_str(&text).wrap_err_with(|| path.display().to_string())
+}
+
+/// Prints every problem of a file; `None` when there is one.
+pub fn checked(wire: &ConfigWire) -> Option<Config> {
+    match check(wire, Offset(0)) {
+        Ok(config) => Some(config),
+        Err(problems) => {
+            for problem in &problems {
+                eprintln!("{problem}");
+            }
+            eprintln!("{} problems", problems.len());
+            None
+        }
+    }
+}
+
+fn check_file(args: &ArgMatches) -> Result<Ended> {
+    let Some(path) = args.get_one::<PathBuf>("file") else {
+        bail!("no file")
+    };
+    let Some(config) = checked(&read(path)?) else {
+        return Ok(Ended::Invalid);
+    };
+    println!(
+        "valid: {} tenants, {} models, {} upstreams, {} services, {} routes",
+        config.tenants.len(),
+        config.models.len(),
+        config.upstreams.len(),
+        config.services.len(),
+        config.routes.len()
+    );
+    Ok(Ended::Done)
+}
+
+/// One line for a change.
+pub fn describe(change: &Change) -> String {
+    match change {
+        Change::Tenant(item) => format!("+ tenant {}", item.name),
+        Change::Model(item) => format!("+ model {}", item.name),
+        Change::Upstream(item) => format!("+ upstream {}", item.name),
+        Change::Service(item) => format!("+ service {}", item.name),
+        Change::Route(item) => format!("+ route {}", item.prefix),
+        Change::RemoveTenant(name) => format!("- tenant {name}"),
+        Change::RemoveModel(name) => format!("- model {name}"),
+        Change::RemoveUpstream(name) => format!("- upstream {name}"),
+        Change::RemoveService(name) => format!("- service {name}"),
+        Change::RemoveRoute(prefix) => format!("- route {prefix}"),
+    }
+}
+
+async fn run(name: &str, args: &ArgMatches) -> Result<Ended> {
+    match name {
+        "check" => check_file(args),
+        "diff" => apply::diff(args).await,
+        "apply" => apply::apply(args).await,
+        "show" => apply::show(args).await,
+        "status" => fleet::status(args).await,
+        "drain" => fleet::drain(args).await,
+        "gone" => fleet::gone(args).await,
+        "key" => key::new(),
+        "cert" => cert::write(args),
+        "schema" => {
+            println!(
+                "{}",
+                include_str!("../../../docs/config.schema.json").trim_end()
+            );
+            Ok(Ended::Done)
+        }
+        "completions" => {
+            if let Some(shell) = args.get_one::<Shell>("shell") {
+                clap_complete::generate(*shell, &mut command(), "carobctl", &mut std::io::stdout());
+            }
+            Ok(Ended::Done)
+        }
+        other => bail!("unknown command {other:?}"),
+    }
+}
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> ExitCode {
+    let matches = command().get_matches();
+    let Some((name, args)) = matches.subcommand() else {
+        return ExitCode::FAILURE;
+    };
+    match run(name, args).await {
+        Ok(ended) => ended.into(),
+        Err(err) => {
+            eprintln!("carobctl: {err:#}");
+            let file = err.chain().any(|cause| cause.is::<serde_json::Error>());
+            if file {
+                Ended::Invalid.into()
+            } else {
+                ExitCode::FAILURE
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/error.rs
@@ -0,0 +1,182 @@
+//! The closed list of error kinds, and the answer that a caller gets for each.
+
+use std::fmt::{self, Display};
+use std::time::Duration;
+
+/// Alias for a `Result` with this crate's [`Error`].
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// Whether the request behind an error reached an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RunState {
+    /// No byte of the request left for an upstream, and none will.
+    NotRun,
+    /// The upstream ran the request.
+    Ran,
+    /// The request may have run.
+    Unknown,
+}
+
+impl RunState {
+    /// The name used in answers.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            RunState::NotRun => "not_run",
+            RunState::Ran => "ran",
+            RunState::Unknown => "unknown",
+        }
+    }
+}
+
+/// What a caller is told for an [`ErrorKind`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Answer {
+    /// HTTP status code.
+    pub status: u16,
+    /// Stable name of the kind.
+    pub code: &'static str,
+    /// The `type` field that model clients expect.
+    pub family: &'static str,
+    /// Whether the request ran.
+    pub run: RunState,
+}
+
+macro_rules! error_kinds {
+    ($($(#[$doc:meta])* $kind:ident = $status:literal $code:literal $family:literal $run:ident;)*) => {
+        /// Every way in which a request, a record or a document can fail.
+        #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+        pub enum ErrorKind {
+            $($(#[$doc])* $kind,)*
+        }
+
+        impl ErrorKind {
+            /// All kinds, in the order of the table.
+            pub const ALL: &'static [ErrorKind] = &[$(ErrorKind::$kind),*];
+
+            /// The answer that a caller gets for this kind.
+            pub fn answer(self) -> Answer {
+                match self {
+                    $(ErrorKind::$kind => Answer {
+                        status: $status,
+                        code: $code,
+                        family: $family,
+                        run: RunState::$run,
+                    },)*
+                }
+            }
+        }
+    };
+}
+
+error_kinds! {
+    /// A field of the request is missing or has a bad value.
+    InvalidRequest = 400 "invalid_request" "invalid_request_error" NotRun;
+    /// The call may not be repeated and its route demands an idempotency key.
+    KeyRequired = 400 "idempotency_key_required" "invalid_request_error" NotRun;
+    /// No key came with the request.
+    Unauthenticated = 401 "missing_key" "authentication_error" NotRun;
+    /// The key is unknown or withdrawn.
+    KeyRefused = 401 "invalid_key" "authentication_error" NotRun;
+    /// The tenant may not use the model or the route.
+    Forbidden = 403 "forbidden" "permission_error" NotRun;
+    /// No route matches the path.
+    UnknownRoute = 404 "unknown_route" "invalid_request_error" NotRun;
+    /// No model of that name exists.
+    UnknownModel = 404 "model_not_found" "invalid_request_error" NotRun;
+    /// The route does not take the method.
+    MethodRefused = 405 "method_not_allowed" "invalid_request_error" NotRun;
+    /// A request with the same idempotency key is still running.
+    InProgress = 409 "in_progress" "conflict_error" Unknown;
+    /// A request with the same idempotency key started and its end is not known.
+    OutcomeUnknown = 409 "outcome_unknown" "conflict_error" Unknown;
+    /// The request with the same idempotency key ran, but its answer was too long to keep.
+    OutcomeNotKept = 409 "already_ran" "conflict_error" Ran;
+    /// The version that a change is based on is not the version in force.
+    VersionConflict = 409 "version_conflict" "conflict_error" NotRun;
+    /// The body is longer than allowed.
+    TooLarge = 413 "too_large" "invalid_request_error" NotRun;
+    /// The idempotency key was used with another request.
+    KeyReused = 422 "idempotency_key_reused" "invalid_request_error" NotRun;
+    /// The request was in flight on several upstreams when they crashed.
+    Quarantined = 422 "quarantined" "invalid_request_error" NotRun;
+    /// The tenant's rate and burst are used up.
+    RateExceeded = 429 "rate_exceeded" "rate_limit_error" NotRun;
+    /// The header section is longer than allowed.
+    HeadersTooLarge = 431 "headers_too_large" "invalid_request_error" NotRun;
+    /// An unexpected failure before the request was sent on.
+    Internal = 500 "internal" "server_error" NotRun;
+    /// The upstream failed after the request was sent.
+    UpstreamFailed = 502 "upstream_failed" "server_error" Unknown;
+    /// No upstream can take the request now.
+    UpstreamUnavailable = 503 "upstream_unavailable" "server_error" NotRun;
+    /// The model is not loaded yet.
+    ModelCold = 503 "model_loading" "server_error" NotRun;
+    /// The platform log does not answer, and the call needs it.
+    LogUnavailable = 503 "log_unavailable" "server_error" NotRun;
+    /// The process cannot prove that its configuration is in force.
+    NotReady = 503 "not_ready" "server_error" NotRun;
+    /// The process is stopping.
+    Draining = 503 "draining" "server_error" NotRun;
+    /// The upstream made no progress in time.
+    Timeout = 504 "timeout" "server_error" Unknown;
+}
+
+/// An error with its kind, a message, and when to come back.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    kind: ErrorKind,
+    message: String,
+    retry: Option<Duration>,
+}
+
+impl Error {
+    /// Creates an error of `kind`.
+    ///
+    /// ```
+    /// use carobglade::{Error, ErrorKind};
+    /// let err = Error::new(ErrorKind::UnknownModel, "model \"x\" does not exist");
+    /// assert_eq!(err.kind().answer().status, 404);
+    /// ```
+    pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
+        Error {
+            kind,
+            message: message.into(),
+            retry: None,
+        }
+    }
+
+    /// Adds the delay after which the caller can come back.
+    pub fn with_retry(mut self, after: Duration) -> Self {
+        self.retry = Some(after);
+        self
+    }
+
+    /// The kind.
+    pub fn kind(&self) -> ErrorKind {
+        self.kind
+    }
+
+    /// The message.
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// The delay after which the caller can come back.
+    pub fn retry(&self) -> Option<Duration> {
+        self.retry
+    }
+
+    /// The delay in whole seconds, rounded up, as in `Retry-After`.
+    pub fn retry_seconds(&self) -> Option<u64> {
+        self.retry
+            .map(|d| d.as_secs() + u64::from(d.subsec_nanos() > 0))
+    }
+}
+
+impl Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.kind.answer().code, self.message)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,69 @@
+//! Coordination parts for serving many bursty models on fewer accelerators.
+//!
+//! The parts decide; they do no I/O and read no clock. Each takes the time and the events as
+//! arguments and returns what is to be done, so that it can be embedded in any runtime and driven
+//! by a virtual clock in tests.
+//!
+//! Every process replays the same log, so that all reach the same verdict:
+//!
+//! ```
+//! use carobglade::{
+//!     Change, ConfigChange, ControlState, Entry, Offset, Page, Record, Replay, TenantWire, Verdict,
+//! };
+//!
+//! let tenant = TenantWire {
+//!     name: "apron-desk".into(),
+//!     class: "interactive".into(),
+//!     rate: "1200/s".into(),
+//!     burst: 4000,
+//!     ..TenantWire::default()
+//! };
+//! let change = ConfigChange { base: Offset(0), changes: vec![Change::Tenant(tenant)] };
+//! let entry = Entry {
+//!     offset: Offset(1),
+//!     time: 1000,
+//!     id: "first".into(),
+//!     records: vec![Record::Config(change)],
+//! };
+//!
+//! let mut replay = Replay::<ControlState>::default();
+//! replay.page(&Page { first: Offset(0), next: Offset(2), entries: vec![entry] });
+//! assert_eq!(replay.state().verdict("first"), Some(&Verdict::Accepted(Offset(1))));
+//! assert_eq!(replay.state().config().tenants.len(), 1);
+//! ```
+
+mod connection;
+mod error;
+mod process;
+mod request;
+mod units;
+mod version;
+
+pub use connection::{Health, HealthSettings, Progress, ProgressSettings};
+pub use error::{Answer, Error, ErrorKind, Result, RunState};
+pub use process::fleet::{DEAD_AFTER, FRESH_FOR, Fleet, Heartbeat, Standing, UpstreamLoad};
+pub use process::ledger::{Account, Charge, Ledger, ORDER_LIFETIME_MS, Phase};
+pub use process::placement::{Demand, PlacementPolicy, PlacementSettings, PlanInput, plan};
+pub use process::quota::{
+    Ask, Bucket, LOAN_TIME, Lender, Lent, LoanReport, Mark, Pool, Reservation, Share,
+};
+pub use process::{
+    Claim, ClaimDone, ClaimRef, ConfigChange, ControlState, Entry, Fingerprint, Fold, Holder,
+    Intent, IntentKind, Join, Member, Outcome, Page, QUARANTINE_AFTER, Record, Replay,
+    ReplayStatus, Resolve, Restarted, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, SlotTable, SlotTake,
+    Snapshot, Suspects, Suspicion, Verdict, VmRef, slots_of,
+};
+pub use request::choose::{Candidate, Policy, choose};
+pub use request::claim::{ClaimPhase, ClaimState, Decision, HeldClaim, KEY_MEMORY, check_key};
+pub use request::queue::{FairQueue, Waiting};
+pub use request::{
+    Class, ModelCall, RetryBudget, RetrySettings, is_key_header, prompt_tokens, strip_key, take_key,
+};
+pub use units::{
+    ByteSize, DataCentre, Incarnation, ModelName, Offset, TenantName, TokenRate, Tokens,
+    UpstreamName, VmName,
+};
+pub use version::{
+    Change, Config, ConfigWire, Grant, KeyDigest, KeyIndex, Model, ModelWire, Problem, Route,
+    RouteWire, Service, ServiceWire, Tenant, TenantWire, Upstream, UpstreamWire, check,
+};
--- /dev/null
+++ b/src/process/ledger.rs
@@ -0,0 +1,216 @@
+//! The ledger of accelerator memory.
+//!
+//! An order is admitted by replay only when the upstream's capacity holds everything that is
+//! loaded, everything that may still become loaded, and the order's own model. A load is charged
+//! from its intent on. An eviction frees memory only when it is resolved, which a process may
+//! record only after a report that names the eviction's order as done.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::{Intent, IntentKind, Resolve, Restarted};
+use crate::{ByteSize, Incarnation, ModelName, Offset, UpstreamName};
+
+/// Time on the log's clock for which an order to an upstream without fencing may still land.
+pub const ORDER_LIFETIME_MS: u64 = 10 * 60 * 1000;
+
+/// Where a model stands on an upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// A load was ordered.
+    Loading,
+    /// The load took effect.
+    Loaded,
+    /// An eviction was ordered.
+    Evicting,
+    /// The eviction took effect, but the load order may land again.
+    Ghost,
+}
+
+/// A model on an upstream.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Charge {
+    /// Its memory.
+    pub size: ByteSize,
+    /// Where it stands.
+    pub phase: Phase,
+    /// The order that is under way, or was last.
+    pub order: Offset,
+    /// Time of the last order on the log's clock, in milliseconds.
+    pub time: u64,
+}
+
+/// One upstream's memory.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Account {
+    /// The incarnation that the charges belong to.
+    pub incarnation: Incarnation,
+    /// Memory.
+    pub capacity: ByteSize,
+    /// Whether the upstream refuses orders with an old fencing number.
+    pub fencing: bool,
+    /// Models that are charged.
+    pub charges: BTreeMap<ModelName, Charge>,
+}
+
+impl Account {
+    /// Memory that is charged.
+    pub fn charged(&self) -> ByteSize {
+        ByteSize(self.charges.values().map(|charge| charge.size.0).sum())
+    }
+
+    /// Memory that is not charged.
+    pub fn free(&self) -> ByteSize {
+        ByteSize(self.capacity.0.saturating_sub(self.charged().0))
+    }
+
+    fn expire_ghosts(&mut self, time: u64) {
+        self.charges.retain(|_, charge| {
+            charge.phase != Phase::Ghost || time < charge.time + ORDER_LIFETIME_MS
+        });
+    }
+}
+
+/// The accounts of all upstreams.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Ledger {
+    accounts: BTreeMap<UpstreamName, Account>,
+}
+
+impl Ledger {
+    /// The account of `upstream`.
+    pub fn account(&self, upstream: &UpstreamName) -> Option<&Account> {
+        self.accounts.get(upstream)
+    }
+
+    /// All accounts.
+    pub fn accounts(&self) -> impl Iterator<Item = (&UpstreamName, &Account)> {
+        self.accounts.iter()
+    }
+
+    /// Sets an upstream's capacity from the configuration.
+    pub(crate) fn configure(&mut self, upstream: &UpstreamName, capacity: ByteSize, fencing: bool) {
+        let account = self.accounts.entry(upstream.clone()).or_default();
+        account.capacity = capacity;
+        account.fencing = fencing;
+    }
+
+    /// Admits an intent, or returns why it is void.
+    pub(crate) fn admit(
+        &mut self,
+        intent: &Intent,
+        offset: Offset,
+        time: u64,
+    ) -> Result<(), &'static str> {
+        let account = self
+            .accounts
+            .get_mut(&intent.upstream)
+            .ok_or("upstream does not exist")?;
+        if account.incarnation != intent.incarnation {
+            return Err("upstream runs with another incarnation");
+        }
+        account.expire_ghosts(time);
+        match intent.kind {
+            IntentKind::Load => admit_load(account, intent, offset, time),
+            IntentKind::Evict => admit_evict(account, intent, offset, time),
+        }
+    }
+
+    /// Ends an order: a load becomes loaded, an eviction frees its memory.
+    pub(crate) fn resolve(&mut self, resolve: &Resolve, time: u64) {
+        let Some(account) = self.accounts.get_mut(&resolve.upstream) else {
+            return;
+        };
+        if account.incarnation != resolve.incarnation {
+            return;
+        }
+        let fencing = account.fencing;
+        let mut gone = None;
+        for (model, charge) in &mut account.charges {
+            if charge.order != resolve.order {
+                continue;
+            }
+            match charge.phase {
+                Phase::Loading => charge.phase = Phase::Loaded,
+                Phase::Evicting if fencing => gone = Some(model.clone()),
+                Phase::Evicting => {
+                    charge.phase = Phase::Ghost;
+                    charge.time = time;
+                }
+                Phase::Loaded | Phase::Ghost => {}
+            }
+        }
+        if let Some(model) = gone {
+            account.charges.remove(&model);
+        }
+    }
+
+    /// An upstream restarted empty. Orders to the former incarnation may still land where the
+    /// upstream does not check fencing numbers, so those stay charged for their lifetime.
+    pub(crate) fn restarted(&mut self, restarted: &Restarted, time: u64) {
+        let Some(account) = self.accounts.get_mut(&restarted.upstream) else {
+            return;
+        };
+        if account.incarnation >= restarted.incarnation {
+            return;
+        }
+        account.incarnation = restarted.incarnation;
+        if account.fencing {
+            account.charges.clear();
+            return;
+        }
+        account
+            .charges
+            .retain(|_, charge| time < charge.time + ORDER_LIFETIME_MS);
+        for charge in account.charges.values_mut() {
+            charge.phase = Phase::Ghost;
+        }
+    }
+}
+
+fn admit_load(
+    account: &mut Account,
+    intent: &Intent,
+    offset: Offset,
+    time: u64,
+) -> Result<(), &'static str> {
+    let ghost = account
+        .charges
+        .get(&intent.model)
+        .map(|charge| charge.phase);
+    match ghost {
+        Some(Phase::Ghost) => {}
+        Some(_) => return Err("model is charged already"),
+        None if account.free() < intent.size => return Err("memory is full"),
+        None => {}
+    }
+    let charge = Charge {
+        size: intent.size,
+        phase: Phase::Loading,
+        order: offset,
+        time,
+    };
+    account.charges.insert(intent.model.clone(), charge);
+    Ok(())
+}
+
+fn admit_evict(
+    account: &mut Account,
+    intent: &Intent,
+    offset: Offset,
+    time: u64,
+) -> Result<(), &'static str> {
+    let charge = account
+        .charges
+        .get_mut(&intent.model)
+        .ok_or("model is not loaded")?;
+    if charge.phase != Phase::Loaded {
+        return Err("model is not loaded");
+    }
+    charge.phase = Phase::Evicting;
+    charge.order = offset;
+    charge.time = time;
+    Ok(())
+}
--- /dev/null
+++ b/src/process/placement.rs
@@ -0,0 +1,386 @@
+//! Which models are loaded where.
+//!
+//! The planner proposes orders; the [`Ledger`] admits them in the order of the log. So two
+//! planners at once can waste an order, but never overcommit memory.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::ledger::{Account, Ledger, Phase};
+use crate::process::{Intent, IntentKind};
+use crate::version::Config;
+use crate::{ModelName, UpstreamName};
+
+/// Demand for a model.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Demand {
+    /// Requests that run, as a moving mean.
+    pub running: f32,
+    /// Requests that wait because the model is not loaded.
+    pub waiting: u32,
+    /// Milliseconds that the oldest of them has waited.
+    pub oldest: u32,
+}
+
+impl Demand {
+    /// Adds the demand of another process.
+    pub fn add(&mut self, other: &Demand) {
+        self.running += other.running;
+        self.waiting += other.waiting;
+        self.oldest = self.oldest.max(other.oldest);
+    }
+
+    fn total(&self) -> f32 {
+        self.running + self.waiting as f32
+    }
+}
+
+/// How victims of an eviction are chosen.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum PlacementPolicy {
+    /// By demand, with hysteresis.
+    #[default]
+    Demand,
+    /// The least recently used, whatever its demand.
+    LeastRecent,
+    /// Models are loaded while memory is free and never evicted.
+    Static,
+}
+
+/// Settings of the planner.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PlacementSettings {
+    /// How victims are chosen.
+    pub policy: PlacementPolicy,
+    /// Weights that the store serves at once.
+    pub loads: usize,
+    /// Adapters that the store serves at once.
+    pub adapters: usize,
+    /// Requests that one loaded model runs well.
+    pub batch: f32,
+    /// Milliseconds that a loaded model stays at least.
+    pub residency: u64,
+    /// A victim with demand yields only to this many times its demand.
+    pub advantage: f32,
+    /// Milliseconds after which a waiting request takes a victim whatever its demand.
+    pub patience: u32,
+}
+
+impl Default for PlacementSettings {
+    fn default() -> Self {
+        PlacementSettings {
+            policy: PlacementPolicy::Demand,
+            loads: 2,
+            adapters: 16,
+            batch: 12.0,
+            residency: 5_000,
+            advantage: 2.0,
+            patience: 2_000,
+        }
+    }
+}
+
+/// What the planner looks at.
+#[derive(Clone, Copy)]
+pub struct PlanInput<'a> {
+    /// The configuration in force.
+    pub config: &'a Config,
+    /// The ledger.
+    pub ledger: &'a Ledger,
+    /// Demand of the whole fleet.
+    pub demand: &'a BTreeMap<ModelName, Demand>,
+    /// When each model was last asked for, in milliseconds on the log's clock.
+    pub used: &'a BTreeMap<ModelName, u64>,
+    /// Upstreams that answer.
+    pub reachable: &'a dyn Fn(&UpstreamName) -> bool,
+    /// Now, in milliseconds on the log's clock.
+    pub time: u64,
+}
+
+/// Proposes the next orders.
+pub fn plan(input: &PlanInput<'_>, settings: &PlacementSettings) -> Vec<Intent> {
+    let mut planner = Planner {
+        input,
+        settings,
+        orders: Vec::new(),
+        loads: 0,
+        adapters: 0,
+    };
+    planner.count_loads();
+    planner.place_wanted();
+    planner.orders
+}
+
+struct Planner<'a> {
+    input: &'a PlanInput<'a>,
+    settings: &'a PlacementSettings,
+    orders: Vec<Intent>,
+    loads: usize,
+    adapters: usize,
+}
+
+impl Planner<'_> {
+    fn is_adapter(&self, model: &ModelName) -> bool {
+        self.input
+            .config
+            .models
+            .get(model)
+            .is_some_and(|m| m.base.is_some())
+    }
+
+    fn count_loads(&mut self) {
+        for (_, account) in self.input.ledger.accounts() {
+            for (model, charge) in &account.charges {
+                if charge.phase == Phase::Loading {
+                    self.note_load(model);
+                }
+            }
+        }
+    }
+
+    fn note_load(&mut self, model: &ModelName) {
+        match self.is_adapter(model) {
+            true => self.adapters += 1,
+            false => self.loads += 1,
+        }
+    }
+
+    fn store_busy(&self, model: &ModelName) -> bool {
+        match self.is_adapter(model) {
+            true => self.adapters >= self.settings.adapters,
+            false => self.loads >= self.settings.loads,
+        }
+    }
+
+    fn demand(&self, model: &ModelName) -> Demand {
+        self.input.demand.get(model).copied().unwrap_or_default()
+    }
+
+    /// Demand for a model and, for a base, for the adapters on it.
+    fn whole_demand(&self, model: &ModelName) -> f32 {
+        let adapters = self
+            .input
+            .config
+            .models
+            .values()
+            .filter(|m| m.base.as_ref() == Some(model));
+        let sum: f32 = adapters.map(|m| self.demand(&m.name).total()).sum();
+        self.demand(model).total() + sum
+    }
+
+    /// Models by need: those that requests wait for first, the longest wait before others; then
+    /// loaded ones whose demand is more than their copies run well.
+    fn place_wanted(&mut self) {
+        let mut wanted: Vec<(ModelName, Demand)> = self
+            .input
+            .demand
+            .iter()
+            .map(|(model, demand)| (model.clone(), *demand))
+            .collect();
+        wanted.retain(|(model, _)| self.input.config.models.contains_key(model));
+        wanted.sort_by(|(a, x), (b, y)| {
+            (y.oldest, y.total(), a)
+                .partial_cmp(&(x.oldest, x.total(), b))
+                .unwrap()
+        });
+        for (model, demand) in wanted {
+            if self.copies(&model) < self.wanted_copies(&demand) {
+                self.bring(&model, &demand);
+            }
+        }
+    }
+
+    fn wanted_copies(&self, demand: &Demand) -> usize {
+        if demand.total() < 0.05 {
+            return 0;
+        }
+        (demand.total() / self.settings.batch).ceil().max(1.0) as usize
+    }
+
+    fn copies(&self, model: &ModelName) -> usize {
+        let ledger = self.input.ledger.accounts();
+        let usable = ledger.filter(|(name, _)| self.takes_new(name));
+        let loaded = usable.filter(|(_, account)| {
+            let phase = account.charges.get(model).map(|charge| charge.phase);
+            matches!(phase, Some(Phase::Loading | Phase::Loaded))
+        });
+        let ordered = self.orders.iter();
+        loaded.count()
+            + ordered
+                .filter(|o| o.model == *model && o.kind == IntentKind::Load)
+                .count()
+    }
+
+    fn takes_new(&self, upstream: &UpstreamName) -> bool {
+        let known = self.input.config.upstreams.get(upstream);
+        known.is_some_and(|u| !u.leaving) && (self.input.reachable)(upstream)
+    }
+
+    fn bring(&mut self, model: &ModelName, demand: &Demand) {
+        let base = self.input.config.base_of(model).clone();
+        if base != *model && self.copies(&base) == 0 {
+            return self.bring(&base, demand);
+        }
+        if self.store_busy(model) {
+            return;
+        }
+        match self.roomy(model, &base) {
+            Some(upstream) => self.order(&upstream, model, IntentKind::Load),
+            None if self.settings.policy != PlacementPolicy::Static => {
+                self.make_room(model, &base, demand);
+            }
+            None => {}
+        }
+    }
+
+    /// Upstreams that could run another copy of `model`.
+    fn hosts<'a>(
+        &'a self,
+        model: &'a ModelName,
+        base: &'a ModelName,
+    ) -> impl Iterator<Item = (&'a UpstreamName, &'a Account)> {
+        self.input.ledger.accounts().filter(move |(name, account)| {
+            let phase = account.charges.get(model).map(|charge| charge.phase);
+            let base_phase = account.charges.get(base).map(|charge| charge.phase);
+            let based = base == model || base_phase == Some(Phase::Loaded);
+            let absent = matches!(phase, None | Some(Phase::Ghost));
+            absent && based && self.takes_new(name) && account.incarnation.0 > 0
+        })
+    }
+
+    fn size(&self, model: &ModelName) -> u64 {
+        self.input
+            .config
+            .models
+            .get(model)
+            .map_or(u64::MAX, |m| m.size.0)
+    }
+
+    fn ordered_on(&self, upstream: &UpstreamName) -> u64 {
+        let loads = self.orders.iter().filter(|o| o.upstream == *upstream);
+        loads
+            .filter(|o| o.kind == IntentKind::Load)
+            .map(|o| o.size.0)
+            .sum()
+    }
+
+    fn roomy(&self, model: &ModelName, base: &ModelName) -> Option<UpstreamName> {
+        let size = self.size(model);
+        let ghost = |account: &Account| account.charges.contains_key(model);
+        let fitting = self.hosts(model, base).filter(|(name, account)| {
+            ghost(account) || account.free().0.saturating_sub(self.ordered_on(name)) >= size
+        });
+        let best = fitting.max_by_key(|(_, account)| (ghost(account), account.free()));
+        best.map(|(name, _)| name.clone())
+    }
+
+    /// Orders the evictions on the upstream where they cost the least.
+    fn make_room(&mut self, model: &ModelName, base: &ModelName, demand: &Demand) {
+        let size = self.size(model);
+        let options = self.hosts(model, base).filter_map(|(name, account)| {
+            self.victims(account, base, size, demand)
+                .map(|(cost, list)| (cost, name, list))
+        });
+        let best = options.min_by(|(a, n, _), (b, m, _)| (a, n).partial_cmp(&(b, m)).unwrap());
+        let Some((_, upstream, victims)) = best else {
+            return;
+        };
+        let upstream = upstream.clone();
+        for victim in victims {
+            self.order(&upstream, &victim, IntentKind::Evict);
+        }
+    }
+
+    /// The cheapest models to evict from `account` for `size` bytes, and what they cost.
+    fn victims(
+        &self,
+        account: &Account,
+        base: &ModelName,
+        size: u64,
+        demand: &Demand,
+    ) -> Option<(f32, Vec<ModelName>)> {
+        let leaving = account
+            .charges
+            .values()
+            .filter(|c| c.phase == Phase::Evicting);
+        let mut room = account.free().0 + leaving.map(|charge| charge.size.0).sum::<u64>();
+        let candidates = account.charges.iter().filter(|(name, charge)| {
+            charge.phase == Phase::Loaded
+                && *name != base
+                && !self.carries_adapters(account, name)
+                && self.may_evict(name, charge.time, demand)
+        });
+        let mut candidates: Vec<_> = candidates.collect();
+        candidates
+            .sort_by(|(a, _), (b, _)| (self.worth(a), a).partial_cmp(&(self.worth(b), b)).unwrap());
+        let (mut cost, mut victims) = (0.0, Vec::new());
+        for (name, charge) in candidates {
+            if room >= size {
+                break;
+            }
+            room += charge.size.0;
+            cost += self.worth(name);
+            victims.push(name.clone());
+        }
+        (room >= size).then_some((cost, victims))
+    }
+
+    fn carries_adapters(&self, account: &Account, base: &ModelName) -> bool {
+        let adapters = account
+            .charges
+            .iter()
+            .filter(|(_, c)| c.phase != Phase::Ghost);
+        adapters.into_iter().any(|(name, _)| {
+            self.input
+                .config
+                .models
+                .get(name)
+                .is_some_and(|m| m.base.as_ref() == Some(base))
+        })
+    }
+
+    fn worth(&self, model: &ModelName) -> f32 {
+        if self.settings.policy == PlacementPolicy::LeastRecent {
+            return self.input.used.get(model).copied().unwrap_or(0) as f32;
+        }
+        let copies = self.copies(model).max(1) as f32;
+        self.whole_demand(model) / copies
+    }
+
+    /// A model goes when nobody asks for it, when its other copies carry its demand, or when the
+    /// newcomer has much more demand or has waited long. A young copy stays in any case, so that
+    /// two models do not evict each other in turns.
+    fn may_evict(&self, model: &ModelName, loaded: u64, newcomer: &Demand) -> bool {
+        if self.settings.policy == PlacementPolicy::LeastRecent {
+            return true;
+        }
+        if self.input.time.saturating_sub(loaded) < self.settings.residency {
+            return false;
+        }
+        let own = self.worth(model);
+        own < 0.05
+            || newcomer.total() > own * self.settings.advantage
+            || newcomer.oldest > self.settings.patience
+    }
+
+    fn order(&mut self, upstream: &UpstreamName, model: &ModelName, kind: IntentKind) {
+        let Some(account) = self.input.ledger.account(upstream) else {
+            return;
+        };
+        let Some(size) = self.input.config.models.get(model).map(|m| m.size) else {
+            return;
+        };
+        if kind == IntentKind::Load {
+            self.note_load(model);
+        }
+        let (upstream, model) = (upstream.clone(), model.clone());
+        self.orders.push(Intent {
+            upstream,
+            incarnation: account.incarnation,
+            kind,
+            model,
+            size,
+        });
+    }
+}
--- /dev/null
+++ b/src/process/quota/mod.rs
@@ -0,0 +1,16 @@
+//! Rate and burst of tenants across all vms, as escrow.
+//!
+//! Each process owns the part of a tenant's rate and burst that belongs to the slots it holds
+//! ([`SlotTable`](crate::SlotTable)) and keeps it in a [`Bucket`]. A process that needs more
+//! borrows tokens from the buckets of others for a short time. At every moment the unspent tokens
+//! of all buckets and loans together are at most the burst, and all buckets together refill at
+//! most at the rate. So in every interval `[s, t]` the tokens charged are at most
+//! `burst + rate * (t - s)`, where a request's tokens are deemed used when they were reserved.
+
+mod bucket;
+mod lender;
+mod pool;
+
+pub use bucket::{Bucket, Mark, Share};
+pub use lender::{Ask, LOAN_TIME, Lender, Lent, LoanReport};
+pub use pool::{Pool, Reservation};
--- /dev/null
+++ b/src/process/quota/pool.rs
@@ -0,0 +1,336 @@
+//! The tokens that a process may spend: its own buckets and what it borrowed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::process::VmRef;
+use crate::process::quota::{Ask, LOAN_TIME, Lender, Lent, LoanReport, Mark};
+use crate::{Offset, TenantName, Tokens};
+
+const HORIZON: Duration = Duration::from_millis(300); // demand that is borrowed ahead
+const IDLE: Duration = Duration::from_millis(500); // after which unspent loans are returned
+const DECAY: f64 = 0.8; // weight of the past in the demand, for each tick
+
+#[derive(Clone, Debug)]
+enum Part {
+    Own {
+        tokens: u64,
+        mark: Mark,
+    },
+    Borrowed {
+        lender: VmRef,
+        loan: u64,
+        tokens: u64,
+    },
+}
+
+impl Part {
+    fn tokens(&self) -> u64 {
+        match self {
+            Part::Own { tokens, .. } | Part::Borrowed { tokens, .. } => *tokens,
+        }
+    }
+}
+
+/// Tokens that were taken for one request.
+#[derive(Clone, Debug)]
+pub struct Reservation {
+    tenant: TenantName,
+    parts: Vec<Part>,
+}
+
+impl Reservation {
+    /// The tokens.
+    pub fn tokens(&self) -> Tokens {
+        Tokens(self.parts.iter().map(Part::tokens).sum())
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Loan {
+    tenant: TenantName,
+    created: Offset,
+    tokens: u64,
+    report: LoanReport,
+    told: LoanReport,
+    until: Duration,
+    used: Duration,
+}
+
+impl Loan {
+    fn open(&self, now: Duration) -> u64 {
+        if now >= self.until {
+            return 0;
+        }
+        self.tokens - self.report.spent - self.report.returned
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Demand {
+    current: u64,
+    per_tick: f64,
+}
+
+/// The tokens that a process may spend.
+#[derive(Debug, Default)]
+pub struct Pool {
+    /// The buckets that the process owns.
+    pub lender: Lender,
+    loans: BTreeMap<(VmRef, u64), Loan>,
+    demand: BTreeMap<TenantName, Demand>,
+    lapsed: Option<Duration>,
+}
+
+impl Pool {
+    /// Sets the moment from which the process may no longer use its slots.
+    pub fn set_lapse(&mut self, at: Option<Duration>) {
+        self.lapsed = at;
+    }
+
+    /// Drops the loans of tenants that were removed, or removed and created again.
+    pub fn retain(&mut self, created: impl Fn(&TenantName) -> Option<Offset>) {
+        self.loans
+            .retain(|_, loan| created(&loan.tenant) == Some(loan.created));
+        self.demand.retain(|tenant, _| created(tenant).is_some());
+        self.lender.retain(|tenant| created(tenant).is_some());
+    }
+
+    /// Answers an ask of `borrower`.
+    pub fn lend(&mut self, borrower: &VmRef, ask: &Ask, now: Duration) -> Lent {
+        let want = if self.owns(now) { ask.want } else { 0 };
+        self.lender.ask(
+            borrower,
+            &Ask {
+                want,
+                ..ask.clone()
+            },
+            now,
+        )
+    }
+
+    fn owns(&self, now: Duration) -> bool {
+        self.lapsed.is_none_or(|at| now < at)
+    }
+
+    /// Tokens that `tenant` can spend here at `now`.
+    pub fn available(&mut self, tenant: &TenantName, now: Duration) -> Tokens {
+        let own = match self.lender.bucket(tenant) {
+            Some(bucket) => bucket.level(now).0,
+            None => 0,
+        };
+        let own = if self.owns(now) { own } else { 0 };
+        let borrowed = self.loans.values().filter(|loan| loan.tenant == *tenant);
+        Tokens(own + borrowed.map(|loan| loan.open(now)).sum::<u64>())
+    }
+
+    /// Reserves all of `tokens`, or returns how many are missing.
+    ///
+    /// # Errors
+    ///
+    /// The number of missing tokens; nothing was taken.
+    pub fn reserve(
+        &mut self,
+        tenant: &TenantName,
+        tokens: Tokens,
+        now: Duration,
+    ) -> Result<Reservation, Tokens> {
+        let available = self.available(tenant, now);
+        if available < tokens {
+            return Err(Tokens(tokens.0 - available.0));
+        }
+        self.demand.entry(tenant.clone()).or_default().current += tokens.0;
+        let mut left = tokens.0;
+        let mut parts = Vec::new();
+        for ((lender, id), loan) in &mut self.loans {
+            let part = if loan.tenant == *tenant {
+                loan.open(now).min(left)
+            } else {
+                0
+            };
+            if part > 0 {
+                loan.report.spent += part;
+                loan.used = now;
+                left -= part;
+                parts.push(Part::Borrowed {
+                    lender: lender.clone(),
+                    loan: *id,
+                    tokens: part,
+                });
+            }
+        }
+        if left > 0 {
+            let taken = self
+                .lender
+                .bucket(tenant)
+                .and_then(|b| b.take(Tokens(left), now));
+            let mark = taken.unwrap_or_default();
+            parts.push(Part::Own { tokens: left, mark });
+        }
+        Ok(Reservation {
+            tenant: tenant.clone(),
+            parts,
+        })
+    }
+
+    /// Ends a reservation of which `used` tokens were used.
+    pub fn settle(&mut self, reservation: Reservation, used: Tokens, now: Duration) {
+        let mut unused = reservation.tokens().0.saturating_sub(used.0);
+        for part in reservation.parts.iter().rev() {
+            let refund = part.tokens().min(unused);
+            unused -= refund;
+            match part {
+                Part::Own { mark, .. } => {
+                    if let Some(bucket) = self.lender.bucket(&reservation.tenant) {
+                        bucket.refund(Tokens(refund), *mark, now);
+                    }
+                }
+                Part::Borrowed { lender, loan, .. } => {
+                    if let Some(loan) = self.loans.get_mut(&(lender.clone(), *loan)) {
+                        loan.report.refunded += refund;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Takes in a loan that was asked for at `asked`, on the process's own clock.
+    pub fn receive(&mut self, lender: &VmRef, lent: &Lent, asked: Duration, now: Duration) {
+        if lent.tokens == 0 {
+            return;
+        }
+        let report = LoanReport {
+            loan: lent.loan,
+            ..LoanReport::default()
+        };
+        let loan = Loan {
+            tenant: lent.tenant.clone(),
+            created: lent.created,
+            tokens: lent.tokens,
+            report,
+            told: report,
+            until: asked + LOAN_TIME,
+            used: now,
+        };
+        self.loans
+            .entry((lender.clone(), lent.loan))
+            .or_insert(loan);
+    }
+
+    /// Asks for the missing tokens of one request: from each lender its part of them, or all of
+    /// them when `all` is set.
+    pub fn urgent_asks(
+        &self,
+        tenant: &(TenantName, Offset),
+        missing: Tokens,
+        homes: &[(VmRef, u16)],
+        all: bool,
+    ) -> Vec<(VmRef, Ask)> {
+        let slots: u64 = homes.iter().map(|(_, slots)| u64::from(*slots)).sum();
+        let asks = homes.iter().map(|(home, share)| {
+            let part = (missing.0 * u64::from(*share)).div_ceil(slots.max(1));
+            let want = if all { missing.0 } else { part };
+            (home.clone(), self.ask(home, tenant, want))
+        });
+        asks.collect()
+    }
+
+    /// The asks of a tick: demand is borrowed ahead, idle loans are returned, news is reported.
+    /// `homes` names the other processes that hold slots of a tenant, and how many.
+    pub fn tick(
+        &mut self,
+        homes: impl Fn(&TenantName) -> Vec<(VmRef, u16)>,
+        created: impl Fn(&TenantName) -> Option<Offset>,
+        tick: Duration,
+        now: Duration,
+    ) -> Vec<(VmRef, Ask)> {
+        self.lender.lapse(now);
+        self.return_idle(now);
+        let mut asks = Vec::new();
+        for tenant in self.active_tenants() {
+            let Some(offset) = created(&tenant) else {
+                continue;
+            };
+            let missing = self.foresee(&tenant, tick, now);
+            let homes = homes(&tenant);
+            let tenant = (tenant, offset);
+            let slots: u64 = homes.iter().map(|(_, slots)| u64::from(*slots)).sum();
+            for (home, share) in homes {
+                let want = (missing.0 * u64::from(share)).div_ceil(slots.max(1));
+                let ask = self.ask(&home, &tenant, want);
+                if ask.want > 0 || !ask.reports.is_empty() {
+                    asks.push((home, ask));
+                }
+            }
+        }
+        self.loans.retain(|_, loan| now < loan.until + LOAN_KEPT);
+        asks
+    }
+
+    fn active_tenants(&self) -> Vec<TenantName> {
+        let borrowed = self.loans.values().filter(|loan| loan.report != loan.told);
+        let mut names: Vec<TenantName> = borrowed.map(|loan| loan.tenant.clone()).collect();
+        names.extend(self.demand.keys().cloned());
+        names.sort();
+        names.dedup();
+        names
+    }
+
+    fn foresee(&mut self, tenant: &TenantName, tick: Duration, now: Duration) -> Tokens {
+        let available = self.available(tenant, now).0;
+        let Some(demand) = self.demand.get_mut(tenant) else {
+            return Tokens(0);
+        };
+        demand.per_tick = demand.per_tick * DECAY + demand.current as f64 * (1.0 - DECAY);
+        demand.current = 0;
+        if demand.per_tick < 0.5 {
+            self.demand.remove(tenant);
+            return Tokens(0);
+        }
+        let ticks = HORIZON.as_secs_f64() / tick.as_secs_f64().max(0.001);
+        Tokens(((demand.per_tick * ticks) as u64).saturating_sub(available))
+    }
+
+    fn return_idle(&mut self, now: Duration) {
+        for loan in self.loans.values_mut() {
+            if now.saturating_sub(loan.used) >= IDLE {
+                loan.report.returned += loan.open(now);
+            }
+        }
+    }
+
+    /// Returns all unspent loans of a tenant, after a request that could not be served.
+    pub fn give_up(&mut self, tenant: &TenantName, now: Duration) {
+        for loan in self
+            .loans
+            .values_mut()
+            .filter(|loan| loan.tenant == *tenant)
+        {
+            loan.report.returned += loan.open(now);
+        }
+    }
+
+    /// An ask with the reports that the lender has not confirmed yet.
+    fn ask(&self, home: &VmRef, tenant: &(TenantName, Offset), want: u64) -> Ask {
+        let mine = self.loans.iter().filter(|((lender, _), _)| lender == home);
+        let news = mine.filter(|(_, loan)| loan.tenant == tenant.0 && loan.report != loan.told);
+        let reports = news.map(|(_, loan)| loan.report).collect();
+        Ask {
+            tenant: tenant.0.clone(),
+            created: tenant.1,
+            want,
+            reports,
+        }
+    }
+
+    /// The lender confirmed `reports`.
+    pub fn confirm(&mut self, lender: &VmRef, reports: &[LoanReport]) {
+        for report in reports {
+            if let Some(loan) = self.loans.get_mut(&(lender.clone(), report.loan)) {
+                loan.told = *report;
+            }
+        }
+    }
+}
+
+const LOAN_KEPT: Duration = Duration::from_secs(600); // after its end, for refunds
--- /dev/null
+++ b/src/request/budget.rs
@@ -0,0 +1,69 @@
+//! A budget for retries, so that a fault does not multiply the load.
+
+use std::time::Duration;
+
+/// Settings of a [`RetryBudget`].
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetrySettings {
+    /// Retries earned by each first try.
+    pub ratio: f64,
+    /// Most retries saved up.
+    pub most: f64,
+    /// Retries per second that are allowed whatever the traffic.
+    pub floor: f64,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        RetrySettings {
+            ratio: 0.1,
+            most: 20.0,
+            floor: 1.0,
+        }
+    }
+}
+
+/// A budget for retries.
+///
+/// ```
+/// use std::time::Duration;
+/// use carobglade::{RetryBudget, RetrySettings};
+/// let settings = RetrySettings { most: 1.0, floor: 0.0, ..RetrySettings::default() };
+/// let mut budget = RetryBudget::new(settings);
+/// assert!(budget.withdraw(Duration::ZERO));
+/// assert!(!budget.withdraw(Duration::ZERO));
+/// ```
+#[derive(Clone, Debug)]
+pub struct RetryBudget {
+    settings: RetrySettings,
+    saved: f64,
+    last: Duration,
+}
+
+impl RetryBudget {
+    /// A full budget.
+    pub fn new(settings: RetrySettings) -> Self {
+        RetryBudget {
+            settings,
+            saved: settings.most,
+            last: Duration::ZERO,
+        }
+    }
+
+    /// Earns the part of a retry that a first try brings.
+    pub fn deposit(&mut self) {
+        self.saved = (self.saved + self.settings.ratio).min(self.settings.most);
+    }
+
+    /// Takes a retry from the budget; false when it is used up.
+    pub fn withdraw(&mut self, now: Duration) -> bool {
+        let passed = now.saturating_sub(self.last).as_secs_f64();
+        self.last = self.last.max(now);
+        self.saved = (self.saved + passed * self.settings.floor).min(self.settings.most);
+        let allowed = self.saved >= 1.0;
+        if allowed {
+            self.saved -= 1.0;
+        }
+        allowed
+    }
+}
--- /dev/null
+++ b/src/request/claim.rs
@@ -0,0 +1,229 @@
+//! At most once: claims on idempotency keys, decided by the order of the log.
+//!
+//! A process appends a claim before it sends a call that may not be repeated. The first claim of
+//! a tenant's key in the stream wins. Only the winner may send, and only the winner may release
+//! the claim, which it does only when it sent nothing.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::process::{ClaimDone, ClaimRef, Entry, Fingerprint, Fold, Outcome, Record, VmRef};
+use crate::{Claim, Error, ErrorKind, Result, TenantName};
+
+/// How long a key is remembered, on the log's clock.
+pub const KEY_MEMORY: Duration = Duration::from_secs(24 * 3600);
+
+const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
+
+/// Where a claim stands.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ClaimPhase {
+    /// The winner may have sent the call.
+    Held,
+    /// The call ended.
+    Ended(Outcome),
+}
+
+/// A claim that won.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct HeldClaim {
+    /// Id of the attempt that won.
+    pub attempt: String,
+    /// The request.
+    pub request: Fingerprint,
+    /// The process that claimed.
+    pub vm: VmRef,
+    /// Where it stands.
+    pub phase: ClaimPhase,
+    /// Time of the claim on the log's clock, in milliseconds.
+    pub time: u64,
+}
+
+/// What an attempt may do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Decision {
+    /// No claim on the key is known: append one.
+    Append,
+    /// The attempt's own claim won: send the call.
+    Send,
+    /// Another attempt ended: answer with its outcome.
+    Replay(Outcome),
+    /// Answer with this error.
+    Refuse(Error),
+}
+
+/// The replayed state of the claims stream.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct ClaimState {
+    claims: BTreeMap<TenantName, BTreeMap<String, HeldClaim>>,
+    ages: BTreeMap<u64, Vec<(TenantName, String)>>,
+    time: u64,
+}
+
+impl ClaimState {
+    /// The claim on a tenant's key.
+    pub fn find(&self, tenant: &TenantName, key: &str) -> Option<&HeldClaim> {
+        self.claims.get(tenant)?.get(key)
+    }
+
+    /// Number of keys that are remembered.
+    pub fn len(&self) -> usize {
+        self.claims.values().map(BTreeMap::len).sum()
+    }
+
+    /// Whether no key is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Claims that `vm` holds without an end.
+    pub fn open_of<'a>(&'a self, vm: &'a VmRef) -> impl Iterator<Item = ClaimRef> + 'a {
+        self.claims.iter().flat_map(move |(tenant, keys)| {
+            let open = keys
+                .iter()
+                .filter(|(_, claim)| claim.phase == ClaimPhase::Held);
+            let mine = open.filter(move |(_, claim)| claim.vm == *vm);
+            mine.map(|(key, claim)| ClaimRef {
+                tenant: tenant.clone(),
+                key: key.clone(),
+                attempt: claim.attempt.clone(),
+            })
+        })
+    }
+
+    /// Decides for an attempt; `alive` tells whether a claim's process still runs.
+    pub fn decide(
+        &self,
+        claim: &ClaimRef,
+        request: Fingerprint,
+        alive: impl Fn(&VmRef) -> bool,
+    ) -> Decision {
+        let Some(held) = self.find(&claim.tenant, &claim.key) else {
+            return Decision::Append;
+        };
+        if held.request != request {
+            let message = format!(
+                "idempotency key {:?} was used with another request",
+                claim.key
+            );
+            return Decision::Refuse(Error::new(ErrorKind::KeyReused, message));
+        }
+        match &held.phase {
+            ClaimPhase::Held if held.attempt == claim.attempt => Decision::Send,
+            ClaimPhase::Held if alive(&held.vm) => Decision::Refuse(in_progress(&claim.key)),
+            ClaimPhase::Held => Decision::Refuse(outcome_unknown(&claim.key)),
+            ClaimPhase::Ended(Outcome::Unknown) => Decision::Refuse(outcome_unknown(&claim.key)),
+            ClaimPhase::Ended(Outcome::Ran) => Decision::Refuse(not_kept(&claim.key)),
+            ClaimPhase::Ended(outcome) => Decision::Replay(outcome.clone()),
+        }
+    }
+
+    fn claim(&mut self, claim: &Claim, time: u64) {
+        let keys = self.claims.entry(claim.claim.tenant.clone()).or_default();
+        if keys.contains_key(&claim.claim.key) {
+            return;
+        }
+        let held = HeldClaim {
+            attempt: claim.claim.attempt.clone(),
+            request: claim.request,
+            vm: claim.vm.clone(),
+            phase: ClaimPhase::Held,
+            time,
+        };
+        keys.insert(claim.claim.key.clone(), held);
+        let name = (claim.claim.tenant.clone(), claim.claim.key.clone());
+        self.ages.entry(time).or_default().push(name);
+    }
+
+    fn held_mut(&mut self, claim: &ClaimRef) -> Option<&mut HeldClaim> {
+        let held = self.claims.get_mut(&claim.tenant)?.get_mut(&claim.key)?;
+        (held.attempt == claim.attempt && held.phase == ClaimPhase::Held).then_some(held)
+    }
+
+    fn done(&mut self, done: &ClaimDone) {
+        if let Some(held) = self.held_mut(&done.claim) {
+            held.phase = ClaimPhase::Ended(done.outcome.clone());
+        }
+    }
+
+    fn release(&mut self, claim: &ClaimRef) {
+        if self.held_mut(claim).is_some() {
+            self.remove(&claim.tenant, &claim.key);
+        }
+    }
+
+    fn remove(&mut self, tenant: &TenantName, key: &str) {
+        let Some(keys) = self.claims.get_mut(tenant) else {
+            return;
+        };
+        keys.remove(key);
+        if keys.is_empty() {
+            self.claims.remove(tenant);
+        }
+    }
+
+    fn expire(&mut self) {
+        let oldest = self.time.saturating_sub(KEY_MEMORY.as_millis() as u64);
+        let kept = self.ages.split_off(&oldest);
+        let expired = std::mem::replace(&mut self.ages, kept);
+        for (time, names) in expired {
+            for (tenant, key) in names {
+                if self
+                    .find(&tenant, &key)
+                    .is_some_and(|held| held.time == time)
+                {
+                    self.remove(&tenant, &key);
+                }
+            }
+        }
+    }
+}
+
+impl Fold for ClaimState {
+    fn apply(&mut self, entry: &Entry) {
+        self.time = self.time.max(entry.time);
+        self.expire();
+        let time = self.time;
+        for record in &entry.records {
+            match record {
+                Record::Claim(claim) => self.claim(claim, time),
+                Record::Done(done) => self.done(done),
+                Record::Release(claim) => self.release(claim),
+                _ => {}
+            }
+        }
+    }
+}
+
+/// Checks an idempotency key.
+///
+/// # Errors
+///
+/// `InvalidRequest` when it is empty, longer than 128 bytes or not plain text.
+pub fn check_key(key: &str) -> Result<()> {
+    let plain = key.bytes().all(|b| b.is_ascii_graphic());
+    if key.is_empty() || key.len() > 128 || !plain {
+        let message =
+            format!("Idempotency-Key {key:?} must be 1 to 128 printable characters without space");
+        return Err(Error::new(ErrorKind::InvalidRequest, message));
+    }
+    Ok(())
+}
+
+fn in_progress(key: &str) -> Error {
+    let message = format!("a request with idempotency key {key:?} is still running");
+    Error::new(ErrorKind::InProgress, message).with_retry(IN_PROGRESS_RETRY)
+}
+
+fn outcome_unknown(key: &str) -> Error {
+    let message = format!("the end of the request with idempotency key {key:?} is not known");
+    Error::new(ErrorKind::OutcomeUnknown, message)
+}
+
+fn not_kept(key: &str) -> Error {
+    let message = format!("the request with idempotency key {key:?} ran; its answer was not kept");
+    Error::new(ErrorKind::OutcomeNotKept, message)
+}
--- /dev/null
+++ b/src/request/estimate.rs
@@ -0,0 +1,126 @@
+//! What a model call asks for, read from its body.
+
+use std::str::FromStr;
+
+use serde_json::Value;
+
+use crate::{Error, ErrorKind, ModelName, Result, Tokens};
+
+const BYTES_PER_TOKEN: u64 = 4;
+const OUTPUT_DEFAULT: u64 = 256; // tokens, when the body names no limit
+const OUTPUT_MAX: u64 = 32_768; // tokens
+
+/// The tokens that are charged for a prompt of `bytes`.
+pub fn prompt_tokens(bytes: usize) -> Tokens {
+    Tokens((bytes as u64).div_ceil(BYTES_PER_TOKEN))
+}
+
+/// A model call.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ModelCall {
+    /// The model or adapter.
+    pub model: ModelName,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+    /// Charged tokens of the prompt.
+    pub prompt: Tokens,
+    /// Most tokens of the answer.
+    pub output: Tokens,
+    /// The start of the prompt, which decides where its cached prefix is.
+    pub prefix: String,
+}
+
+fn bad(field: &str, value: &Value, wanted: &str) -> Error {
+    Error::new(
+        ErrorKind::InvalidRequest,
+        format!("{field} {value} must be {wanted}"),
+    )
+}
+
+const PREFIX_BYTES: usize = 256;
+
+fn prompt_text(body: &Value) -> Result<String> {
+    if let Some(messages) = body.get("messages") {
+        let list = messages.as_array().filter(|list| !list.is_empty());
+        let list = list.ok_or_else(|| bad("messages", messages, "a list with a message"))?;
+        for (i, message) in list.iter().enumerate() {
+            if !message.get("role").is_some_and(Value::is_string) {
+                return Err(bad(
+                    &format!("messages[{i}]"),
+                    message,
+                    "an object with a role",
+                ));
+            }
+        }
+        return Ok(messages.to_string());
+    }
+    match body.get("prompt") {
+        Some(prompt @ (Value::String(_) | Value::Array(_))) => Ok(prompt.to_string()),
+        Some(other) => Err(bad("prompt", other, "text or a list")),
+        None => Err(Error::new(
+            ErrorKind::InvalidRequest,
+            "\"messages\" or \"prompt\" is missing",
+        )),
+    }
+}
+
+fn output_limit(body: &Value) -> Result<u64> {
+    let field = ["max_completion_tokens", "max_tokens"]
+        .into_iter()
+        .find_map(|name| body.get(name).map(|value| (name, value)));
+    let Some((name, value)) = field else {
+        return Ok(OUTPUT_DEFAULT);
+    };
+    let limit = value
+        .as_u64()
+        .filter(|limit| (1..=OUTPUT_MAX).contains(limit));
+    limit.ok_or_else(|| {
+        bad(
+            name,
+            value,
+            &format!("a whole number from 1 to {OUTPUT_MAX}"),
+        )
+    })
+}
+
+impl ModelCall {
+    /// Reads the body of a call to the model interface.
+    ///
+    /// # Errors
+    ///
+    /// `InvalidRequest` naming the field and its value.
+    pub fn parse(body: &Value) -> Result<Self> {
+        if !body.is_object() {
+            return Err(Error::new(
+                ErrorKind::InvalidRequest,
+                "body must be a JSON object",
+            ));
+        }
+        let model = body.get("model").unwrap_or(&Value::Null);
+        let name = model.as_str().ok_or_else(|| bad("model", model, "text"))?;
+        let stream = match body.get("stream") {
+            None | Some(Value::Null) => false,
+            Some(value) => value
+                .as_bool()
+                .ok_or_else(|| bad("stream", value, "true or false"))?,
+        };
+        let count = body.get("n").and_then(Value::as_u64).unwrap_or(1);
+        if count != 1 {
+            return Err(bad("n", &Value::from(count), "1"));
+        }
+        let text = prompt_text(body)?;
+        let prefix = text.chars().take(PREFIX_BYTES).collect();
+        Ok(ModelCall {
+            model: ModelName::from_str(name)?,
+            stream,
+            prompt: prompt_tokens(text.len()),
+            output: Tokens(output_limit(body)?),
+            prefix,
+        })
+    }
+
+    /// The most that the call can be charged.
+    pub fn reserve(&self) -> Tokens {
+        Tokens(self.prompt.0 + self.output.0)
+    }
+}
--- /dev/null
+++ b/src/units.rs
@@ -0,0 +1,192 @@
+//! Newtypes for identifiers, sizes and rates.
+
+use std::fmt::{self, Display};
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Error, ErrorKind, Result};
+
+const NAME_MAX: usize = 64; // bytes
+
+fn invalid(message: String) -> Error {
+    Error::new(ErrorKind::InvalidRequest, message)
+}
+
+fn check_name(what: &str, text: &str) -> Result<()> {
+    let plain = |c: char| c.is_ascii_alphanumeric() || "-_.:/".contains(c);
+    if text.is_empty() || text.len() > NAME_MAX || !text.chars().all(plain) {
+        return Err(invalid(format!(
+            "{what} {text:?} must be 1 to {NAME_MAX} characters of a-z, A-Z, 0-9 or -_.:/"
+        )));
+    }
+    Ok(())
+}
+
+macro_rules! names {
+    ($($(#[$doc:meta])* $name:ident = $what:literal;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(String);
+
+        impl $name {
+            /// The name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                check_name($what, text)?;
+                Ok($name(text.to_owned()))
+            }
+        }
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+    )*};
+}
+
+names! {
+    /// Name of a tenant.
+    TenantName = "tenant";
+    /// Name of a model or an adapter.
+    ModelName = "model";
+    /// Name of an upstream.
+    UpstreamName = "upstream";
+    /// Name of an entry vm.
+    VmName = "vm";
+    /// Name of a data centre.
+    DataCentre = "data_centre";
+}
+
+macro_rules! numbers {
+    ($($(#[$doc:meta])* $name:ident;)*) => {$(
+        $(#[$doc])*
+        #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub u64);
+
+        impl Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = Error;
+
+            fn from_str(text: &str) -> Result<Self> {
+                let bad = |_| invalid(format!("{} {text:?} is not a whole number", stringify!($name)));
+                text.parse().map($name).map_err(bad)
+            }
+        }
+    )*};
+}
+
+numbers! {
+    /// Position of an entry in a stream of the platform log.
+    Offset;
+    /// Identifies one run of a process; a later run of the same process has a larger one.
+    Incarnation;
+    /// A number of model tokens.
+    Tokens;
+}
+
+impl Offset {
+    /// The first offset of a stream. A client of a log that counts otherwise translates.
+    pub const FIRST: Offset = Offset(1);
+
+    /// The offset after this one.
+    pub fn next(self) -> Offset {
+        Offset(self.0 + 1)
+    }
+}
+
+/// A rate in tokens per second, written `1200/s`.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct TokenRate(pub u64);
+
+impl Display for TokenRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/s", self.0)
+    }
+}
+
+impl FromStr for TokenRate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text.strip_suffix("/s").and_then(|n| n.parse().ok());
+        number
+            .map(TokenRate)
+            .ok_or_else(|| invalid(format!("rate {text:?} must look like \"1200/s\"")))
+    }
+}
+
+const MIB: u64 = 1 << 20;
+const GIB: u64 = 1 << 30;
+
+/// A size in bytes, written in whole `MiB` or `GiB`.
+///
+/// ```
+/// use carobglade::ByteSize;
+/// let size: ByteSize = "14GiB".parse().unwrap();
+/// assert_eq!(size.0, 14 << 30);
+/// assert_eq!(size.to_string(), "14GiB");
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct ByteSize(pub u64);
+
+impl Display for ByteSize {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self.0 {
+            n if n > 0 && n % GIB == 0 => write!(f, "{}GiB", n / GIB),
+            n if n % MIB == 0 => write!(f, "{}MiB", n / MIB),
+            n => write!(f, "{n}B"),
+        }
+    }
+}
+
+impl FromStr for ByteSize {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let units = [("GiB", GIB), ("MiB", MIB), ("B", 1)];
+        let parsed = units.iter().find_map(|(suffix, unit)| {
+            text.strip_suffix(suffix)?
+                .parse::<u64>()
+                .ok()?
+                .checked_mul(*unit)
+        });
+        parsed
+            .map(ByteSize)
+            .ok_or_else(|| invalid(format!("size {text:?} must look like \"14GiB\"")))
+    }
+}
+
+macro_rules! serde_as_text {
+    ($($name:ident),*) => {$(
+        impl Serialize for $name {
+            fn serialize<S: serde::Serializer>(&self, serializer: S) -> std::result::Result<S::Ok, S::Error> {
+                serializer.collect_str(self)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $name {
+            fn deserialize<D: serde::Deserializer<'de>>(deserializer: D) -> std::result::Result<Self, D::Error> {
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(serde::de::Error::custom)
+            }
+        }
+    )*};
+}
+
+serde_as_text!(TokenRate, ByteSize);
--- /dev/null
+++ b/src/version/config.rs
@@ -0,0 +1,211 @@
+//! A configuration that passed its checks.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use crate::request::Class;
+use crate::version::{
+    ConfigWire, KeyDigest, ModelWire, RouteWire, ServiceWire, TenantWire, UpstreamWire,
+};
+use crate::{ByteSize, DataCentre, ModelName, Offset, TenantName, TokenRate, Tokens, UpstreamName};
+
+/// A tenant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Tenant {
+    /// Name.
+    pub name: TenantName,
+    /// Class of requests that name none.
+    pub class: Class,
+    /// Digests of the keys in force.
+    pub keys: BTreeSet<KeyDigest>,
+    /// Rate and burst.
+    pub grant: Grant,
+    /// Models and adapters that the tenant may use.
+    pub models: BTreeSet<ModelName>,
+}
+
+/// Rate and burst of a tenant across all vms.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Grant {
+    /// Tokens per second.
+    pub rate: TokenRate,
+    /// Tokens at once.
+    pub burst: Tokens,
+    /// The log offset at which the tenant was created.
+    pub created: Offset,
+}
+
+/// A model or an adapter.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Model {
+    /// Name.
+    pub name: ModelName,
+    /// Accelerator memory.
+    pub size: ByteSize,
+    /// The base model of an adapter.
+    pub base: Option<ModelName>,
+}
+
+/// An upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Upstream {
+    /// Name.
+    pub name: UpstreamName,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub data_centre: DataCentre,
+    /// Accelerator memory; `None` for a plain service.
+    pub memory: Option<ByteSize>,
+    /// Number of accelerators.
+    pub accelerators: u64,
+    /// Whether it refuses an order with an old fencing number.
+    pub fencing: bool,
+    /// Whether it takes nothing new.
+    pub leaving: bool,
+}
+
+/// A plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Service {
+    /// Name.
+    pub name: String,
+    /// Upstreams that run it.
+    pub upstreams: Vec<UpstreamName>,
+}
+
+/// A route to a plain service.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Route {
+    /// Path prefix.
+    pub prefix: String,
+    /// Name of the service.
+    pub service: String,
+    /// Whether callers need no key.
+    pub open: bool,
+    /// Methods taken.
+    pub methods: BTreeSet<String>,
+    /// Methods whose calls may not be repeated.
+    pub once: BTreeSet<String>,
+    /// Whether such a call must carry an idempotency key.
+    pub key_required: bool,
+    /// Tenants allowed; empty for all.
+    pub tenants: BTreeSet<TenantName>,
+}
+
+/// A configuration that passed its checks.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Config {
+    /// Tenants by name.
+    pub tenants: BTreeMap<TenantName, Tenant>,
+    /// Models and adapters by name.
+    pub models: BTreeMap<ModelName, Model>,
+    /// Upstreams by name.
+    pub upstreams: BTreeMap<UpstreamName, Upstream>,
+    /// Services by name.
+    pub services: BTreeMap<String, Service>,
+    /// Routes by prefix.
+    pub routes: BTreeMap<String, Route>,
+}
+
+impl Config {
+    /// The route with the longest prefix of `path`.
+    pub fn route(&self, path: &str) -> Option<&Route> {
+        let matching = self
+            .routes
+            .values()
+            .filter(|route| path.starts_with(&route.prefix));
+        matching.max_by_key(|route| route.prefix.len())
+    }
+
+    /// The upstreams with accelerators.
+    pub fn engines(&self) -> impl Iterator<Item = &Upstream> {
+        self.upstreams
+            .values()
+            .filter(|upstream| upstream.memory.is_some())
+    }
+
+    /// Memory that a model takes, with its base when it is an adapter.
+    pub fn base_of<'a>(&'a self, model: &'a ModelName) -> &'a ModelName {
+        self.models
+            .get(model)
+            .and_then(|m| m.base.as_ref())
+            .unwrap_or(model)
+    }
+}
+
+fn texts<T: ToString>(items: impl IntoIterator<Item = T>) -> Vec<String> {
+    items.into_iter().map(|item| item.to_string()).collect()
+}
+
+impl From<&Config> for ConfigWire {
+    fn from(config: &Config) -> Self {
+        ConfigWire {
+            tenants: config.tenants.values().map(TenantWire::from).collect(),
+            models: config.models.values().map(ModelWire::from).collect(),
+            upstreams: config.upstreams.values().map(UpstreamWire::from).collect(),
+            services: config.services.values().map(ServiceWire::from).collect(),
+            routes: config.routes.values().map(RouteWire::from).collect(),
+        }
+    }
+}
+
+impl From<&Tenant> for TenantWire {
+    fn from(tenant: &Tenant) -> Self {
+        TenantWire {
+            name: tenant.name.to_string(),
+            class: tenant.class.to_string(),
+            keys: texts(&tenant.keys),
+            rate: tenant.grant.rate.to_string(),
+            burst: tenant.grant.burst.0,
+            models: texts(&tenant.models),
+        }
+    }
+}
+
+impl From<&Model> for ModelWire {
+    fn from(model: &Model) -> Self {
+        ModelWire {
+            name: model.name.to_string(),
+            size: model.size.to_string(),
+            base: model.base.as_ref().map(ToString::to_string),
+        }
+    }
+}
+
+impl From<&Upstream> for UpstreamWire {
+    fn from(upstream: &Upstream) -> Self {
+        UpstreamWire {
+            name: upstream.name.to_string(),
+            address: upstream.address.to_string(),
+            data_centre: upstream.data_centre.to_string(),
+            memory: upstream.memory.map(|size| size.to_string()),
+            accelerators: upstream.accelerators,
+            fencing: upstream.fencing,
+            leaving: upstream.leaving,
+        }
+    }
+}
+
+impl From<&Service> for ServiceWire {
+    fn from(service: &Service) -> Self {
+        ServiceWire {
+            name: service.name.clone(),
+            upstreams: texts(&service.upstreams),
+        }
+    }
+}
+
+impl From<&Route> for RouteWire {
+    fn from(route: &Route) -> Self {
+        RouteWire {
+            prefix: route.prefix.clone(),
+            service: route.service.clone(),
+            open: route.open,
+            methods: texts(&route.methods),
+            once: texts(&route.once),
+            key_required: route.key_required,
+            tenants: texts(&route.tenants),
+        }
+    }
+}
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,13 @@
+//! What lives for a version of the configuration.
+
+mod change;
+mod check;
+mod config;
+mod key;
+mod wire;
+
+pub use change::Change;
+pub use check::{Problem, check};
+pub use config::{Config, Grant, Model, Route, Service, Tenant, Upstream};
+pub use key::{KeyDigest, KeyIndex};
+pub use wire::{ConfigWire, ModelWire, RouteWire, ServiceWire, TenantWire, UpstreamWire};
