Borrow from living vms only, and judge upstreams by the vm in charge

Cause: in runs of three fleets at once, a request was refused as over its rate after one vm was killed (3 of 24 starts), and a cold model was not loaded in time. The first: a round of asks waited 1.5 s for the dead lender, and the loans that had come lay idle and were returned. The second: the planner judged an upstream by its own last poll, though another vm had taken the polling over.

Ruled out: shares that were never taken (status showed all 512 slots held).

Change: asks go to vms that are heard of, a round lasts 300 ms and ends as soon as enough has come; the vm in charge of an upstream tells the others when it does not answer.

--- /dev/null
+++ b/benches/carob-bench/src/lib.rs
@@ -0,0 +1,10 @@
+//! Fleets of real processes on loopback, for tests and measurements.
+
+pub mod client;
+pub mod config;
+pub mod fleet;
+pub mod history;
+pub mod process;
+
+pub use client::{Answer, Client};
+pub use fleet::{Fleet, FleetOptions};
--- a/crates/carob-entry/src/core.rs
+++ b/crates/carob-entry/src/core.rs
@@ -19,6 +19,8 @@
 use crate::settings::Settings;
 use crate::shares::Hold;
 
+const DOWN_AFTER: u32 = 3; // polls without an answer
+
 /// Use of one model by this process.
 #[derive(Debug, Default)]
 pub struct ModelUse {
@@ -39,8 +41,8 @@
     pub running: u32,
     /// How earlier requests ended.
     pub health: Health,
-    /// When it last answered a poll.
-    pub answered: Option<Duration>,
+    /// Polls in a row that it did not answer, while this process is in charge of it.
+    pub missed: u32,
     /// Mean seconds to the head of an answer.
     pub first_byte: Option<f64>,
     /// Its connections, replaced when one went silent.
@@ -227,12 +229,12 @@
         self.fleet.standing(age, &self.others(me), now)
     }
 
-    /// The other processes that hold slots of `tenant`, and how many.
-    pub fn homes(&self, tenant: &TenantName, me: &VmRef) -> Vec<(VmRef, u16)> {
+    /// The other processes that hold slots of `tenant` and are heard of, and how many each holds.
+    pub fn homes(&self, tenant: &TenantName, me: &VmRef, now: Duration) -> Vec<(VmRef, u16)> {
         let mut homes: BTreeMap<VmRef, u16> = BTreeMap::new();
         let slots = self.control.state().slots();
         for holder in slots_of(tenant).filter_map(|slot| slots.holder(slot)) {
-            if holder.vm != *me {
+            if holder.vm != *me && self.fleet.alive(&holder.vm, now) {
                 *homes.entry(holder.vm.clone()).or_insert(0) += 1;
             }
         }
@@ -251,7 +253,7 @@
             .or_insert_with(|| UpstreamUse {
                 running: 0,
                 health: Health::new(HealthSettings::default()),
-                answered: None,
+                missed: 0,
                 first_byte: None,
                 caller: Caller::pooled(),
             })
@@ -325,9 +327,30 @@
                     running: used.running,
                 })
                 .collect(),
+            down: self.down(),
         }
     }
 
+    /// Upstreams in this process's charge that do not answer.
+    fn down(&self) -> Vec<UpstreamName> {
+        let down = self
+            .upstreams
+            .iter()
+            .filter(|(_, used)| used.missed >= DOWN_AFTER);
+        down.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Whether no process in charge of `upstream` finds that it does not answer.
+    pub fn reachable(&self, upstream: &UpstreamName, now: Duration) -> bool {
+        let own = self.upstreams.get(upstream);
+        let usable = own.is_none_or(|used| used.missed < DOWN_AFTER && used.health.usable(now));
+        usable
+            && !self
+                .fleet
+                .living(now)
+                .any(|beat| beat.down.contains(upstream))
+    }
+
     /// Claims of this process that no request stands behind and whose call was never sent.
     pub fn orphans(&self, me: &VmRef) -> Vec<ClaimRef> {
         let backed =
--- a/crates/carob-entry/src/orders.rs
+++ b/crates/carob-entry/src/orders.rs
@@ -19,7 +19,6 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 const RESEND: Duration = Duration::from_secs(2); // of an order that was not reported as done
 const PLAN_EVERY: Duration = Duration::from_millis(250);
-const REACHABLE_FOR: Duration = Duration::from_secs(3); // after an answer to a poll
 const INTENT_WAIT: Duration = Duration::from_secs(3); // for an intent to come back from the log
 
 /// What an upstream reports of itself.
@@ -68,16 +67,20 @@
     polled: &BTreeMap<UpstreamName, Duration>,
     now: Duration,
 ) -> Vec<(Upstream, Account)> {
-    let inner = core.lock();
+    let mut inner = core.lock();
     if inner.confirmed.is_none() {
         return Vec::new();
     }
-    let state = inner.control.state();
-    let engines = state.config().engines().filter(|upstream| {
+    let config = Arc::clone(inner.control.state().config());
+    let (mine, others): (Vec<_>, Vec<_>) = config.engines().partition(|upstream| {
         let duty = format!("upstream:{}", upstream.name);
         inner.fleet.in_charge(&duty, &core.me, now) == core.me
     });
-    let accounts = engines.filter_map(|upstream| {
+    others
+        .into_iter()
+        .for_each(|upstream| inner.upstream(&upstream.name).missed = 0);
+    let state = inner.control.state();
+    let accounts = mine.into_iter().filter_map(|upstream| {
         let account = state.ledger().account(&upstream.name)?;
         let busy = account.charges.values().any(under_way);
         let pause = if busy { TICK } else { POLL_IDLE };
@@ -161,8 +164,9 @@
     let answer = caller.get(&url, CALL_TIMEOUT).await;
     let report = answer.ok().filter(|answer| answer.status == 200);
     let report = report.and_then(|answer| serde_json::from_slice::<Report>(&answer.body).ok());
-    if let Some(report) = report {
-        take_report(core, &upstream.name, &report);
+    match report {
+        Some(report) => take_report(core, &upstream.name, &report),
+        None => core.lock().upstream(&upstream.name).missed += 1,
     }
 }
 
@@ -170,7 +174,7 @@
 fn take_report(core: &Core, name: &UpstreamName, report: &Report) {
     let now = core.now();
     let mut inner = core.lock();
-    inner.upstream(name).answered = Some(now);
+    inner.upstream(name).missed = 0;
     let leaving = format!("report:{name}");
     match report.leaving {
         true => inner.leaving.insert(leaving),
@@ -260,13 +264,7 @@
         (model.clone(), log_time.saturating_sub(ago))
     });
     let used = used.collect();
-    let reachable = |name: &UpstreamName| {
-        let taking = inner.takes_new(name);
-        let usable = inner.upstreams.get(name).is_none_or(|u| {
-            u.health.usable(now) && u.answered.is_none_or(|at| now - at < REACHABLE_FOR)
-        });
-        taking && usable
-    };
+    let reachable = |name: &UpstreamName| inner.takes_new(name) && inner.reachable(name, now);
     let input = PlanInput {
         config: state.config(),
         ledger: state.ledger(),
--- a/crates/carob-entry/src/shares.rs
+++ b/crates/carob-entry/src/shares.rs
@@ -13,9 +13,10 @@
 use crate::peers::{self, PeerReply, PeerRequest};
 
 const TICK: Duration = Duration::from_millis(100);
-const SLOT_TICK: Duration = Duration::from_secs(1);
-const GIVE_PAUSE: Duration = Duration::from_secs(3); // between two hand-overs to newcomers
-const GIVE_MOST: usize = 64; // slots of one hand-over
+const SLOT_TICK: Duration = Duration::from_millis(500);
+const HEAR_FIRST: Duration = Duration::from_millis(1200); // other processes, before slots are taken
+const GIVE_PAUSE: Duration = Duration::from_secs(1); // between two hand-overs to newcomers
+const GIVE_MOST: usize = 256; // slots of one hand-over
 
 /// The part of the lease that the holder uses; the rest covers clocks that run apart.
 const LEASE_USED: f64 = 0.9;
@@ -116,6 +117,7 @@
 
 /// Takes free slots, renews the lease and hands slots over to newcomers until the process ends.
 pub async fn keep(core: Arc<Core>) {
+    tokio::time::sleep(HEAR_FIRST).await;
     loop {
         tokio::time::sleep(SLOT_TICK).await;
         let now = core.now();
@@ -289,7 +291,7 @@
             let config = Arc::clone(state.config());
             let tenants = inner.pool_tenants.keys();
             let homes: BTreeMap<TenantName, Vec<(VmRef, u16)>> = tenants
-                .map(|tenant| (tenant.clone(), inner.homes(tenant, &core.me)))
+                .map(|tenant| (tenant.clone(), inner.homes(tenant, &core.me, now)))
                 .collect();
             let created = |tenant: &TenantName| config.tenants.get(tenant).map(|t| t.grant.created);
             let homes = |tenant: &TenantName| homes.get(tenant).cloned().unwrap_or_default();
--- a/crates/carob-entry/src/tokens.rs
+++ b/crates/carob-entry/src/tokens.rs
@@ -5,10 +5,13 @@
 
 use carobglade::{Error, ErrorKind, Reservation, Result, Tenant, Tokens};
 
+use tokio::task::JoinSet;
+
 use crate::core::Core;
 use crate::shares;
 
 const ROUNDS: [bool; 3] = [false, true, true]; // whether each lender is asked for all that is missing
+const ROUND_TIME: Duration = Duration::from_millis(300); // for lenders to answer
 const WAIT_FLOOR: Duration = Duration::from_millis(100);
 
 /// Reserves `tokens` for a request of `tenant`.
@@ -19,12 +22,14 @@
 pub async fn reserve(core: &Arc<Core>, tenant: &Tenant, tokens: Tokens) -> Result<Reservation> {
     let mut wait = None;
     for all in ROUNDS {
-        let now = core.now();
-        let missing = match core.lock().pool.reserve(&tenant.name, tokens, now) {
+        let missing = match take(core, tenant, tokens) {
             Ok(reservation) => return Ok(reservation),
             Err(missing) => missing,
         };
-        wait = borrow(core, tenant, missing, all).await.or(wait);
+        match borrow(core, tenant, tokens, missing, all).await {
+            Borrowed::Enough(reservation) => return Ok(reservation),
+            Borrowed::TooFew(shortest) => wait = shortest.or(wait),
+        }
     }
     let now = core.now();
     let mut inner = core.lock();
@@ -43,26 +48,52 @@
     Err(Error::new(ErrorKind::RateExceeded, message).with_retry(wait))
 }
 
-/// Asks all other holders at once; returns the shortest wait that one names.
-async fn borrow(core: &Arc<Core>, tenant: &Tenant, missing: Tokens, all: bool) -> Option<Duration> {
+fn take(core: &Core, tenant: &Tenant, tokens: Tokens) -> std::result::Result<Reservation, Tokens> {
+    let now = core.now();
+    core.lock().pool.reserve(&tenant.name, tokens, now)
+}
+
+enum Borrowed {
+    Enough(Reservation),
+    TooFew(Option<Duration>),
+}
+
+/// Asks all other holders at once, and reserves as soon as enough has come. Returns the shortest
+/// wait that one names when it does not suffice.
+async fn borrow(
+    core: &Arc<Core>,
+    tenant: &Tenant,
+    tokens: Tokens,
+    missing: Tokens,
+    all: bool,
+) -> Borrowed {
     let asks = {
+        let now = core.now();
         let inner = core.lock();
-        let homes = inner.homes(&tenant.name, &core.me);
+        let homes = inner.homes(&tenant.name, &core.me, now);
         let name = (tenant.name.clone(), tenant.grant.created);
         inner.pool.urgent_asks(&name, missing, &homes, all)
     };
-    let calls = asks.into_iter().map(|(lender, ask)| {
+    let mut calls = JoinSet::new();
+    for (lender, ask) in asks {
         let core = Arc::clone(core);
-        tokio::spawn(async move { shares::ask(&core, lender, vec![ask]).await })
-    });
-    let calls: Vec<_> = calls.collect();
-    let mut shortest = None;
-    for call in calls {
-        let wait = call.await.ok().flatten();
-        shortest = match (shortest, wait) {
-            (Some(a), Some(b)) => Some(std::cmp::min(a, b)),
-            (a, b) => a.or(b),
-        };
+        calls.spawn(async move { shares::ask(&core, lender, vec![ask]).await });
     }
-    shortest
+    let mut shortest: Option<Duration> = None;
+    let answers = async {
+        while let Some(answer) = calls.join_next().await {
+            let wait = answer.ok().flatten();
+            shortest = [shortest, wait].into_iter().flatten().min();
+            if let Ok(reservation) = take(core, tenant, tokens) {
+                return Some(reservation);
+            }
+        }
+        None
+    };
+    let enough = tokio::time::timeout(ROUND_TIME, answers)
+        .await
+        .ok()
+        .flatten();
+    calls.detach_all();
+    enough.map_or(Borrowed::TooFew(shortest), Borrowed::Enough)
 }
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -52,6 +52,8 @@
     pub demand: Vec<(ModelName, Demand)>,
     /// Load on each upstream.
     pub loads: Vec<UpstreamLoad>,
+    /// Upstreams in its charge that do not answer.
+    pub down: Vec<UpstreamName>,
 }
 
 #[derive(Clone, Debug)]
