Accelerator memory: an unfenced upstream's charge ends only with a late eviction

Cause: the property test found 70 of 64 GiB in use. An upstream without fencing had restarted unnoticed, a load for the former incarnation landed, and its charge lapsed after the order's lifetime although the model was there.

Ruled out: a longer lifetime; the model stays for good, so no time is long enough.

Change: on such an upstream a charge ends only when an eviction is resolved that was ordered after the last moment at which a load could land; a load is sent no later than half its lifetime after its intent; orders carry the incarnation; a load can be shut out by a later eviction where fencing is checked; a model that is missing from reports for 10 s is evicted and may be loaded again.

--- a/crates/carob-entry/src/admin.rs
+++ b/crates/carob-entry/src/admin.rs
@@ -92,5 +92,6 @@
         Phase::Loaded => "loaded",
         Phase::Evicting => "evicting",
         Phase::Ghost => "ghost",
+        Phase::Purging => "purging",
     }
 }
--- a/crates/carob-entry/src/core.rs
+++ b/crates/carob-entry/src/core.rs
@@ -85,6 +85,8 @@
     pub upstreams: BTreeMap<UpstreamName, UpstreamUse>,
     /// Upstreams that the platform's list shows as leaving.
     pub leaving: BTreeSet<String>,
+    /// Loaded models that are missing from reports, since when.
+    pub absent: BTreeMap<(UpstreamName, ModelName), Duration>,
     /// Records that were added lately, with the time.
     pub added: BTreeMap<String, Duration>,
     /// Budget for retries.
@@ -157,6 +159,7 @@
             models: BTreeMap::new(),
             upstreams: BTreeMap::new(),
             leaving: BTreeSet::new(),
+            absent: BTreeMap::new(),
             added: BTreeMap::new(),
             budget: RetryBudget::new(RetrySettings::default()),
             attempts: BTreeSet::new(),
--- a/crates/carob-entry/src/orders.rs
+++ b/crates/carob-entry/src/orders.rs
@@ -1,14 +1,15 @@
 //! Polls upstreams, sends orders to them and records their ends.
 
-use std::collections::BTreeMap;
 use std::collections::btree_map::Entry;
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 use std::time::Duration;
 
 use carob_net::Caller;
 use carobglade::{
-    Account, Charge, Incarnation, Intent, IntentKind, ModelName, Offset, Phase, PlacementSettings,
-    PlanInput, Record, Resolve, Restarted, Upstream, UpstreamName, Verdict, plan,
+    Account, Charge, Incarnation, Intent, IntentKind, ModelName, ORDER_LIFETIME_MS, Offset, Phase,
+    PlacementSettings, PlanInput, Record, Resolve, Restarted, Upstream, UpstreamName, Verdict,
+    plan,
 };
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +20,7 @@
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 const RESEND: Duration = Duration::from_secs(2); // of an order that was not reported as done
 const PLAN_EVERY: Duration = Duration::from_millis(250);
+const HEAL_AFTER: Duration = Duration::from_secs(10); // of reports without a loaded model
 const INTENT_WAIT: Duration = Duration::from_secs(3); // for an intent to come back from the log
 
 /// What an upstream reports of itself.
@@ -26,12 +28,14 @@
 struct Report {
     incarnation: Incarnation,
     done: Vec<Offset>,
+    resident: BTreeSet<ModelName>,
     leaving: bool,
 }
 
 #[derive(Serialize)]
 struct OrderWire<'a> {
     order: Offset,
+    incarnation: Incarnation,
     kind: &'a str,
     model: &'a ModelName,
     size: u64,
@@ -49,11 +53,13 @@
         sent.retain(|_, at| now.saturating_sub(*at) < RESEND);
         for (upstream, account) in due(&core, &polled, now) {
             polled.insert(upstream.name.clone(), now);
-            let orders = unsent(&account, &mut sent, now);
+            let log_time = core.lock().log_time(now);
+            let orders = unsent(&account, &mut sent, log_time, now);
+            let incarnation = account.incarnation;
             let (core, caller) = (Arc::clone(&core), caller.clone());
             tokio::spawn(async move {
                 for order in orders {
-                    send_order(&core, &caller, &upstream, order).await;
+                    send_order(&core, &caller, &upstream, incarnation, order).await;
                 }
                 poll(&core, &caller, &upstream).await;
             });
@@ -92,19 +98,26 @@
 }
 
 fn under_way(charge: &Charge) -> bool {
-    matches!(charge.phase, Phase::Loading | Phase::Evicting)
+    charge.phase.under_way()
 }
 
+/// The orders of `account` to send now. A load for an upstream without fencing is not sent later
+/// than half its lifetime after its intent.
 fn unsent(
     account: &Account,
     sent: &mut BTreeMap<Offset, Duration>,
+    log_time: u64,
     now: Duration,
 ) -> Vec<(ModelName, Charge)> {
+    let in_time = |charge: &Charge| {
+        let late = log_time >= charge.time + ORDER_LIFETIME_MS / 2;
+        account.fencing || charge.phase != Phase::Loading || !late
+    };
     let mut orders = Vec::new();
     for (model, charge) in account
         .charges
         .iter()
-        .filter(|(_, charge)| under_way(charge))
+        .filter(|(_, c)| under_way(c) && in_time(c))
     {
         if let Entry::Vacant(slot) = sent.entry(charge.order) {
             slot.insert(now);
@@ -118,6 +131,7 @@
     core: &Core,
     caller: &Caller,
     upstream: &Upstream,
+    incarnation: Incarnation,
     (model, charge): (ModelName, Charge),
 ) {
     let kind = if charge.phase == Phase::Loading {
@@ -135,6 +149,7 @@
     };
     let order = OrderWire {
         order: charge.order,
+        incarnation,
         kind,
         model: &model,
         size: charge.size.0,
@@ -195,6 +210,7 @@
     if report.incarnation < account.incarnation {
         return;
     }
+    heal(core, name, &account, report, now);
     for charge in account.charges.values().filter(|charge| under_way(charge)) {
         if report.done.contains(&charge.order) {
             let (upstream, incarnation) = (name.clone(), report.incarnation);
@@ -208,6 +224,37 @@
     }
 }
 
+/// A model that counts as loaded, but is missing from every report for some time, is evicted, so
+/// that it can be loaded again.
+fn heal(core: &Core, name: &UpstreamName, account: &Account, report: &Report, now: Duration) {
+    for (model, charge) in &account.charges {
+        let key = (name.clone(), model.clone());
+        let missing = charge.phase == Phase::Loaded && !report.resident.contains(model);
+        let mut inner = core.lock();
+        if !missing {
+            inner.absent.remove(&key);
+            continue;
+        }
+        let since = *inner.absent.entry(key.clone()).or_insert(now);
+        if now.saturating_sub(since) < HEAL_AFTER {
+            continue;
+        }
+        inner.absent.remove(&key);
+        drop(inner);
+        log::warn!("orders: Model {model} is missing from {name}.");
+        let (upstream, incarnation) = (name.clone(), account.incarnation);
+        let (kind, model, size) = (IntentKind::Evict, model.clone(), charge.size);
+        let intent = Intent {
+            upstream,
+            incarnation,
+            kind,
+            model,
+            size,
+        };
+        drop(core.control_log.add_solo(Record::Intent(intent)));
+    }
+}
+
 impl Core {
     /// Adds a record unless the same one was added within the last second.
     fn add_new(&self, record: Record, now: Duration) {
--- a/crates/carob-lab/src/engine.rs
+++ b/crates/carob-lab/src/engine.rs
@@ -64,6 +64,8 @@
 pub struct Order {
     /// Its fencing number.
     pub order: u64,
+    /// The incarnation that it is meant for.
+    pub incarnation: u64,
     /// `load` or `evict`.
     pub kind: String,
     /// The model.
@@ -258,6 +260,9 @@
         if !self.options.fencing {
             return true;
         }
+        if order.incarnation != state.report.incarnation {
+            return false;
+        }
         let fence = state.fences.entry(order.model.clone()).or_insert(0);
         if order.order < *fence {
             return false;
@@ -326,6 +331,7 @@
         };
         state.sizes.clear();
         state.taken.clear();
+        state.fences.clear();
         state.history.clear();
         state.prefixes.clear();
         state.crashes += 1;
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -241,7 +241,7 @@
                 self.decide(&entry.id, verdict);
             }
             Record::Resolve(resolve) => self.ledger.resolve(resolve, time),
-            Record::Restarted(restarted) => self.ledger.restarted(restarted, time),
+            Record::Restarted(restarted) => self.ledger.restarted(restarted),
             Record::Suspicion(suspicion) => self.suspects.add(suspicion, time),
             Record::Cleared(request) => self.suspects.clear(*request),
             Record::Claim(_) | Record::Done(_) | Record::Release(_) | Record::Snapshot(_) => {}
--- a/src/process/ledger.rs
+++ b/src/process/ledger.rs
@@ -4,6 +4,10 @@
 //! loaded, everything that may still become loaded, and the order's own model. A load is charged
 //! from its intent on. An eviction frees memory only when it is resolved, which a process may
 //! record only after a report that names the eviction's order as done.
+//!
+//! An upstream without fencing may run a load order again after an eviction, or one that was
+//! meant for a former incarnation. There a model stays charged until an eviction is resolved that
+//! was ordered after the last moment at which an earlier load could land.
 
 use std::collections::BTreeMap;
 
@@ -12,7 +16,8 @@
 use crate::process::{Intent, IntentKind, Resolve, Restarted};
 use crate::{ByteSize, Incarnation, ModelName, Offset, UpstreamName};
 
-/// Time on the log's clock for which an order to an upstream without fencing may still land.
+/// Time on the log's clock, from its intent on, for which an order to an upstream without fencing
+/// may still land. No process sends it later than half of that.
 pub const ORDER_LIFETIME_MS: u64 = 10 * 60 * 1000;
 
 /// Where a model stands on an upstream.
@@ -25,8 +30,17 @@
     Loaded,
     /// An eviction was ordered.
     Evicting,
-    /// The eviction took effect, but the load order may land again.
+    /// The model should be gone, but a load order may land again.
     Ghost,
+    /// An eviction was ordered after the last moment at which a load order could land.
+    Purging,
+}
+
+impl Phase {
+    /// Whether an order is under way.
+    pub fn under_way(self) -> bool {
+        matches!(self, Phase::Loading | Phase::Evicting | Phase::Purging)
+    }
 }
 
 /// A model on an upstream.
@@ -65,12 +79,6 @@
     pub fn free(&self) -> ByteSize {
         ByteSize(self.capacity.0.saturating_sub(self.charged().0))
     }
-
-    fn expire_ghosts(&mut self, time: u64) {
-        self.charges.retain(|_, charge| {
-            charge.phase != Phase::Ghost || time < charge.time + ORDER_LIFETIME_MS
-        });
-    }
 }
 
 /// The accounts of all upstreams.
@@ -111,7 +119,6 @@
         if account.incarnation != intent.incarnation {
             return Err("upstream runs with another incarnation");
         }
-        account.expire_ghosts(time);
         match intent.kind {
             IntentKind::Load => admit_load(account, intent, offset, time),
             IntentKind::Evict => admit_evict(account, intent, offset, time),
@@ -135,6 +142,7 @@
             match charge.phase {
                 Phase::Loading => charge.phase = Phase::Loaded,
                 Phase::Evicting if fencing => gone = Some(model.clone()),
+                Phase::Purging => gone = Some(model.clone()),
                 Phase::Evicting => {
                     charge.phase = Phase::Ghost;
                     charge.time = time;
@@ -147,9 +155,9 @@
         }
     }
 
-    /// An upstream restarted empty. Orders to the former incarnation may still land where the
-    /// upstream does not check fencing numbers, so those stay charged for their lifetime.
-    pub(crate) fn restarted(&mut self, restarted: &Restarted, time: u64) {
+    /// An upstream restarted empty. Where it does not check fencing numbers, orders for the former
+    /// incarnation may have landed since, or may still land, so all charges stay until purged.
+    pub(crate) fn restarted(&mut self, restarted: &Restarted) {
         let Some(account) = self.accounts.get_mut(&restarted.upstream) else {
             return;
         };
@@ -161,9 +169,6 @@
             account.charges.clear();
             return;
         }
-        account
-            .charges
-            .retain(|_, charge| time < charge.time + ORDER_LIFETIME_MS);
         for charge in account.charges.values_mut() {
             charge.phase = Phase::Ghost;
         }
@@ -202,14 +207,19 @@
     offset: Offset,
     time: u64,
 ) -> Result<(), &'static str> {
+    let fencing = account.fencing;
     let charge = account
         .charges
         .get_mut(&intent.model)
         .ok_or("model is not loaded")?;
-    if charge.phase != Phase::Loaded {
-        return Err("model is not loaded");
-    }
-    charge.phase = Phase::Evicting;
+    let landed = time >= charge.time + ORDER_LIFETIME_MS;
+    charge.phase = match charge.phase {
+        Phase::Loaded => Phase::Evicting,
+        // The eviction's higher fencing number shuts the load out.
+        Phase::Loading if fencing => Phase::Evicting,
+        Phase::Loading | Phase::Ghost if !fencing && landed => Phase::Purging,
+        _ => return Err("model is not loaded"),
+    };
     charge.order = offset;
     charge.time = time;
     Ok(())
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -7,11 +7,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::process::ledger::{Account, Ledger, Phase};
+use crate::process::ledger::{Account, Ledger, ORDER_LIFETIME_MS, Phase};
 use crate::process::{Intent, IntentKind};
 use crate::version::Config;
 use crate::{ModelName, UpstreamName};
 
+/// Cost of an eviction that frees its memory only after the lifetime of an order.
+const UNFENCED_COST: f32 = 1e6;
+
 /// Demand for a model.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
@@ -108,10 +111,20 @@
         adapters: 0,
     };
     planner.count_loads();
+    planner.purge();
     planner.place_wanted();
     planner.orders
 }
 
+/// Whether a charge in this phase will be gone some time.
+fn frees(account: &Account, phase: Phase) -> bool {
+    match phase {
+        Phase::Purging | Phase::Evicting => true,
+        Phase::Ghost => !account.fencing,
+        Phase::Loading | Phase::Loaded => false,
+    }
+}
+
 struct Planner<'a> {
     input: &'a PlanInput<'a>,
     settings: &'a PlacementSettings,
@@ -139,6 +152,27 @@
         }
     }
 
+    /// Orders the evictions that free what may have come back to upstreams without fencing.
+    fn purge(&mut self) {
+        let time = self.input.time;
+        let due: Vec<(UpstreamName, ModelName)> = self
+            .input
+            .ledger
+            .accounts()
+            .filter(|(name, account)| !account.fencing && (self.input.reachable)(name))
+            .flat_map(|(name, account)| {
+                let old = account.charges.iter().filter(move |(_, charge)| {
+                    let landed = time >= charge.time + ORDER_LIFETIME_MS;
+                    landed && matches!(charge.phase, Phase::Ghost | Phase::Loading)
+                });
+                old.map(|(model, _)| (name.clone(), model.clone()))
+            })
+            .collect();
+        for (upstream, model) in due {
+            self.order(&upstream, &model, IntentKind::Evict);
+        }
+    }
+
     fn note_load(&mut self, model: &ModelName) {
         match self.is_adapter(model) {
             true => self.adapters += 1,
@@ -300,10 +334,7 @@
         size: u64,
         demand: &Demand,
     ) -> Option<(f32, Vec<ModelName>)> {
-        let leaving = account
-            .charges
-            .values()
-            .filter(|c| c.phase == Phase::Evicting);
+        let leaving = account.charges.values().filter(|c| frees(account, c.phase));
         let mut room = account.free().0 + leaving.map(|charge| charge.size.0).sum::<u64>();
         let candidates = account.charges.iter().filter(|(name, charge)| {
             charge.phase == Phase::Loaded
@@ -314,7 +345,8 @@
         let mut candidates: Vec<_> = candidates.collect();
         candidates
             .sort_by(|(a, _), (b, _)| (self.worth(a), a).partial_cmp(&(self.worth(b), b)).unwrap());
-        let (mut cost, mut victims) = (0.0, Vec::new());
+        let slow = if account.fencing { 0.0 } else { UNFENCED_COST };
+        let (mut cost, mut victims) = (slow, Vec::new());
         for (name, charge) in candidates {
             if room >= size {
                 break;
--- /dev/null
+++ b/tests/ledger.rs
@@ -0,0 +1,308 @@
+//! Accelerator memory: never overcommitted, whatever becomes of the orders.
+
+#[macro_use]
+mod support;
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use carobglade::{
+    ByteSize, Change, ConfigChange, ControlState, Fold, Incarnation, Intent, IntentKind, ModelName,
+    ModelWire, ORDER_LIFETIME_MS, Offset, Phase, Record, Resolve, Restarted, UpstreamName,
+    UpstreamWire, Verdict,
+};
+use proptest::prelude::*;
+use support::Log;
+
+const GIB: u64 = 1 << 30;
+const MODELS: usize = 5;
+const SIZES: [u64; MODELS] = [30, 25, 20, 40, 10]; // GiB, of 64
+
+fn upstream() -> UpstreamName {
+    "engine".parse().unwrap()
+}
+
+fn model(i: usize) -> ModelName {
+    format!("m{i}").parse().unwrap()
+}
+
+fn configured(fencing: bool) -> Record {
+    let engine = UpstreamWire {
+        name: "engine".into(),
+        address: "127.0.0.1:1".into(),
+        data_centre: "rennes".into(),
+        memory: Some("64GiB".into()),
+        fencing,
+        ..UpstreamWire::default()
+    };
+    let models = SIZES.iter().enumerate().map(|(i, size)| {
+        Change::Model(ModelWire {
+            name: format!("m{i}"),
+            size: format!("{size}GiB"),
+            base: None,
+        })
+    });
+    let changes = std::iter::once(Change::Upstream(engine))
+        .chain(models)
+        .collect();
+    Record::Config(ConfigChange {
+        base: Offset(0),
+        changes,
+    })
+}
+
+fn intent(kind: IntentKind, i: usize, incarnation: u64) -> Record {
+    Record::Intent(Intent {
+        upstream: upstream(),
+        incarnation: Incarnation(incarnation),
+        kind,
+        model: model(i),
+        size: ByteSize(SIZES[i] * GIB),
+    })
+}
+
+fn resolve(order: u64, incarnation: u64) -> Record {
+    let incarnation = Incarnation(incarnation);
+    Record::Resolve(Resolve {
+        upstream: upstream(),
+        incarnation,
+        order: Offset(order),
+    })
+}
+
+fn restarted(incarnation: u64) -> Record {
+    Record::Restarted(Restarted {
+        upstream: upstream(),
+        incarnation: Incarnation(incarnation),
+    })
+}
+
+/// Folds records, one an entry and a second apart, after the configuration at offset 1 and the
+/// first incarnation at offset 2, and checks whether the last one is accepted.
+fn last_is(fencing: bool, records: Vec<Record>, accepted: bool) {
+    let mut log = Log::default();
+    let first = [configured(fencing), restarted(1)];
+    for (i, record) in first.into_iter().chain(records).enumerate() {
+        log.append(&format!("e{i}"), i as u64 * 1000, vec![record]);
+    }
+    let mut state = ControlState::default();
+    log.entries.iter().for_each(|entry| state.apply(entry));
+    let last = &log.entries.last().unwrap().id;
+    let verdict = state.verdict(last).unwrap();
+    assert_eq!(
+        matches!(verdict, Verdict::Accepted(_)),
+        accepted,
+        "{verdict:?}"
+    );
+}
+
+const LOAD: IntentKind = IntentKind::Load;
+const EVICT: IntentKind = IntentKind::Evict;
+
+cases! { last_is:
+    a_load_that_fits_is_admitted => (true, vec![intent(LOAD, 0, 1)], true);
+    a_second_load_counts_the_first_intent => (
+        true, vec![intent(LOAD, 0, 1), intent(LOAD, 3, 1)], false,
+    );
+    a_model_is_not_loaded_twice => (true, vec![intent(LOAD, 4, 1), intent(LOAD, 4, 1)], false);
+    an_order_for_a_former_incarnation_is_void => (
+        true, vec![restarted(2), intent(LOAD, 0, 1)], false,
+    );
+    an_eviction_frees_nothing_before_it_is_resolved => (
+        true,
+        vec![intent(LOAD, 3, 1), resolve(3, 1), intent(EVICT, 3, 1), intent(LOAD, 0, 1)],
+        false,
+    );
+    a_resolved_eviction_frees_its_memory => (
+        true,
+        vec![
+            intent(LOAD, 3, 1), resolve(3, 1), intent(EVICT, 3, 1), resolve(5, 1),
+            intent(LOAD, 0, 1),
+        ],
+        true,
+    );
+    without_fencing_an_evicted_model_may_come_back => (
+        false,
+        vec![
+            intent(LOAD, 3, 1), resolve(3, 1), intent(EVICT, 3, 1), resolve(5, 1),
+            intent(LOAD, 0, 1),
+        ],
+        false,
+    );
+    a_restart_frees_all_with_fencing => (
+        true, vec![intent(LOAD, 3, 1), restarted(2), intent(LOAD, 0, 2)], true,
+    );
+    a_restart_without_fencing_frees_nothing_at_once => (
+        false, vec![intent(LOAD, 3, 1), restarted(2), intent(LOAD, 0, 2)], false,
+    );
+    with_fencing_an_eviction_shuts_a_load_out => (
+        true, vec![intent(LOAD, 0, 1), intent(EVICT, 0, 1)], true,
+    );
+    without_fencing_a_loading_model_is_not_evicted => (
+        false, vec![intent(LOAD, 0, 1), intent(EVICT, 0, 1)], false,
+    );
+}
+
+/// One step of a schedule.
+#[derive(Clone, Debug)]
+enum Step {
+    Propose { kind: bool, model: usize },
+    Send { at: usize },
+    Land { at: usize, double: bool, lost: bool },
+    Report,
+    Resolve { at: usize },
+    Restart,
+    Wait { seconds: u64 },
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (any::<bool>(), 0..MODELS).prop_map(|(kind, model)| Step::Propose { kind, model }),
+        6 => (0..8usize).prop_map(|at| Step::Send { at }),
+        8 => (0..16usize, any::<bool>(), 0..5u8)
+            .prop_map(|(at, double, l)| Step::Land { at, double, lost: l == 0 }),
+        4 => Just(Step::Report),
+        8 => (0..8usize).prop_map(|at| Step::Resolve { at }),
+        1 => Just(Step::Restart),
+        2 => (1..200u64).prop_map(|seconds| Step::Wait { seconds }),
+    ]
+}
+
+#[derive(Clone, Debug)]
+struct Order {
+    number: u64,
+    incarnation: u64,
+    load: bool,
+    model: usize,
+    sent: u64,
+}
+
+/// An upstream that does what orders say.
+struct Engine {
+    fencing: bool,
+    incarnation: u64,
+    resident: BTreeSet<usize>,
+    fences: BTreeMap<usize, u64>,
+    done: BTreeSet<u64>,
+}
+
+impl Engine {
+    fn execute(&mut self, order: &Order) {
+        let fence = self.fences.entry(order.model).or_insert(0);
+        if self.fencing && (order.incarnation != self.incarnation || order.number <= *fence) {
+            return;
+        }
+        *fence = order.number;
+        match order.load {
+            true => self.resident.insert(order.model),
+            false => self.resident.remove(&order.model),
+        };
+        self.done.insert(order.number);
+    }
+
+    fn used(&self) -> u64 {
+        self.resident.iter().map(|i| SIZES[*i]).sum()
+    }
+}
+
+fn play(fencing: bool, steps: &[Step]) -> Result<(), TestCaseError> {
+    let (mut log, mut state) = (Log::default(), ControlState::default());
+    let mut engine = Engine {
+        fencing,
+        incarnation: 1,
+        resident: BTreeSet::new(),
+        fences: BTreeMap::new(),
+        done: BTreeSet::new(),
+    };
+    let (mut way, mut reports) = (Vec::<Order>::new(), vec![(1, BTreeSet::new())]);
+    let mut time = 0;
+    let mut append = |state: &mut ControlState, time: u64, record: Record| {
+        let id = format!("e{}", log.entries.len());
+        log.append(&id, time, vec![record]);
+        state.apply(log.entries.last().unwrap());
+    };
+    append(&mut state, 0, configured(fencing));
+    append(&mut state, 0, restarted(1));
+    for step in steps {
+        time += 10;
+        let account = state.ledger().account(&upstream()).unwrap().clone();
+        let busy: Vec<(ModelName, u64, bool)> = account
+            .charges
+            .iter()
+            .filter(|(_, c)| fencing || time < c.time + ORDER_LIFETIME_MS / 2)
+            .filter(|(_, c)| c.phase.under_way())
+            .map(|(name, c)| (name.clone(), c.order.0, c.phase == Phase::Loading))
+            .collect();
+        match *step {
+            Step::Propose { kind, model } => {
+                let kind = if kind { LOAD } else { EVICT };
+                append(&mut state, time, intent(kind, model, account.incarnation.0));
+            }
+            Step::Send { at } if !busy.is_empty() => {
+                let (name, number, load) = &busy[at % busy.len()];
+                let model = (0..MODELS).find(|i| model(*i) == *name).unwrap();
+                let incarnation = account.incarnation.0;
+                let order = Order {
+                    number: *number,
+                    incarnation,
+                    load: *load,
+                    model,
+                    sent: time,
+                };
+                way.push(order);
+            }
+            Step::Land { at, double, lost } if !way.is_empty() => {
+                let at = at % way.len();
+                let order = way[at].clone();
+                if !double {
+                    way.remove(at);
+                }
+                if !lost {
+                    engine.execute(&order);
+                }
+            }
+            Step::Report => reports.push((engine.incarnation, engine.done.clone())),
+            Step::Resolve { at } => {
+                let (incarnation, done) = reports[at % reports.len()].clone();
+                if incarnation > account.incarnation.0 {
+                    append(&mut state, time, restarted(incarnation));
+                } else if let Some((_, order, _)) = busy.iter().find(|(_, n, _)| done.contains(n)) {
+                    append(&mut state, time, resolve(*order, incarnation));
+                }
+            }
+            Step::Restart => {
+                engine.incarnation += 1;
+                engine.resident.clear();
+                engine.fences.clear();
+                engine.done.clear();
+            }
+            Step::Wait { seconds } => time += seconds * 1000,
+            Step::Send { .. } | Step::Land { .. } => {}
+        }
+        // No order lands later than its lifetime after it was sent.
+        way.retain(|order| time < order.sent + ORDER_LIFETIME_MS / 2);
+        let used = engine.used();
+        prop_assert!(
+            used <= 64,
+            "{used} GiB of 64 are used: {:?}",
+            engine.resident
+        );
+    }
+    Ok(())
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 600,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn memory_is_not_overcommitted(
+        fencing in any::<bool>(),
+        steps in proptest::collection::vec(step(), 1..200),
+    ) {
+        play(fencing, &steps)?;
+    }
+}
