--- /dev/null
+++ b/benches/carob-bench/tests/drain.rs
@@ -0,0 +1,163 @@
+//! Planned stops cut nothing off, and a leaving upstream gets nothing new.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use carob_bench::config::key_of;
+use carob_bench::{Answer, Client, Fleet, FleetOptions};
+use serde_json::json;
+
+struct Load {
+    stop: Arc<AtomicBool>,
+    tasks: Vec<tokio::task::JoinHandle<Vec<Answer>>>,
+}
+
+/// Streams through one vm until told to stop; stops by itself when the vm takes nothing new.
+fn load(fleet: &Fleet, vm: usize, count: usize) -> Load {
+    let stop = Arc::new(AtomicBool::new(false));
+    let address = fleet.at(vm);
+    let tasks = (0..count).map(|_| {
+        let stop = Arc::clone(&stop);
+        tokio::spawn(async move {
+            let client = Client::fresh(&key_of("crew"));
+            let mut answers = Vec::new();
+            while !stop.load(Ordering::SeqCst) {
+                let answer = client.complete(address, "planner", "round", 30, true).await;
+                let refused = answer.status == 0 || answer.code() == "draining";
+                if refused {
+                    break;
+                }
+                answers.push(answer);
+            }
+            answers
+        })
+    });
+    let tasks = tasks.collect();
+    Load { stop, tasks }
+}
+
+async fn all_whole(load: Load) -> usize {
+    load.stop.store(true, Ordering::SeqCst);
+    let mut count = 0;
+    for task in load.tasks {
+        for answer in task.await.unwrap() {
+            assert_eq!(answer.status, 200, "{}", answer.body);
+            assert!(
+                answer.whole && answer.body.contains("[DONE]"),
+                "{}",
+                answer.body
+            );
+            count += 1;
+        }
+    }
+    count
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_rolling_replacement_under_load_cuts_off_nothing() {
+    let mut fleet = Fleet::start(FleetOptions::default()).await.unwrap();
+    let client = Client::fresh(&key_of("crew"));
+    assert_eq!(
+        client
+            .complete(fleet.at(0), "planner", "warm", 2, false)
+            .await
+            .status,
+        200
+    );
+    for i in 0..3 {
+        let load = load(&fleet, i, 4);
+        tokio::time::sleep(Duration::from_millis(400)).await;
+        fleet.vms[i].process.signal("TERM");
+        let code = fleet.vms[i].process.wait(Duration::from_secs(60)).await;
+        assert_eq!(code, Some(0), "{}", fleet.vms[i].process.printed());
+        assert!(all_whole(load).await > 0);
+        fleet.restart_vm(i).unwrap();
+        fleet.wait_ready(i).await.unwrap();
+    }
+    fleet.wait_shares().await.unwrap();
+    assert_eq!(
+        client
+            .complete(fleet.at(0), "planner", "warm", 2, false)
+            .await
+            .status,
+        200
+    );
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_draining_vm_refuses_as_not_run_and_says_when_to_come_back() {
+    let options = FleetOptions {
+        settings: json!({ "times": { "notice": 0 } }),
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start(options).await.unwrap();
+    let client = Client::fresh(&key_of("crew"));
+    assert_eq!(
+        client
+            .complete(fleet.at(0), "planner", "warm", 2, false)
+            .await
+            .status,
+        200
+    );
+    let address = fleet.at(0);
+    let long = tokio::spawn(async move {
+        Client::fresh(&key_of("crew"))
+            .complete(address, "planner", "long", 400, true)
+            .await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let admin = fleet.vms[0].admin.to_string();
+    assert_eq!(
+        fleet
+            .run("carobctl", &["drain", "--admin", &admin])
+            .await
+            .unwrap()
+            .0,
+        0
+    );
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    let answer = client
+        .complete(fleet.at(0), "planner", "new", 2, false)
+        .await;
+    assert_eq!(
+        (answer.status, answer.code(), answer.run()),
+        (503, "draining", "not_run")
+    );
+    assert!(answer.retry.is_some());
+    let long = long.await.unwrap();
+    assert!(long.whole && long.body.contains("[DONE]"));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_leaving_upstream_gets_nothing_new() {
+    let fleet = Fleet::start(FleetOptions::default()).await.unwrap();
+    let client = Client::fresh(&key_of("crew"));
+    for _ in 0..4 {
+        let answer = client
+            .complete(fleet.at(0), "planner", "warm", 2, false)
+            .await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    let mut ran = Vec::new();
+    for engine in &fleet.engines {
+        ran.push(
+            fleet.get(*engine, "/stats").await.unwrap()["ran"]
+                .as_u64()
+                .unwrap(),
+        );
+    }
+    let busy = if ran[0] >= ran[1] { 0 } else { 1 };
+    let list = json!({ "list": { format!("engine-{busy}"): "leaving" } });
+    fleet.faults(fleet.store, list).await.unwrap();
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let before = fleet.get(fleet.engines[busy], "/stats").await.unwrap()["ran"].clone();
+    for i in 0..6 {
+        let answer = client
+            .complete(fleet.at(i % 3), "planner", "after", 2, false)
+            .await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    let after = fleet.get(fleet.engines[busy], "/stats").await.unwrap()["ran"].clone();
+    assert_eq!(before, after);
+}
--- /dev/null
+++ b/benches/carob-bench/tests/memory.rs
@@ -0,0 +1,108 @@
+//! Accelerator memory is never overcommitted, and every model stays reachable.
+//!
+//! The engine stand-in ends its process when its memory is overcommitted.
+
+use std::time::Duration;
+
+use carob_bench::config::{adapter, key_of, model, tenant};
+use carob_bench::{Client, Fleet, FleetOptions};
+use serde_json::json;
+
+fn options(unfenced: usize) -> FleetOptions {
+    let mut models: Vec<_> = (0..6).map(|i| model(&format!("m{i}"), "20GiB")).collect();
+    models.extend((0..6).map(|i| adapter(&format!("a{i}"), &format!("m{}", i % 2))));
+    FleetOptions {
+        engines: 2,
+        unfenced,
+        memory: "44GiB".into(),
+        loads: 4,
+        tenants: vec![tenant("apron", 1_000_000, 1_000_000, &models)],
+        models,
+        settings: json!({ "store": { "loads": 4 } }),
+        ..FleetOptions::default()
+    }
+}
+
+/// Asks every model until it answers; a refusal must say when to come back.
+async fn reach_all(fleet: &Fleet, names: &[String]) {
+    let client = Client::fresh(&key_of("apron"));
+    let mut tasks = Vec::new();
+    for (i, name) in names.iter().enumerate() {
+        let (client, name, address) = (client.clone(), name.clone(), fleet.at(i % 3));
+        tasks.push(tokio::spawn(async move {
+            for _ in 0..40 {
+                let answer = client.complete(address, &name, "hello", 3, false).await;
+                if answer.status == 200 {
+                    return true;
+                }
+                assert!(answer.retry.is_some(), "{name}: {}", answer.body);
+                assert!(
+                    answer.total < Duration::from_secs(25),
+                    "{name}: {:?}",
+                    answer.total
+                );
+                tokio::time::sleep(Duration::from_millis(300)).await;
+            }
+            panic!("model {name} was never reached");
+        }));
+    }
+    for task in tasks {
+        assert!(task.await.unwrap());
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn every_model_is_reached_though_they_do_not_fit_together() {
+    let mut fleet = Fleet::start(options(0)).await.unwrap();
+    let names: Vec<String> = fleet.config.models.iter().map(|m| m.name.clone()).collect();
+    reach_all(&fleet, &names).await;
+    reach_all(&fleet, &names).await;
+    assert_eq!(fleet.broken(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_late_and_doubled_orders_overcommit_nothing() {
+    let mut fleet = Fleet::start(options(0)).await.unwrap();
+    for (i, engine) in fleet.engines.iter().enumerate() {
+        let faults = json!({
+            "order_lose": 0.3, "order_double": 0.5, "order_delay": 150, "report_lag": 400,
+            "seed": i + 1,
+        });
+        fleet.faults(*engine, faults).await.unwrap();
+    }
+    let names: Vec<String> = (0..6).map(|i| format!("m{i}")).collect();
+    reach_all(&fleet, &names).await;
+    fleet.vms[0].process.kill();
+    fleet.restart_vm(0).unwrap();
+    fleet.vms[1].process.signal("STOP");
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    fleet.vms[1].process.signal("CONT");
+    fleet.wait_ready(0).await.unwrap();
+    fleet.wait_ready(1).await.unwrap();
+    reach_all(&fleet, &names).await;
+    assert_eq!(fleet.broken(), Vec::<String>::new());
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_upstream_that_ignores_fencing_is_not_overcommitted() {
+    let mut fleet = Fleet::start(options(2)).await.unwrap();
+    for engine in &fleet.engines {
+        let faults = json!({ "order_double": 1.0, "order_delay": 100, "report_lag": 300 });
+        fleet.faults(*engine, faults).await.unwrap();
+    }
+    // Four of six models fit; evictions free nothing here within this test.
+    let names: Vec<String> = (0..4).map(|i| format!("m{i}")).collect();
+    reach_all(&fleet, &names).await;
+    let client = Client::fresh(&key_of("apron"));
+    let cold = client.complete(fleet.at(0), "m5", "hello", 3, false).await;
+    assert_eq!(
+        (cold.status, cold.code()),
+        (503, "model_loading"),
+        "{}",
+        cold.body
+    );
+    assert_eq!(cold.run(), "not_run");
+    assert!(cold.retry.is_some());
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    assert_eq!(fleet.broken(), Vec::<String>::new());
+}
