--- a/benches/carob-bench/src/client.rs
+++ b/benches/carob-bench/src/client.rs
@@ -55,19 +55,12 @@
     /// A caller that keeps its connections.
     pub fn new(key: &str) -> Self {
         let silence = Duration::from_secs(30);
-        Client {
-            caller: Caller::pooled(),
-            key: key.to_owned(),
-            silence,
-        }
+        Client { caller: Caller::pooled(), key: key.to_owned(), silence }
     }
 
     /// A caller that opens a connection for each call.
     pub fn fresh(key: &str) -> Self {
-        Client {
-            caller: Caller::fresh(),
-            ..Client::new(key)
-        }
+        Client { caller: Caller::fresh(), ..Client::new(key) }
     }
 
     /// Sends a request with extra headers.
@@ -93,10 +86,7 @@
             }
         }
         let url = format!("http://{address}{target}");
-        let opened = self
-            .caller
-            .open(method, &url, map, body.into(), self.silence)
-            .await;
+        let opened = self.caller.open(method, &url, map, body.into(), self.silence).await;
         let mut answer = Answer {
             status: 0,
             body: String::new(),
@@ -161,17 +151,12 @@
             "messages": [{ "role": "user", "content": prompt }],
         });
         let target = "/v1/chat/completions";
-        self.send(Method::POST, address, target, &[], body.to_string())
-            .await
+        self.send(Method::POST, address, target, &[], body.to_string()).await
     }
 
     /// Sends a call that may not be repeated.
     pub async fn once(&self, address: SocketAddr, target: &str, key: &str, body: &str) -> Answer {
-        let headers = [
-            ("idempotency-key", key),
-            ("content-type", "application/json"),
-        ];
-        self.send(Method::POST, address, target, &headers, body.to_owned())
-            .await
+        let headers = [("idempotency-key", key), ("content-type", "application/json")];
+        self.send(Method::POST, address, target, &headers, body.to_owned()).await
     }
 }
--- a/benches/carob-bench/src/config.rs
+++ b/benches/carob-bench/src/config.rs
@@ -25,20 +25,12 @@
 
 /// A model.
 pub fn model(name: &str, size: &str) -> ModelWire {
-    ModelWire {
-        name: name.into(),
-        size: size.into(),
-        base: None,
-    }
+    ModelWire { name: name.into(), size: size.into(), base: None }
 }
 
 /// An adapter.
 pub fn adapter(name: &str, base: &str) -> ModelWire {
-    ModelWire {
-        name: name.into(),
-        size: "256MiB".into(),
-        base: Some(base.into()),
-    }
+    ModelWire { name: name.into(), size: "256MiB".into(), base: Some(base.into()) }
 }
 
 /// A model engine.
@@ -66,14 +58,8 @@
             ..UpstreamWire::default()
         })
         .collect();
-    let names = upstreams
-        .iter()
-        .map(|upstream| upstream.name.clone())
-        .collect();
-    let service = ServiceWire {
-        name: "gates".into(),
-        upstreams: names,
-    };
+    let names = upstreams.iter().map(|upstream| upstream.name.clone()).collect();
+    let service = ServiceWire { name: "gates".into(), upstreams: names };
     let route = RouteWire {
         prefix: "/gates/".into(),
         service: "gates".into(),
--- a/benches/carob-bench/src/fleet.rs
+++ b/benches/carob-bench/src/fleet.rs
@@ -49,10 +49,7 @@
 
 impl Default for FleetOptions {
     fn default() -> Self {
-        let models = vec![
-            config::model("planner", "20GiB"),
-            config::model("explainer", "20GiB"),
-        ];
+        let models = vec![config::model("planner", "20GiB"), config::model("explainer", "20GiB")];
         FleetOptions {
             vms: 3,
             engines: 2,
@@ -160,11 +157,7 @@
     }
 
     fn standin(&self, name: &str, args: &[&str]) -> Result<Process> {
-        Process::start(
-            "carob-standin",
-            args,
-            &self.dir.path().join(format!("{name}.out")),
-        )
+        Process::start("carob-standin", args, &self.dir.path().join(format!("{name}.out")))
     }
 
     fn start_platform(&mut self) -> Result<()> {
@@ -227,15 +220,7 @@
     fn start_relay(&mut self, name: &str, to: SocketAddr) -> Result<(SocketAddr, SocketAddr)> {
         let (near, control) = (free_address(), free_address());
         let texts = [near.to_string(), to.to_string(), control.to_string()];
-        let args = [
-            "relay",
-            "--listen",
-            &texts[0],
-            "--to",
-            &texts[1],
-            "--control",
-            &texts[2],
-        ];
+        let args = ["relay", "--listen", &texts[0], "--to", &texts[1], "--control", &texts[2]];
         let process = self.standin(name, &args)?;
         self.others.push(process);
         Ok((near, control))
@@ -245,12 +230,7 @@
     pub fn wire(&self) -> ConfigWire {
         let engines = self.engines.iter().enumerate().map(|(i, address)| {
             let fencing = i + self.options.unfenced < self.options.engines;
-            config::engine(
-                &format!("engine-{i}"),
-                *address,
-                &self.options.memory,
-                fencing,
-            )
+            config::engine(&format!("engine-{i}"), *address, &self.options.memory, fencing)
         });
         let (tenants, models) = (self.options.tenants.clone(), self.options.models.clone());
         config::whole(tenants, models, engines.collect(), &self.services)
@@ -329,10 +309,7 @@
     ///
     /// When it does not end in time.
     pub async fn run(&self, program: &str, args: &[&str]) -> Result<(i32, String)> {
-        let output = self
-            .dir
-            .path()
-            .join(format!("run-{}.out", rand::random::<u64>()));
+        let output = self.dir.path().join(format!("run-{}.out", rand::random::<u64>()));
         let mut process = Process::start(program, args, &output)?;
         let code = process.wait(Duration::from_secs(60)).await;
         let code = code.ok_or_else(|| eyre!("{program} {args:?} did not end"))?;
@@ -373,17 +350,10 @@
     /// When it does not answer with 200.
     pub async fn post(&self, address: SocketAddr, path: &str, body: &str) -> Result<()> {
         let url = format!("http://{address}{path}");
-        let answer = self
-            .caller
-            .post(&url, body.to_owned().into(), Duration::from_secs(5))
-            .await;
+        let answer = self.caller.post(&url, body.to_owned().into(), Duration::from_secs(5)).await;
         let answer = answer.map_err(|err| eyre!("{err}"))?;
         if answer.status >= 300 {
-            bail!(
-                "{path}: {} {}",
-                answer.status,
-                String::from_utf8_lossy(&answer.body)
-            );
+            bail!("{path}: {} {}", answer.status, String::from_utf8_lossy(&answer.body));
         }
         Ok(())
     }
@@ -424,10 +394,8 @@
     }
 
     async fn wait_for(&self, address: SocketAddr, path: &str) -> Result<()> {
-        self.until(&format!("{address}{path}"), async || {
-            self.get(address, path).await.is_ok()
-        })
-        .await
+        self.until(&format!("{address}{path}"), async || self.get(address, path).await.is_ok())
+            .await
     }
 
     /// Waits until an entry process is ready.
@@ -441,8 +409,7 @@
             let answer = self.caller.get(&url, Duration::from_secs(1)).await;
             answer.is_ok_and(|answer| answer.status == 200)
         };
-        self.until(&format!("{} to be ready", self.vms[i].name), ready)
-            .await
+        self.until(&format!("{} to be ready", self.vms[i].name), ready).await
     }
 
     /// Waits until every process holds about its part of the slots.
@@ -455,9 +422,7 @@
             let status = self.status(0).await.unwrap_or_default();
             let all = status["slots"]["of"].as_u64().unwrap_or(0);
             let members = status["members"].as_array().cloned().unwrap_or_default();
-            let slots = members
-                .iter()
-                .map(|member| member["slots"].as_u64().unwrap_or(0));
+            let slots = members.iter().map(|member| member["slots"].as_u64().unwrap_or(0));
             let least = slots.clone().min().unwrap_or(0);
             let fair = all / self.vms.len() as u64;
             slots.sum::<u64>() == all && members.len() == self.vms.len() && least > fair / 2
@@ -478,18 +443,13 @@
             }
             tokio::time::sleep(TICK).await;
         }
-        bail!(
-            "waited in vain for {what}; see {}",
-            self.dir.path().display()
-        )
+        bail!("waited in vain for {what}; see {}", self.dir.path().display())
     }
 
     /// Names of stand-ins that ended on their own, which none does in a sound run.
     pub fn broken(&mut self) -> Vec<String> {
         let ended = self.others.iter_mut().filter_map(|process| {
-            process
-                .ended()
-                .then(|| format!("{}: {}", process.output.display(), process.printed()))
+            process.ended().then(|| format!("{}: {}", process.output.display(), process.printed()))
         });
         ended.collect()
     }
--- a/benches/carob-bench/src/history.rs
+++ b/benches/carob-bench/src/history.rs
@@ -29,24 +29,15 @@
 pub fn check_once(calls: &[OnceCall], ran: &[Ran]) -> Vec<String> {
     let mut faults = Vec::new();
     let header = |ran: &Ran, name: &str| {
-        ran.headers
-            .iter()
-            .find(|(k, _)| k == name)
-            .map(|(_, v)| v.clone())
-            .unwrap_or_default()
+        ran.headers.iter().find(|(k, _)| k == name).map(|(_, v)| v.clone()).unwrap_or_default()
     };
     let mut runs: BTreeMap<String, Vec<String>> = BTreeMap::new();
     for call in ran.iter().filter(|call| call.method == "POST") {
         let key = header(call, "idempotency-key");
-        runs.entry(key)
-            .or_default()
-            .push(header(call, ATTEMPT_HEADER));
+        runs.entry(key).or_default().push(header(call, ATTEMPT_HEADER));
     }
     for (key, attempts) in runs.iter().filter(|(_, attempts)| attempts.len() > 1) {
-        faults.push(format!(
-            "key {key} ran {} times: {attempts:?}",
-            attempts.len()
-        ));
+        faults.push(format!("key {key} ran {} times: {attempts:?}", attempts.len()));
     }
     let mut bodies: BTreeMap<&str, &str> = BTreeMap::new();
     for call in calls {
@@ -63,10 +54,8 @@
         if call.status == 200 {
             let first = bodies.entry(&call.key).or_insert(&call.body);
             if *first != call.body {
-                faults.push(format!(
-                    "key {} was answered with {first} and {}",
-                    call.key, call.body
-                ));
+                faults
+                    .push(format!("key {} was answered with {first} and {}", call.key, call.body));
             }
         }
     }
--- a/benches/carob-bench/src/process.rs
+++ b/benches/carob-bench/src/process.rs
@@ -17,9 +17,7 @@
 
 /// An address on loopback that nobody listens on.
 pub fn free_address() -> SocketAddr {
-    let mut taken = TAKEN
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner);
+    let mut taken = TAKEN.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
     let span = u32::from(PORTS.end - PORTS.start);
     let start = std::process::id().wrapping_mul(PORT_STRIDE) % span;
     let ports = (0..span).map(|i| PORTS.start + ((start + i) % span) as u16);
@@ -38,11 +36,7 @@
 pub fn programs() -> Result<PathBuf> {
     let own = std::env::current_exe()?;
     let folder = own.parent().ok_or_else(|| eyre!("no folder"))?;
-    let folder = if folder.ends_with("deps") {
-        folder.parent().unwrap_or(folder)
-    } else {
-        folder
-    };
+    let folder = if folder.ends_with("deps") { folder.parent().unwrap_or(folder) } else { folder };
     Ok(folder.to_path_buf())
 }
 
@@ -66,10 +60,7 @@
             .stderr(file)
             .spawn()
             .wrap_err_with(|| path.display().to_string())?;
-        Ok(Process {
-            child,
-            output: output.to_path_buf(),
-        })
+        Ok(Process { child, output: output.to_path_buf() })
     }
 
     /// Its id.
@@ -80,9 +71,7 @@
     /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
         let id = self.id().to_string();
-        let _ = Command::new("kill")
-            .args([&format!("-{name}"), id.as_str()])
-            .status();
+        let _ = Command::new("kill").args([&format!("-{name}"), id.as_str()]).status();
     }
 
     /// Kills it.
--- a/benches/carob-bench/tests/callers.rs
+++ b/benches/carob-bench/tests/callers.rs
@@ -41,65 +41,32 @@
 
 fn bad_inputs() -> Vec<Bad> {
     vec![
-        Bad {
-            body: "{".into(),
-            ..bad("broken JSON", 400, "invalid_request", "not valid JSON")
-        },
-        Bad {
-            body: "[1]".into(),
-            ..bad("JSON list", 400, "invalid_request", "JSON object")
-        },
+        Bad { body: "{".into(), ..bad("broken JSON", 400, "invalid_request", "not valid JSON") },
+        Bad { body: "[1]".into(), ..bad("JSON list", 400, "invalid_request", "JSON object") },
         Bad {
             body: json!({ "model": 7, "prompt": "x" }).to_string(),
             ..bad("model is a number", 400, "invalid_request", "model 7")
         },
         Bad {
             body: json!({ "model": "planner" }).to_string(),
-            ..bad(
-                "no prompt",
-                400,
-                "invalid_request",
-                "\"messages\" or \"prompt\"",
-            )
+            ..bad("no prompt", 400, "invalid_request", "\"messages\" or \"prompt\"")
         },
         Bad {
             body: json!({ "model": "planner", "prompt": "x", "max_tokens": -1 }).to_string(),
-            ..bad(
-                "negative max_tokens",
-                400,
-                "invalid_request",
-                "max_tokens -1",
-            )
+            ..bad("negative max_tokens", 400, "invalid_request", "max_tokens -1")
         },
         Bad {
             body: json!({ "model": "planner", "prompt": "x".repeat(2 << 20) }).to_string(),
             ..bad("long body", 413, "too_large", "longer than")
         },
-        Bad {
-            body: body("nothing"),
-            ..bad("unknown model", 404, "model_not_found", "nothing")
-        },
+        Bad { body: body("nothing"), ..bad("unknown model", 404, "model_not_found", "nothing") },
         Bad {
             key: key_of("limited"),
-            ..bad(
-                "model of another tenant",
-                403,
-                "forbidden",
-                "may not use model",
-            )
-        },
-        Bad {
-            key: String::new(),
-            ..bad("no key", 401, "missing_key", "Authorization")
-        },
-        Bad {
-            key: "ck-wrong".into(),
-            ..bad("unknown key", 401, "invalid_key", "unknown")
-        },
-        Bad {
-            key: key_of("gone"),
-            ..bad("withdrawn key", 401, "invalid_key", "withdrawn")
+            ..bad("model of another tenant", 403, "forbidden", "may not use model")
         },
+        Bad { key: String::new(), ..bad("no key", 401, "missing_key", "Authorization") },
+        Bad { key: "ck-wrong".into(), ..bad("unknown key", 401, "invalid_key", "unknown") },
+        Bad { key: key_of("gone"), ..bad("withdrawn key", 401, "invalid_key", "withdrawn") },
         Bad {
             headers: vec![("x-api-key", "ck-other".into())],
             ..bad("two keys", 400, "invalid_request", "two different keys")
@@ -112,22 +79,11 @@
             body: json!({ "model": "planner", "prompt": key_of("apron") }).to_string(),
             ..bad("key in the body", 400, "invalid_request", "header only")
         },
-        Bad {
-            method: Method::GET,
-            ..bad("wrong method", 405, "method_not_allowed", "GET")
-        },
-        Bad {
-            target: "/nowhere",
-            ..bad("unknown route", 404, "unknown_route", "/nowhere")
-        },
+        Bad { method: Method::GET, ..bad("wrong method", 405, "method_not_allowed", "GET") },
+        Bad { target: "/nowhere", ..bad("unknown route", 404, "unknown_route", "/nowhere") },
         Bad {
             target: "/gates/1",
-            ..bad(
-                "no idempotency key",
-                400,
-                "idempotency_key_required",
-                "Idempotency-Key",
-            )
+            ..bad("no idempotency key", 400, "idempotency_key_required", "Idempotency-Key")
         },
         Bad {
             target: "/gates/1",
@@ -145,15 +101,7 @@
 async fn send(fleet: &Fleet, bad: &Bad) -> Answer {
     let headers: Vec<(&str, &str)> = bad.headers.iter().map(|(k, v)| (*k, v.as_str())).collect();
     let client = Client::fresh(&bad.key);
-    client
-        .send(
-            bad.method.clone(),
-            fleet.at(0),
-            bad.target,
-            &headers,
-            bad.body.clone(),
-        )
-        .await
+    client.send(bad.method.clone(), fleet.at(0), bad.target, &headers, bad.body.clone()).await
 }
 
 fn with_tenants(wire: &ConfigWire) -> ConfigWire {
@@ -166,52 +114,24 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn bad_input_gets_its_documented_answer() {
-    let mut fleet = Fleet::start(FleetOptions {
-        vms: 1,
-        ..FleetOptions::default()
-    })
-    .await
-    .unwrap();
+    let mut fleet = Fleet::start(FleetOptions { vms: 1, ..FleetOptions::default() }).await.unwrap();
     let mut wire = with_tenants(&fleet.config);
-    wire.tenants[0]
-        .keys
-        .push(KeyDigest::of(&key_of("gone")).to_string());
+    wire.tenants[0].keys.push(KeyDigest::of(&key_of("gone")).to_string());
     fleet.apply(&wire).await.unwrap();
     let wire = with_tenants(&fleet.config);
-    fleet
-        .apply(&ConfigWire {
-            tenants: wire.tenants[..3].to_vec(),
-            ..wire
-        })
-        .await
-        .unwrap();
+    fleet.apply(&ConfigWire { tenants: wire.tenants[..3].to_vec(), ..wire }).await.unwrap();
     for bad in bad_inputs() {
         let answer = send(&fleet, &bad).await;
-        assert_eq!(
-            (answer.status, answer.code()),
-            (bad.status, bad.code),
-            "{}",
-            bad.name
-        );
+        assert_eq!((answer.status, answer.code()), (bad.status, bad.code), "{}", bad.name);
         let message = answer.error["message"].as_str().unwrap_or("");
         assert!(message.contains(bad.says), "{}: {message:?}", bad.name);
         assert_eq!(answer.run(), "not_run", "{}", bad.name);
     }
     let huge = "x".repeat(100_000);
     let answer = Client::fresh(&key_of("apron"))
-        .send(
-            Method::POST,
-            fleet.at(0),
-            CHAT,
-            &[("x-padding", &huge)],
-            body("planner"),
-        )
+        .send(Method::POST, fleet.at(0), CHAT, &[("x-padding", &huge)], body("planner"))
         .await;
-    assert!(
-        [0, 431].contains(&answer.status),
-        "a huge header got {}",
-        answer.status
-    );
+    assert!([0, 431].contains(&answer.status), "a huge header got {}", answer.status);
     assert!(fleet.ran().await.unwrap().is_empty());
 }
 
@@ -219,37 +139,21 @@
 async fn answers_are_whole_and_no_key_goes_on() {
     let mut fleet = Fleet::start(FleetOptions::default()).await.unwrap();
     let client = Client::new(&key_of("apron"));
-    let answer = client
-        .complete(fleet.at(0), "planner", "draft", 7, false)
-        .await;
+    let answer = client.complete(fleet.at(0), "planner", "draft", 7, false).await;
     assert_eq!(answer.status, 200, "{}", answer.body);
     let parsed: Value = serde_json::from_str(&answer.body).unwrap();
     assert_eq!(parsed["usage"]["completion_tokens"], 7);
 
-    let answer = client
-        .complete(fleet.at(1), "planner", "draft", 9, true)
-        .await;
-    assert!(
-        answer.whole && answer.body.trim_end().ends_with("[DONE]"),
-        "{}",
-        answer.body
-    );
+    let answer = client.complete(fleet.at(1), "planner", "draft", 9, true).await;
+    assert!(answer.whole && answer.body.trim_end().ends_with("[DONE]"), "{}", answer.body);
     assert_eq!(answer.body.matches("\"delta\"").count(), 9);
 
     let key = key_of("apron");
-    let places = [
-        ("x-api-key", key.as_str()),
-        ("cookie", "a=b"),
-        ("x-note", key.as_str()),
-    ];
+    let places = [("x-api-key", key.as_str()), ("cookie", "a=b"), ("x-note", key.as_str())];
     let target = format!("/gates/7?api_key={key}&x=1");
-    let answer = client
-        .send(Method::GET, fleet.at(2), &target, &places, "")
-        .await;
+    let answer = client.send(Method::GET, fleet.at(2), &target, &places, "").await;
     assert_eq!(answer.status, 200, "{}", answer.body);
-    let open = Client::fresh("")
-        .send(Method::GET, fleet.at(0), "/notices/today", &[], "")
-        .await;
+    let open = Client::fresh("").send(Method::GET, fleet.at(0), "/notices/today", &[], "").await;
     assert_eq!(open.status, 200, "{}", open.body);
 
     let ran = fleet.ran().await.unwrap();
@@ -262,15 +166,9 @@
         assert_eq!(stats["keys_seen"], json!([]));
     }
     for vm in &fleet.vms {
-        assert!(
-            !vm.process.printed().contains("ck-"),
-            "a key is in the log of {}",
-            vm.name
-        );
+        assert!(!vm.process.printed().contains("ck-"), "a key is in the log of {}", vm.name);
     }
-    let models = client
-        .send(Method::GET, fleet.at(0), "/v1/models", &[], "")
-        .await;
+    let models = client.send(Method::GET, fleet.at(0), "/v1/models", &[], "").await;
     assert!(models.body.contains("planner"), "{}", models.body);
     assert_eq!(fleet.broken(), Vec::<String>::new());
 }
@@ -279,21 +177,9 @@
 async fn a_killed_process_is_replaced_by_another() {
     let mut fleet = Fleet::start(FleetOptions::default()).await.unwrap();
     let client = Client::fresh(&key_of("crew"));
-    assert_eq!(
-        client
-            .complete(fleet.at(0), "planner", "a", 2, false)
-            .await
-            .status,
-        200
-    );
+    assert_eq!(client.complete(fleet.at(0), "planner", "a", 2, false).await.status, 200);
     fleet.vms[0].process.kill();
-    assert_eq!(
-        client
-            .complete(fleet.at(0), "planner", "a", 2, false)
-            .await
-            .status,
-        0
-    );
+    assert_eq!(client.complete(fleet.at(0), "planner", "a", 2, false).await.status, 0);
     let answer = client.complete(fleet.at(1), "planner", "a", 2, false).await;
     assert_eq!(answer.status, 200, "{}", answer.body);
 }
--- a/benches/carob-bench/tests/drain.rs
+++ b/benches/carob-bench/tests/drain.rs
@@ -43,11 +43,7 @@
     for task in load.tasks {
         for answer in task.await.unwrap() {
             assert_eq!(answer.status, 200, "{}", answer.body);
-            assert!(
-                answer.whole && answer.body.contains("[DONE]"),
-                "{}",
-                answer.body
-            );
+            assert!(answer.whole && answer.body.contains("[DONE]"), "{}", answer.body);
             count += 1;
         }
     }
@@ -58,13 +54,7 @@
 async fn a_rolling_replacement_under_load_cuts_off_nothing() {
     let mut fleet = Fleet::start(FleetOptions::default()).await.unwrap();
     let client = Client::fresh(&key_of("crew"));
-    assert_eq!(
-        client
-            .complete(fleet.at(0), "planner", "warm", 2, false)
-            .await
-            .status,
-        200
-    );
+    assert_eq!(client.complete(fleet.at(0), "planner", "warm", 2, false).await.status, 200);
     for i in 0..3 {
         let load = load(&fleet, i, 4);
         tokio::time::sleep(Duration::from_millis(400)).await;
@@ -76,54 +66,26 @@
         fleet.wait_ready(i).await.unwrap();
     }
     fleet.wait_shares().await.unwrap();
-    assert_eq!(
-        client
-            .complete(fleet.at(0), "planner", "warm", 2, false)
-            .await
-            .status,
-        200
-    );
+    assert_eq!(client.complete(fleet.at(0), "planner", "warm", 2, false).await.status, 200);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_draining_vm_refuses_as_not_run_and_says_when_to_come_back() {
-    let options = FleetOptions {
-        settings: json!({ "times": { "notice": 0 } }),
-        ..FleetOptions::default()
-    };
+    let options =
+        FleetOptions { settings: json!({ "times": { "notice": 0 } }), ..FleetOptions::default() };
     let fleet = Fleet::start(options).await.unwrap();
     let client = Client::fresh(&key_of("crew"));
-    assert_eq!(
-        client
-            .complete(fleet.at(0), "planner", "warm", 2, false)
-            .await
-            .status,
-        200
-    );
+    assert_eq!(client.complete(fleet.at(0), "planner", "warm", 2, false).await.status, 200);
     let address = fleet.at(0);
     let long = tokio::spawn(async move {
-        Client::fresh(&key_of("crew"))
-            .complete(address, "planner", "long", 400, true)
-            .await
+        Client::fresh(&key_of("crew")).complete(address, "planner", "long", 400, true).await
     });
     tokio::time::sleep(Duration::from_millis(300)).await;
     let admin = fleet.vms[0].admin.to_string();
-    assert_eq!(
-        fleet
-            .run("carobctl", &["drain", "--admin", &admin])
-            .await
-            .unwrap()
-            .0,
-        0
-    );
+    assert_eq!(fleet.run("carobctl", &["drain", "--admin", &admin]).await.unwrap().0, 0);
     tokio::time::sleep(Duration::from_millis(300)).await;
-    let answer = client
-        .complete(fleet.at(0), "planner", "new", 2, false)
-        .await;
-    assert_eq!(
-        (answer.status, answer.code(), answer.run()),
-        (503, "draining", "not_run")
-    );
+    let answer = client.complete(fleet.at(0), "planner", "new", 2, false).await;
+    assert_eq!((answer.status, answer.code(), answer.run()), (503, "draining", "not_run"));
     assert!(answer.retry.is_some());
     let long = long.await.unwrap();
     assert!(long.whole && long.body.contains("[DONE]"));
@@ -134,18 +96,12 @@
     let fleet = Fleet::start(FleetOptions::default()).await.unwrap();
     let client = Client::fresh(&key_of("crew"));
     for _ in 0..4 {
-        let answer = client
-            .complete(fleet.at(0), "planner", "warm", 2, false)
-            .await;
+        let answer = client.complete(fleet.at(0), "planner", "warm", 2, false).await;
         assert_eq!(answer.status, 200, "{}", answer.body);
     }
     let mut ran = Vec::new();
     for engine in &fleet.engines {
-        ran.push(
-            fleet.get(*engine, "/stats").await.unwrap()["ran"]
-                .as_u64()
-                .unwrap(),
-        );
+        ran.push(fleet.get(*engine, "/stats").await.unwrap()["ran"].as_u64().unwrap());
     }
     let busy = if ran[0] >= ran[1] { 0 } else { 1 };
     let list = json!({ "list": { format!("engine-{busy}"): "leaving" } });
@@ -153,9 +109,7 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     let before = fleet.get(fleet.engines[busy], "/stats").await.unwrap()["ran"].clone();
     for i in 0..6 {
-        let answer = client
-            .complete(fleet.at(i % 3), "planner", "after", 2, false)
-            .await;
+        let answer = client.complete(fleet.at(i % 3), "planner", "after", 2, false).await;
         assert_eq!(answer.status, 200, "{}", answer.body);
     }
     let after = fleet.get(fleet.engines[busy], "/stats").await.unwrap()["ran"].clone();
--- /dev/null
+++ b/benches/carob-bench/tests/faults.rs
@@ -0,0 +1,166 @@
+//! Silent connections, crashing and slow upstreams, poison requests, callers that leave.
+
+use std::time::Duration;
+
+use carob_bench::config::{key_of, tenant};
+use carob_bench::{Answer, Client, Fleet, FleetOptions};
+use serde_json::json;
+
+async fn ask(fleet: &Fleet, vm: usize, prompt: &str) -> Answer {
+    Client::fresh(&key_of("crew")).complete(fleet.at(vm), "planner", prompt, 5, true).await
+}
+
+/// Asks until both engines have the model, so that a fault of one leaves another.
+async fn warm_both(fleet: &Fleet) {
+    let loaded = async || {
+        let load = (0..40).map(|i| {
+            let address = fleet.at(i % fleet.vms.len());
+            tokio::spawn(async move {
+                let client = Client::fresh(&key_of("crew"));
+                client.complete(address, "planner", &format!("w{i}"), 60, true).await
+            })
+        });
+        let load: Vec<_> = load.collect();
+        for task in load {
+            task.await.unwrap();
+        }
+        let mut count = 0;
+        for engine in &fleet.engines {
+            let stats = fleet.get(*engine, "/stats").await.unwrap();
+            count += usize::from(stats["resident"].to_string().contains("planner"));
+        }
+        count == fleet.engines.len()
+    };
+    fleet.until("the model to be loaded everywhere", loaded).await.unwrap();
+}
+
+async fn stat(fleet: &Fleet, name: &str) -> u64 {
+    let mut sum = 0;
+    for engine in &fleet.engines {
+        sum += fleet.get(*engine, "/stats").await.unwrap()[name].as_u64().unwrap_or(0);
+    }
+    sum
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_connections_are_found_and_replaced() {
+    let fleet = Fleet::start(FleetOptions::default()).await.unwrap();
+    warm_both(&fleet).await;
+    for i in 0..12 {
+        assert_eq!(ask(&fleet, i % 3, &format!("before {i}")).await.status, 200);
+    }
+    // Every connection that exists goes silent for good; new ones work.
+    for engine in &fleet.engines {
+        fleet.post(*engine, "/silent", "").await.unwrap();
+    }
+    for i in 0..12 {
+        let answer = ask(&fleet, i % 3, &format!("after {i}")).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+        assert!(answer.whole && answer.body.contains("[DONE]"));
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_poison_request_takes_down_a_bounded_number_and_neighbours_are_served() {
+    let fleet = Fleet::start(FleetOptions { engines: 3, ..FleetOptions::default() }).await.unwrap();
+    warm_both(&fleet).await;
+    for engine in &fleet.engines {
+        fleet.faults(*engine, json!({ "poison": "POISON" })).await.unwrap();
+    }
+    let neighbours: Vec<_> = (0..6)
+        .map(|i| {
+            let address = fleet.at(i % 3);
+            tokio::spawn(async move {
+                let client = Client::fresh(&key_of("crew"));
+                for _ in 0..20 {
+                    let prompt = format!("neighbour {i}");
+                    let answer = client.complete(address, "planner", &prompt, 100, true).await;
+                    if answer.status == 200 && answer.whole {
+                        return true;
+                    }
+                    tokio::time::sleep(Duration::from_millis(500)).await;
+                }
+                false
+            })
+        })
+        .collect();
+    let mut refused = 0;
+    for i in 0..12 {
+        let answer = ask(&fleet, i % 3, "POISON").await;
+        assert_ne!(answer.status, 200);
+        refused += usize::from(answer.code() == "quarantined");
+        tokio::time::sleep(Duration::from_millis(400)).await;
+    }
+    assert!(refused >= 6, "only {refused} of 12 were refused as poison");
+    let crashes = stat(&fleet, "crashes").await;
+    assert!(crashes <= 3, "{crashes} crashes");
+    for neighbour in neighbours {
+        assert!(neighbour.await.unwrap(), "a neighbour was not served again");
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_caller_that_leaves_cancels_its_stream() {
+    let fleet = Fleet::start(FleetOptions::default()).await.unwrap();
+    assert_eq!(ask(&fleet, 0, "warm").await.status, 200);
+    let client = Client::fresh(&key_of("crew"));
+    let leaving = client.complete(fleet.at(0), "planner", "long", 2000, true);
+    assert!(tokio::time::timeout(Duration::from_millis(600), leaving).await.is_err());
+    let cancelled = async || stat(&fleet, "cancelled").await == 1;
+    fleet.until("the stream to be cancelled", cancelled).await.unwrap();
+    let idle = async || fleet.status(0).await.unwrap()["running"] == 0;
+    fleet.until("the vm to hold nothing", idle).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stream_that_breaks_is_visibly_incomplete() {
+    let fleet = Fleet::start(FleetOptions { engines: 1, ..FleetOptions::default() }).await.unwrap();
+    assert_eq!(ask(&fleet, 0, "warm").await.status, 200);
+    fleet.faults(fleet.engines[0], json!({ "poison": "POISON" })).await.unwrap();
+    let address = fleet.at(0);
+    let long = tokio::spawn(async move {
+        Client::fresh(&key_of("crew")).complete(address, "planner", "long", 200, true).await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    ask(&fleet, 1, "POISON").await;
+    let answer = long.await.unwrap();
+    assert_eq!(answer.status, 200);
+    assert!(!answer.whole && !answer.body.contains("[DONE]"), "{}", answer.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn interactive_reads_do_not_wait_behind_a_tenant_at_five_times_its_rate() {
+    let models = FleetOptions::default().models;
+    let options = FleetOptions {
+        tenants: vec![
+            tenant("apron", 100_000, 400_000, &models),
+            tenant("crew", 200, 800, &models),
+        ],
+        ..FleetOptions::default()
+    };
+    let fleet = Fleet::start(options).await.unwrap();
+    assert_eq!(ask(&fleet, 0, "warm").await.status, 200);
+    let flood: Vec<_> = (0..60)
+        .map(|i| {
+            let address = fleet.at(i % 3);
+            tokio::spawn(async move {
+                let client = Client::fresh(&key_of("crew"));
+                client.complete(address, "planner", &format!("f{i}"), 50, true).await
+            })
+        })
+        .collect();
+    let apron = Client::fresh(&key_of("apron"));
+    for i in 0..10 {
+        let answer = apron.complete(fleet.at(i % 3), "planner", &format!("r{i}"), 3, true).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    let mut refused = 0;
+    for task in flood {
+        let answer = task.await.unwrap();
+        if answer.status == 429 {
+            refused += 1;
+            assert!(answer.retry.is_some() && answer.run() == "not_run");
+        }
+    }
+    assert!(refused > 0, "a flood of 4,000 tokens passed a burst of 800");
+}
--- a/benches/carob-bench/tests/keys.rs
+++ b/benches/carob-bench/tests/keys.rs
@@ -18,24 +18,16 @@
 }
 
 async fn read(client: &Client, fleet: &Fleet, i: usize) -> (u16, String) {
-    let answer = client
-        .send(Method::GET, fleet.at(i), "/gates/1", &[], "")
-        .await;
+    let answer = client.send(Method::GET, fleet.at(i), "/gates/1", &[], "").await;
     (answer.status, answer.code().to_owned())
 }
 
 /// Applies without waiting for the vms that are cut off.
 async fn apply_now(fleet: &Fleet, wire: &ConfigWire) -> (i32, String) {
-    let path = fleet
-        .dir
-        .path()
-        .join(format!("now-{}.json", rand::random::<u32>()));
+    let path = fleet.dir.path().join(format!("now-{}.json", rand::random::<u32>()));
     std::fs::write(&path, serde_json::to_string(wire).unwrap()).unwrap();
     let (path, log) = (path.display().to_string(), fleet.log.to_string());
-    fleet
-        .run("carobctl", &["apply", &path, "--log", &log])
-        .await
-        .unwrap()
+    fleet.run("carobctl", &["apply", &path, "--log", &log]).await.unwrap()
 }
 
 /// From 5 s after the withdrawal on, no vm serves the key.
@@ -44,33 +36,19 @@
     let client = Client::fresh(&key_of("crew"));
     for i in 0..fleet.vms.len() {
         let (status, code) = read(&client, fleet, i).await;
-        assert!(
-            [401, 503].contains(&status),
-            "{} answered {status} {code}",
-            fleet.vms[i].name
-        );
+        assert!([401, 503].contains(&status), "{} answered {status} {code}", fleet.vms[i].name);
     }
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_withdrawn_key_is_dead_also_on_a_vm_that_is_cut_off_from_the_log() {
-    let options = FleetOptions {
-        relays: true,
-        ..FleetOptions::default()
-    };
+    let options = FleetOptions { relays: true, ..FleetOptions::default() };
     let fleet = Fleet::start(options).await.unwrap();
     let client = Client::new(&key_of("crew"));
     assert_eq!(read(&client, &fleet, 1).await.0, 200);
-    fleet
-        .post(fleet.vms[1].relay.unwrap(), "/cut", "")
-        .await
-        .unwrap();
+    fleet.post(fleet.vms[1].relay.unwrap(), "/cut", "").await.unwrap();
     tokio::time::sleep(Duration::from_secs(6)).await;
-    assert_eq!(
-        read(&client, &fleet, 1).await.0,
-        200,
-        "it reads the log through a peer"
-    );
+    assert_eq!(read(&client, &fleet, 1).await.0, 200, "it reads the log through a peer");
     let clock = SystemClock::default();
     assert_eq!(apply_now(&fleet, &without_crew(&fleet.config)).await.0, 0);
     let accepted = clock.now();
@@ -80,16 +58,10 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_vm_that_is_paused_or_cut_off_from_all_serves_no_withdrawn_key() {
-    let options = FleetOptions {
-        relays: true,
-        ..FleetOptions::default()
-    };
+    let options = FleetOptions { relays: true, ..FleetOptions::default() };
     let mut fleet = Fleet::start(options).await.unwrap();
     // Cut off from the log; its peers are gone.
-    fleet
-        .post(fleet.vms[0].relay.unwrap(), "/cut", "")
-        .await
-        .unwrap();
+    fleet.post(fleet.vms[0].relay.unwrap(), "/cut", "").await.unwrap();
     fleet.vms[1].process.kill();
     fleet.vms[2].process.signal("STOP");
     let clock = SystemClock::default();
@@ -108,48 +80,24 @@
 async fn an_outage_for_all_does_not_stop_service_and_new_vms_start_in_it() {
     let mut fleet = Fleet::start(FleetOptions::default()).await.unwrap();
     let client = Client::fresh(&key_of("crew"));
-    assert_eq!(
-        client
-            .complete(fleet.at(0), "planner", "warm", 2, false)
-            .await
-            .status,
-        200
-    );
-    fleet
-        .faults(fleet.log, json!({ "outage": true }))
-        .await
-        .unwrap();
+    assert_eq!(client.complete(fleet.at(0), "planner", "warm", 2, false).await.status, 200);
+    fleet.faults(fleet.log, json!({ "outage": true })).await.unwrap();
     tokio::time::sleep(Duration::from_secs(8)).await;
     for i in 0..3 {
-        let answer = client
-            .complete(fleet.at(i), "planner", "warm", 2, false)
-            .await;
+        let answer = client.complete(fleet.at(i), "planner", "warm", 2, false).await;
         assert_eq!(answer.status, 200, "{}", answer.body);
     }
     let seeds: Vec<_> = fleet.vms.iter().map(|vm| vm.peers).collect();
     let fresh = fleet.add_vm(&seeds).await.unwrap();
     fleet.wait_ready(fresh).await.unwrap();
-    let served = async || {
-        client
-            .complete(fleet.at(fresh), "planner", "warm", 2, false)
-            .await
-            .status
-            == 200
-    };
-    fleet
-        .until("the new vm to serve in the outage", served)
-        .await
-        .unwrap();
+    let served =
+        async || client.complete(fleet.at(fresh), "planner", "warm", 2, false).await.status == 200;
+    fleet.until("the new vm to serve in the outage", served).await.unwrap();
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn of_two_racing_operators_one_is_told_that_he_lost() {
-    let fleet = Fleet::start(FleetOptions {
-        vms: 1,
-        ..FleetOptions::default()
-    })
-    .await
-    .unwrap();
+    let fleet = Fleet::start(FleetOptions { vms: 1, ..FleetOptions::default() }).await.unwrap();
     let version = fleet.status(0).await.unwrap()["version"].to_string();
     let mut runs = Vec::new();
     for i in 0..4u64 {
@@ -161,21 +109,10 @@
     }
     let log = fleet.log.to_string();
     let apply = async |path: &String| {
-        fleet
-            .run(
-                "carobctl",
-                &["apply", path, "--log", &log, "--base", &version],
-            )
-            .await
-            .unwrap()
-            .0
+        fleet.run("carobctl", &["apply", path, "--log", &log, "--base", &version]).await.unwrap().0
     };
-    let (a, b, c, d) = tokio::join!(
-        apply(&runs[0]),
-        apply(&runs[1]),
-        apply(&runs[2]),
-        apply(&runs[3])
-    );
+    let (a, b, c, d) =
+        tokio::join!(apply(&runs[0]), apply(&runs[1]), apply(&runs[2]), apply(&runs[3]));
     let mut codes = vec![a, b, c, d];
     codes.sort_unstable();
     assert_eq!(codes, vec![0, 3, 3, 3]);
@@ -183,57 +120,36 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn an_apply_whose_answer_is_lost_takes_effect_once() {
-    let mut fleet = Fleet::start(FleetOptions {
-        vms: 1,
-        ..FleetOptions::default()
-    })
-    .await
-    .unwrap();
-    fleet
-        .faults(fleet.log, json!({ "lose": 1.0 }))
-        .await
-        .unwrap();
+    let mut fleet = Fleet::start(FleetOptions { vms: 1, ..FleetOptions::default() }).await.unwrap();
+    fleet.faults(fleet.log, json!({ "lose": 1.0 })).await.unwrap();
     let mut wire = fleet.config.clone();
     wire.tenants.push(tenant("new", 10, 10, &[]));
     fleet.apply(&wire).await.unwrap();
     fleet.faults(fleet.log, json!({})).await.unwrap();
-    let (code, shown) = fleet
-        .run("carobctl", &["show", "--log", &fleet.log.to_string()])
-        .await
-        .unwrap();
+    let (code, shown) =
+        fleet.run("carobctl", &["show", "--log", &fleet.log.to_string()]).await.unwrap();
     assert_eq!((code, shown.matches("\"new\"").count()), (0, 1));
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn a_bad_file_changes_nothing_and_names_every_field() {
-    let fleet = Fleet::start(FleetOptions {
-        vms: 1,
-        ..FleetOptions::default()
-    })
-    .await
-    .unwrap();
+    let fleet = Fleet::start(FleetOptions { vms: 1, ..FleetOptions::default() }).await.unwrap();
     let mut wire = fleet.config.clone();
     wire.tenants[0].rate = "fast".into();
     wire.tenants[1].models.push("ghost".into());
     wire.routes[0].prefix = "gates".into();
     let (code, output) = apply_now(&fleet, &wire).await;
     assert_eq!(code, 2);
-    for part in [
-        "$.tenants[0].rate",
-        "\"fast\"",
-        "$.tenants[1].models",
-        "ghost",
-        "$.routes[0].prefix",
-    ] {
+    for part in
+        ["$.tenants[0].rate", "\"fast\"", "$.tenants[1].models", "ghost", "$.routes[0].prefix"]
+    {
         assert!(output.contains(part), "{part} is not in {output}");
     }
     let settings = fleet.dir.path().join("bad.json");
     std::fs::write(&settings, r#"{ "vm": "a b", "limits": { "body": 3 } }"#).unwrap();
     let settings = settings.display().to_string();
-    let (code, output) = fleet
-        .run("carob-entry", &["--settings", &settings, "--check"])
-        .await
-        .unwrap();
+    let (code, output) =
+        fleet.run("carob-entry", &["--settings", &settings, "--check"]).await.unwrap();
     assert_eq!(code, 2);
     for part in ["$.vm", "\"a b\"", "$.limits.body: 3", "$.tls.ca"] {
         assert!(output.contains(part), "{part} is not in {output}");
--- a/benches/carob-bench/tests/memory.rs
+++ b/benches/carob-bench/tests/memory.rs
@@ -36,11 +36,7 @@
                     return true;
                 }
                 assert!(answer.retry.is_some(), "{name}: {}", answer.body);
-                assert!(
-                    answer.total < Duration::from_secs(25),
-                    "{name}: {:?}",
-                    answer.total
-                );
+                assert!(answer.total < Duration::from_secs(25), "{name}: {:?}", answer.total);
                 tokio::time::sleep(Duration::from_millis(300)).await;
             }
             panic!("model {name} was never reached");
@@ -95,12 +91,7 @@
     reach_all(&fleet, &names).await;
     let client = Client::fresh(&key_of("apron"));
     let cold = client.complete(fleet.at(0), "m5", "hello", 3, false).await;
-    assert_eq!(
-        (cold.status, cold.code()),
-        (503, "model_loading"),
-        "{}",
-        cold.body
-    );
+    assert_eq!((cold.status, cold.code()), (503, "model_loading"), "{}", cold.body);
     assert_eq!(cold.run(), "not_run");
     assert!(cold.retry.is_some());
     tokio::time::sleep(Duration::from_secs(2)).await;
--- a/benches/carob-bench/tests/once.rs
+++ b/benches/carob-bench/tests/once.rs
@@ -17,9 +17,7 @@
     let headers = [("idempotency-key", key), (ATTEMPT_HEADER, attempt)];
     let client = Client::fresh(&key_of("apron"));
     let body = json!({ "gate": key }).to_string();
-    let answer = client
-        .send(Method::POST, address, "/gates/open", &headers, body)
-        .await;
+    let answer = client.send(Method::POST, address, "/gates/open", &headers, body).await;
     calls.lock().unwrap().push(OnceCall {
         key: key.into(),
         attempt: attempt.into(),
@@ -66,78 +64,38 @@
     let mut fleet = Fleet::start(FleetOptions::default()).await.unwrap();
     let calls = Calls::default();
     let first = attempt(fleet.at(0), "k", "a", &calls).await;
-    assert_eq!(
-        (first.status, first.replayed),
-        (200, false),
-        "{}",
-        first.body
-    );
+    assert_eq!((first.status, first.replayed), (200, false), "{}", first.body);
     let second = attempt(fleet.at(1), "k", "b", &calls).await;
-    assert_eq!(
-        (second.status, second.replayed),
-        (200, true),
-        "{}",
-        second.body
-    );
-    let other = Client::fresh(&key_of("apron"))
-        .once(fleet.at(2), "/gates/shut", "k", "{}")
-        .await;
-    assert_eq!(
-        (other.status, other.code()),
-        (422, "idempotency_key_reused")
-    );
+    assert_eq!((second.status, second.replayed), (200, true), "{}", second.body);
+    let other = Client::fresh(&key_of("apron")).once(fleet.at(2), "/gates/shut", "k", "{}").await;
+    assert_eq!((other.status, other.code()), (422, "idempotency_key_reused"));
     assert_eq!(judge(&mut fleet, &calls).await, 2);
-    let tenant = Client::fresh(&key_of("crew"))
-        .once(fleet.at(2), "/gates/shut", "k", "{}")
-        .await;
-    assert_eq!(
-        tenant.status, 200,
-        "another tenant's key is another key: {}",
-        tenant.body
-    );
+    let tenant = Client::fresh(&key_of("crew")).once(fleet.at(2), "/gates/shut", "k", "{}").await;
+    assert_eq!(tenant.status, 200, "another tenant's key is another key: {}", tenant.body);
 }
 
 #[tokio::test(flavor = "multi_thread")]
 async fn during_an_outage_calls_are_refused_as_not_run() {
     let mut fleet = Fleet::start(FleetOptions::default()).await.unwrap();
     let calls = Calls::default();
-    fleet
-        .faults(fleet.log, json!({ "outage": true }))
-        .await
-        .unwrap();
+    fleet.faults(fleet.log, json!({ "outage": true })).await.unwrap();
     tokio::time::sleep(Duration::from_secs(1)).await;
     for i in 0..3 {
         let answer = attempt(fleet.at(i), "k", &format!("out-{i}"), &calls).await;
-        assert_eq!(
-            (answer.status, answer.code()),
-            (503, "log_unavailable"),
-            "{}",
-            answer.body
-        );
+        assert_eq!((answer.status, answer.code()), (503, "log_unavailable"), "{}", answer.body);
         assert_eq!(answer.run(), "not_run");
         assert!(answer.retry.is_some());
     }
     let client = Client::fresh(&key_of("apron"));
-    let read = client
-        .send(Method::GET, fleet.at(0), "/gates/1", &[], "")
-        .await;
+    let read = client.send(Method::GET, fleet.at(0), "/gates/1", &[], "").await;
     assert_eq!(read.status, 200, "calls that may be repeated go on");
-    fleet
-        .faults(fleet.log, json!({ "outage": false }))
-        .await
-        .unwrap();
+    fleet.faults(fleet.log, json!({ "outage": false })).await.unwrap();
     let mut count = 0;
     let served = async || {
         count += 1;
-        attempt(fleet.at(0), "k", &format!("after-{count}"), &calls)
-            .await
-            .status
-            == 200
+        attempt(fleet.at(0), "k", &format!("after-{count}"), &calls).await.status == 200
     };
-    fleet
-        .until("service after the outage", served)
-        .await
-        .unwrap();
+    fleet.until("service after the outage", served).await.unwrap();
     judge(&mut fleet, &calls).await;
 }
 
@@ -145,10 +103,7 @@
 async fn lost_answers_of_the_log_run_nothing_twice() {
     let mut fleet = Fleet::start(FleetOptions::default()).await.unwrap();
     let calls = Calls::default();
-    fleet
-        .faults(fleet.log, json!({ "lose": 0.5, "seed": 7 }))
-        .await
-        .unwrap();
+    fleet.faults(fleet.log, json!({ "lose": 0.5, "seed": 7 })).await.unwrap();
     for task in persist_all(&fleet, 40, &calls) {
         task.await.unwrap();
     }
@@ -157,12 +112,8 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn killed_and_paused_vms_run_nothing_twice() {
-    let mut fleet = Fleet::start(FleetOptions {
-        services: 2,
-        ..FleetOptions::default()
-    })
-    .await
-    .unwrap();
+    let mut fleet =
+        Fleet::start(FleetOptions { services: 2, ..FleetOptions::default() }).await.unwrap();
     for service in &fleet.services {
         let slow = json!({ "before": 60, "after": 60 });
         fleet.faults(*service, slow).await.unwrap();
@@ -187,17 +138,9 @@
 async fn a_broken_answer_is_unknown_and_is_never_sent_again() {
     let mut fleet = Fleet::start(FleetOptions::default()).await.unwrap();
     let calls = Calls::default();
-    fleet
-        .faults(fleet.services[0], json!({ "lose": true }))
-        .await
-        .unwrap();
+    fleet.faults(fleet.services[0], json!({ "lose": true })).await.unwrap();
     let first = attempt(fleet.at(0), "k", "a", &calls).await;
-    assert_eq!(
-        (first.status, first.run()),
-        (502, "unknown"),
-        "{}",
-        first.body
-    );
+    assert_eq!((first.status, first.run()), (502, "unknown"), "{}", first.body);
     fleet.faults(fleet.services[0], json!({})).await.unwrap();
     let mut count = 0;
     let known = async || {
@@ -205,10 +148,7 @@
         let answer = attempt(fleet.at(1), "k", &format!("b-{count}"), &calls).await;
         answer.code() == "outcome_unknown"
     };
-    fleet
-        .until("the end of the call to be recorded", known)
-        .await
-        .unwrap();
+    fleet.until("the end of the call to be recorded", known).await.unwrap();
     assert_eq!(fleet.ran().await.unwrap().len(), 1);
     judge(&mut fleet, &calls).await;
 }
@@ -216,39 +156,22 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn keys_are_remembered_beyond_what_the_log_keeps() {
     let settings = json!({ "limits": { "snapshot": 20 } });
-    let options = FleetOptions {
-        settings,
-        ..FleetOptions::default()
-    };
+    let options = FleetOptions { settings, ..FleetOptions::default() };
     let mut fleet = Fleet::start(options).await.unwrap();
     let calls = Calls::default();
     assert_eq!(attempt(fleet.at(0), "old", "a", &calls).await.status, 200);
-    fleet
-        .faults(fleet.log, json!({ "keep": 80 }))
-        .await
-        .unwrap();
+    fleet.faults(fleet.log, json!({ "keep": 80 })).await.unwrap();
     for i in 0..120 {
         attempt(fleet.at(i % 3), &format!("k{i}"), "x", &calls).await;
     }
-    let page = fleet
-        .get(fleet.log, "/streams/claims/read?from=0")
-        .await
-        .unwrap();
-    assert!(
-        page["first"].as_u64() > Some(5),
-        "the log still keeps the first entries: {page}"
-    );
+    let page = fleet.get(fleet.log, "/streams/claims/read?from=0").await.unwrap();
+    assert!(page["first"].as_u64() > Some(5), "the log still keeps the first entries: {page}");
     for vm in &mut fleet.vms {
         vm.process.kill();
     }
     let fresh = fleet.add_vm(&[]).await.unwrap();
     fleet.wait_ready(fresh).await.unwrap();
     let answer = attempt(fleet.at(fresh), "old", "b", &calls).await;
-    assert_eq!(
-        (answer.status, answer.replayed),
-        (200, true),
-        "{}",
-        answer.body
-    );
+    assert_eq!((answer.status, answer.replayed), (200, true), "{}", answer.body);
     judge(&mut fleet, &calls).await;
 }
--- a/crates/carob-entry/src/admin.rs
+++ b/crates/carob-entry/src/admin.rs
@@ -42,11 +42,7 @@
     let state = inner.control.state();
     let members = state.members().values().map(|member| {
         let beat = inner.fleet.living(now).find(|beat| beat.vm == member.vm);
-        let beat = if member.vm == core.me {
-            Some(&own)
-        } else {
-            beat
-        };
+        let beat = if member.vm == core.me { Some(&own) } else { beat };
         json!({
             "vm": member.vm.vm, "incarnation": member.vm.incarnation,
             "data_centre": member.data_centre, "alive": beat.is_some(),
--- a/crates/carob-entry/src/append.rs
+++ b/crates/carob-entry/src/append.rs
@@ -57,9 +57,7 @@
     }
 
     fn lock(&self) -> std::sync::MutexGuard<'_, Pending> {
-        self.pending
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.pending.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     /// Adds a record to the next append; returns the entry's id once the append is on its way.
@@ -217,9 +215,6 @@
 
 /// The error for calls that need the log while it does not answer.
 pub fn unavailable() -> Error {
-    Error::new(
-        ErrorKind::LogUnavailable,
-        "the platform log does not answer",
-    )
-    .with_retry(Duration::from_secs(1))
+    Error::new(ErrorKind::LogUnavailable, "the platform log does not answer")
+        .with_retry(Duration::from_secs(1))
 }
--- a/crates/carob-entry/src/core.rs
+++ b/crates/carob-entry/src/core.rs
@@ -191,9 +191,7 @@
 
     /// Locks the shared state.
     pub fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
+        self.inner.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
     }
 
     /// Time since the process started.
@@ -206,26 +204,17 @@
     /// The other processes that joined.
     pub fn others(&self, me: &VmRef) -> Vec<VmRef> {
         let members = self.control.state().members().values();
-        members
-            .filter(|member| member.vm.vm != me.vm)
-            .map(|member| member.vm.clone())
-            .collect()
+        members.filter(|member| member.vm.vm != me.vm).map(|member| member.vm.clone()).collect()
     }
 
     /// The member that runs as `vm`.
     pub fn member(&self, vm: &VmRef) -> Option<&Member> {
-        self.control
-            .state()
-            .members()
-            .get(&vm.vm)
-            .filter(|member| member.vm == *vm)
+        self.control.state().members().get(&vm.vm).filter(|member| member.vm == *vm)
     }
 
     /// Whether requests may be served.
     pub fn standing(&self, me: &VmRef, now: Duration) -> Standing {
-        let age = self
-            .confirmed
-            .map_or(Duration::MAX, |at| now.saturating_sub(at));
+        let age = self.confirmed.map_or(Duration::MAX, |at| now.saturating_sub(at));
         if age == Duration::MAX {
             return Standing::Isolated;
         }
@@ -251,15 +240,13 @@
 
     /// One upstream's use.
     pub fn upstream(&mut self, name: &UpstreamName) -> &mut UpstreamUse {
-        self.upstreams
-            .entry(name.clone())
-            .or_insert_with(|| UpstreamUse {
-                running: 0,
-                health: Health::new(HealthSettings::default()),
-                missed: 0,
-                first_byte: None,
-                caller: Caller::pooled(),
-            })
+        self.upstreams.entry(name.clone()).or_insert_with(|| UpstreamUse {
+            running: 0,
+            health: Health::new(HealthSettings::default()),
+            missed: 0,
+            first_byte: None,
+            caller: Caller::pooled(),
+        })
     }
 
     /// Whether `upstream` takes new requests, as far as is known.
@@ -276,25 +263,17 @@
         let state = self.control.state();
         let base = state.config().base_of(model).clone();
         let loaded = |name: &ModelName, account: &carobglade::Account| {
-            account
-                .charges
-                .get(name)
-                .is_some_and(|charge| charge.phase == Phase::Loaded)
+            account.charges.get(name).is_some_and(|charge| charge.phase == Phase::Loaded)
         };
-        let accounts = state.ledger().accounts();
-        let holding = accounts.filter(|(_, a)| loaded(model, a) && loaded(&base, a));
-        holding
-            .map(|(name, _)| name.clone())
-            .filter(|name| self.takes_new(name))
-            .collect()
+        let holding = state.ledger().holding(model);
+        let holding = holding.filter(|(_, a)| loaded(model, a) && loaded(&base, a));
+        holding.map(|(name, _)| name.clone()).filter(|name| self.takes_new(name)).collect()
     }
 
     /// Demand of this process for each model.
     pub fn own_demand(&self, now: Duration) -> BTreeMap<ModelName, Demand> {
-        let used = self
-            .models
-            .iter()
-            .filter(|(_, used)| used.mean > 0.01 || !used.waiting.is_empty());
+        let used =
+            self.models.iter().filter(|(_, used)| used.mean > 0.01 || !used.waiting.is_empty());
         let demand = used.map(|(model, used)| {
             let since = used.waiting.values().min().copied().unwrap_or(now);
             let demand = Demand {
@@ -336,10 +315,7 @@
 
     /// Upstreams in this process's charge that do not answer.
     fn down(&self) -> Vec<UpstreamName> {
-        let down = self
-            .upstreams
-            .iter()
-            .filter(|(_, used)| used.missed >= DOWN_AFTER);
+        let down = self.upstreams.iter().filter(|(_, used)| used.missed >= DOWN_AFTER);
         down.map(|(name, _)| name.clone()).collect()
     }
 
@@ -347,40 +323,25 @@
     pub fn reachable(&self, upstream: &UpstreamName, now: Duration) -> bool {
         let own = self.upstreams.get(upstream);
         let usable = own.is_none_or(|used| used.missed < DOWN_AFTER && used.health.usable(now));
-        usable
-            && !self
-                .fleet
-                .living(now)
-                .any(|beat| beat.down.contains(upstream))
+        usable && !self.fleet.living(now).any(|beat| beat.down.contains(upstream))
     }
 
     /// Claims of this process that no request stands behind and whose call was never sent.
     pub fn orphans(&self, me: &VmRef) -> Vec<ClaimRef> {
         let backed =
             |attempt: &String| self.attempts.contains(attempt) || self.sent.contains(attempt);
-        self.claims
-            .state()
-            .open_of(me)
-            .filter(|claim| !backed(&claim.attempt))
-            .collect()
+        self.claims.state().open_of(me).filter(|claim| !backed(&claim.attempt)).collect()
     }
 
     /// Forgets sent calls whose end was applied.
     pub fn forget_ended(&mut self, me: &VmRef) {
-        let open: BTreeSet<String> = self
-            .claims
-            .state()
-            .open_of(me)
-            .map(|claim| claim.attempt)
-            .collect();
+        let open: BTreeSet<String> =
+            self.claims.state().open_of(me).map(|claim| claim.attempt).collect();
         self.sent.retain(|attempt| open.contains(attempt));
     }
 }
 
 /// Names this run of the vm.
 pub fn identity(vm: VmName, clock: &SystemClock) -> VmRef {
-    VmRef {
-        vm,
-        incarnation: Incarnation(clock.unix_millis()),
-    }
+    VmRef { vm, incarnation: Incarnation(clock.unix_millis()) }
 }
--- a/crates/carob-entry/src/drain.rs
+++ b/crates/carob-entry/src/drain.rs
@@ -18,10 +18,7 @@
 pub async fn drain(core: &Arc<Core>) -> bool {
     core.lock().leaving_soon = true;
     core.urgent.notify_one();
-    log::info!(
-        "drain: Not ready any more; the balancer has {} ms.",
-        core.settings.times.notice
-    );
+    log::info!("drain: Not ready any more; the balancer has {} ms.", core.settings.times.notice);
     tokio::time::sleep(millis(core.settings.times.notice)).await;
     core.lock().draining = true;
     core.urgent.notify_one();
--- a/crates/carob-entry/src/forward.rs
+++ b/crates/carob-entry/src/forward.rs
@@ -107,16 +107,10 @@
         let incarnation = {
             let inner = self.lock();
             let account = inner.control.state().ledger().account(upstream);
-            account
-                .map(|account| account.incarnation)
-                .unwrap_or_default()
+            account.map(|account| account.incarnation).unwrap_or_default()
         };
         let upstream = upstream.clone();
-        let suspicion = Suspicion {
-            upstream,
-            incarnation,
-            requests: vec![request],
-        };
+        let suspicion = Suspicion { upstream, incarnation, requests: vec![request] };
         let before = self.lock().control.state().suspects().crashes(request);
         drop(self.control_log.add(Record::Suspicion(suspicion)));
         let until = self.now() + SUSPECT_WAIT;
@@ -146,13 +140,7 @@
 ) -> Result<Streamed> {
     let address = {
         let inner = core.lock();
-        inner
-            .control
-            .state()
-            .config()
-            .upstreams
-            .get(upstream)
-            .map(|upstream| upstream.address)
+        inner.control.state().config().upstreams.get(upstream).map(|upstream| upstream.address)
     };
     let Some(address) = address else {
         let message = format!("upstream {:?} does not exist", upstream.as_str());
@@ -161,11 +149,8 @@
     let started = core.now();
     let url = format!("http://{address}{}", outgoing.target);
     let silence = core.progress(upstream, outgoing.prompt).silence();
-    let (method, headers, body) = (
-        outgoing.method.clone(),
-        outgoing.headers.clone(),
-        outgoing.body.clone(),
-    );
+    let (method, headers, body) =
+        (outgoing.method.clone(), outgoing.headers.clone(), outgoing.body.clone());
     let streamed = caller.open(method, &url, headers, body, silence).await?;
     core.note_first(upstream, core.now() - started);
     check_id(&streamed, &outgoing.id)?;
@@ -174,10 +159,7 @@
 
 /// An answer that carries another request's id is not passed on.
 fn check_id(streamed: &Streamed, id: &str) -> Result<()> {
-    let given = streamed
-        .headers
-        .get(REQUEST_ID)
-        .and_then(|value| value.to_str().ok());
+    let given = streamed.headers.get(REQUEST_ID).and_then(|value| value.to_str().ok());
     match given {
         Some(given) if given != id => {
             let message = format!("the answer belongs to request {given:?}");
--- a/crates/carob-entry/src/front.rs
+++ b/crates/carob-entry/src/front.rs
@@ -51,9 +51,7 @@
             return Err(err.with_retry(Duration::from_secs(1)));
         }
         inner.in_flight += 1;
-        Ok(InFlight {
-            core: Arc::clone(core),
-        })
+        Ok(InFlight { core: Arc::clone(core) })
     }
 }
 
@@ -110,8 +108,7 @@
 ) -> Result<Reply> {
     let core = Arc::clone(core);
     let task = runtime.spawn(async move { route(core, incoming, guard).await });
-    task.await
-        .unwrap_or_else(|err| Err(Error::new(ErrorKind::Internal, err.to_string())))
+    task.await.unwrap_or_else(|err| Err(Error::new(ErrorKind::Internal, err.to_string())))
 }
 
 async fn route(core: Arc<Core>, incoming: Incoming, guard: InFlight) -> Result<Reply> {
@@ -134,10 +131,7 @@
         }
         path => {
             let route = config.route(path).cloned().ok_or_else(|| {
-                Error::new(
-                    ErrorKind::UnknownRoute,
-                    format!("no route for path {path:?}"),
-                )
+                Error::new(ErrorKind::UnknownRoute, format!("no route for path {path:?}"))
             })?;
             let caller = match route.open {
                 true => None,
@@ -201,13 +195,9 @@
 
 /// The caller's request id, when it is plain text, or a new one.
 fn request_id(headers: &HeaderMap) -> String {
-    let given = headers
-        .get(REQUEST_ID)
-        .and_then(|value| value.to_str().ok());
+    let given = headers.get(REQUEST_ID).and_then(|value| value.to_str().ok());
     let plain = |id: &&str| {
-        let chars = id
-            .bytes()
-            .all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b));
+        let chars = id.bytes().all(|b| b.is_ascii_alphanumeric() || b"-_.".contains(&b));
         !id.is_empty() && id.len() <= ID_MAX && chars && !id.starts_with("ck-")
     };
     match given.filter(plain) {
--- a/crates/carob-entry/src/main.rs
+++ b/crates/carob-entry/src/main.rs
@@ -60,18 +60,8 @@
                 .help("Settings in JSON")
                 .value_parser(value_parser!(PathBuf)),
         )
-        .arg(
-            Arg::new("vm")
-                .long("vm")
-                .value_name("NAME")
-                .help("Name of the vm"),
-        )
-        .arg(
-            Arg::new("data-centre")
-                .long("data-centre")
-                .value_name("NAME")
-                .help("Data centre"),
-        )
+        .arg(Arg::new("vm").long("vm").value_name("NAME").help("Name of the vm"))
+        .arg(Arg::new("data-centre").long("data-centre").value_name("NAME").help("Data centre"))
         .arg(address("listen", "Address for callers"))
         .arg(address("admin", "Address for operators"))
         .arg(address("peers", "Address for other vms"))
@@ -113,12 +103,10 @@
     let builder = logforth::starter_log::builder();
     let builder = match format {
         "json" => builder.dispatch(|d| {
-            d.filter(filter)
-                .append(Stderr::default().with_layout(JsonLayout::default()))
+            d.filter(filter).append(Stderr::default().with_layout(JsonLayout::default()))
         }),
         _ => builder.dispatch(|d| {
-            d.filter(filter)
-                .append(Stderr::default().with_layout(TextLayout::default().no_color()))
+            d.filter(filter).append(Stderr::default().with_layout(TextLayout::default().no_color()))
         }),
     };
     builder.apply();
@@ -151,17 +139,14 @@
 
 fn run(settings: Settings) -> Result<bool> {
     let _ = rustls::crypto::ring::default_provider().install_default();
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(2)
-        .enable_all()
-        .build()?;
+    let runtime =
+        tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
     let clock = SystemClock::default();
     let vm = VmName::from_str(&settings.vm).map_err(|err| eyre!("{err}"))?;
     let me = core::identity(vm, &clock);
     let core = Arc::new(Core::new(settings, me, clock, Metrics::new()?));
     runtime.block_on(async {
-        core.links
-            .open(core.settings.listen.peers, &core.settings.tls)?;
+        core.links.open(core.settings.listen.peers, &core.settings.tls)?;
         let servers = start_servers(&core, &runtime)?;
         start_tasks(&core)?;
         wait_for_stop(&core).await?;
@@ -181,11 +166,8 @@
         threads: core.settings.limits.threads,
         ..ServeOptions::default()
     };
-    let admin = ServeOptions {
-        address: core.settings.listen.admin,
-        threads: 1,
-        ..ServeOptions::default()
-    };
+    let admin =
+        ServeOptions { address: core.settings.listen.admin, threads: 1, ..ServeOptions::default() };
     let (front, handle) = (Arc::clone(core), runtime.handle().clone());
     let callers = serve(callers, move |request| {
         let (core, handle) = (Arc::clone(&front), handle.clone());
--- a/crates/carob-entry/src/metrics.rs
+++ b/crates/carob-entry/src/metrics.rs
@@ -9,9 +9,8 @@
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
-const SECONDS: [f64; 14] = [
-    0.001, 0.003, 0.01, 0.02, 0.026, 0.04, 0.08, 0.15, 0.3, 0.6, 1.1, 2.5, 5.0, 30.0,
-];
+const SECONDS: [f64; 14] =
+    [0.001, 0.003, 0.01, 0.02, 0.026, 0.04, 0.08, 0.15, 0.3, 0.6, 1.1, 2.5, 5.0, 30.0];
 
 /// The metrics of the process.
 pub struct Metrics {
@@ -29,18 +28,12 @@
 }
 
 fn seconds(meter: &Meter, name: &'static str, what: &'static str) -> Histogram<f64> {
-    let builder = meter
-        .f64_histogram(name)
-        .with_unit("s")
-        .with_description(what);
+    let builder = meter.f64_histogram(name).with_unit("s").with_description(what);
     builder.with_boundaries(SECONDS.to_vec()).build()
 }
 
 fn labels(tenant: &str, class: Class) -> [KeyValue; 2] {
-    [
-        KeyValue::new("tenant", tenant.to_owned()),
-        KeyValue::new("class", class.to_string()),
-    ]
+    [KeyValue::new("tenant", tenant.to_owned()), KeyValue::new("class", class.to_string())]
 }
 
 impl Metrics {
@@ -51,20 +44,15 @@
     /// When the exporter cannot be built.
     pub fn new() -> Result<Self> {
         let registry = Registry::new();
-        let reader = opentelemetry_prometheus::exporter()
-            .with_registry(registry.clone())
-            .build()?;
+        let reader =
+            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
         let provider = SdkMeterProvider::builder().with_reader(reader).build();
         let meter = provider.meter("carobglade");
         let counter = |name: &'static str, what: &'static str| {
             meter.u64_counter(name).with_description(what).build()
         };
         Ok(Metrics {
-            latency: seconds(
-                &meter,
-                "request_time",
-                "Time from a request to its whole answer",
-            ),
+            latency: seconds(&meter, "request_time", "Time from a request to its whole answer"),
             first_token: seconds(&meter, "first_token_time", "Time to the first token"),
             token_gap: seconds(&meter, "token_gap", "Time between two chunks of an answer"),
             queue_time: seconds(&meter, "queue_time", "Time that a request waited"),
@@ -90,32 +78,27 @@
 
     /// A request ended after `time`.
     pub fn ended(&self, tenant: &str, class: Class, time: Duration) {
-        self.latency
-            .record(time.as_secs_f64(), &labels(tenant, class));
+        self.latency.record(time.as_secs_f64(), &labels(tenant, class));
     }
 
     /// The first token came after `time`.
     pub fn first_token(&self, tenant: &str, class: Class, time: Duration) {
-        self.first_token
-            .record(time.as_secs_f64(), &labels(tenant, class));
+        self.first_token.record(time.as_secs_f64(), &labels(tenant, class));
     }
 
     /// A chunk came `time` after the one before.
     pub fn token_gap(&self, tenant: &str, class: Class, time: Duration) {
-        self.token_gap
-            .record(time.as_secs_f64(), &labels(tenant, class));
+        self.token_gap.record(time.as_secs_f64(), &labels(tenant, class));
     }
 
     /// A request waited for `time`.
     pub fn queued(&self, tenant: &str, class: Class, time: Duration) {
-        self.queue_time
-            .record(time.as_secs_f64(), &labels(tenant, class));
+        self.queue_time.record(time.as_secs_f64(), &labels(tenant, class));
     }
 
     /// A request was refused.
     pub fn refused(&self, kind: ErrorKind) {
-        self.refusals
-            .add(1, &[KeyValue::new("kind", kind.answer().code)]);
+        self.refusals.add(1, &[KeyValue::new("kind", kind.answer().code)]);
     }
 
     /// A request was sent again.
@@ -125,8 +108,7 @@
 
     /// Tokens were charged to a tenant.
     pub fn charged(&self, tenant: &str, tokens: u64) {
-        self.tokens
-            .add(tokens, &[KeyValue::new("tenant", tenant.to_owned())]);
+        self.tokens.add(tokens, &[KeyValue::new("tenant", tenant.to_owned())]);
     }
 
     /// An order was sent.
@@ -136,13 +118,11 @@
 
     /// Bytes went to another vm.
     pub fn peer_sent(&self, bytes: u64) {
-        self.peer_bytes
-            .add(bytes, &[KeyValue::new("direction", "sent")]);
+        self.peer_bytes.add(bytes, &[KeyValue::new("direction", "sent")]);
     }
 
     /// Bytes came from another vm.
     pub fn peer_received(&self, bytes: u64) {
-        self.peer_bytes
-            .add(bytes, &[KeyValue::new("direction", "received")]);
+        self.peer_bytes.add(bytes, &[KeyValue::new("direction", "received")]);
     }
 }
--- a/crates/carob-entry/src/model.rs
+++ b/crates/carob-entry/src/model.rs
@@ -22,6 +22,7 @@
 use crate::usage::Usage;
 
 const TRIES: u32 = 4; // of one request, the first included
+const COME_BACK: Duration = Duration::from_secs(1); // after a failure of upstreams
 const CLASS_HEADER: &str = "x-request-class";
 const PRIORITY_HEADER: &str = "x-priority";
 const NOT_LOADED: u16 = 409; // answer of an engine that does not have the model
@@ -29,9 +30,7 @@
 /// The models that a tenant may use.
 pub fn list(tenant: &Tenant) -> Reply {
     let models = tenant.models.iter();
-    let data: Vec<Value> = models
-        .map(|m| json!({ "id": m.as_str(), "object": "model" }))
-        .collect();
+    let data: Vec<Value> = models.map(|m| json!({ "id": m.as_str(), "object": "model" })).collect();
     Reply::json(200, &json!({ "object": "list", "data": data }))
 }
 
@@ -77,9 +76,7 @@
 
     fn ended(&self) {
         let time = self.core.now() - self.started;
-        self.core
-            .metrics
-            .ended(self.tenant.name.as_str(), self.class, time);
+        self.core.metrics.ended(self.tenant.name.as_str(), self.class, time);
     }
 }
 
@@ -93,10 +90,7 @@
     guard: InFlight,
 ) -> Result<Reply> {
     let body: Value = serde_json::from_slice(&incoming.body).map_err(|err| {
-        Error::new(
-            ErrorKind::InvalidRequest,
-            format!("body is not valid JSON: {err}"),
-        )
+        Error::new(ErrorKind::InvalidRequest, format!("body is not valid JSON: {err}"))
     })?;
     let call = ModelCall::parse(&body)?;
     check_model(&config, &tenant, &call)?;
@@ -105,10 +99,7 @@
     refuse_quarantined(&core, request)?;
     let reservation = tokens::reserve(&core, &tenant, call.reserve()).await?;
     let mut headers = clean_headers(&incoming.headers, Some(&key), &incoming.id);
-    headers.insert(
-        PRIORITY_HEADER,
-        http::HeaderValue::from(u16::from(class.priority())),
-    );
+    headers.insert(PRIORITY_HEADER, http::HeaderValue::from(u16::from(class.priority())));
     let outgoing = Outgoing {
         method: incoming.method,
         target: incoming.path,
@@ -120,26 +111,14 @@
     };
     let started = incoming.started;
     let reservation = Some(reservation);
-    let call = Call {
-        core,
-        tenant,
-        class,
-        call,
-        outgoing,
-        started,
-        reservation,
-        _guard: guard,
-    };
+    let call = Call { core, tenant, class, call, outgoing, started, reservation, _guard: guard };
     answer(call).await
 }
 
 fn check_model(config: &Config, tenant: &Tenant, call: &ModelCall) -> Result<()> {
     let name = call.model.as_str();
     if !config.models.contains_key(&call.model) {
-        return Err(Error::new(
-            ErrorKind::UnknownModel,
-            format!("model {name:?} does not exist"),
-        ));
+        return Err(Error::new(ErrorKind::UnknownModel, format!("model {name:?} does not exist")));
     }
     if !tenant.models.contains(&call.model) {
         let message = format!("tenant {} may not use model {name:?}", tenant.name);
@@ -184,7 +163,7 @@
         }
         let permit = match queue::wait(&core, call.wanted(&tried)).await {
             Ok(permit) => permit,
-            Err(err) => return Err(last.unwrap_or(err)),
+            Err(err) => return Err(last.map_or(err, |last: Error| last.with_retry(COME_BACK))),
         };
         let upstream = permit.upstream.clone();
         match first_answer(&call, &permit).await {
@@ -197,17 +176,13 @@
         }
     }
     let err = last.unwrap_or_else(|| Error::new(ErrorKind::UpstreamUnavailable, "no upstream"));
-    Err(err.with_retry(Duration::from_secs(1)))
+    Err(err.with_retry(COME_BACK))
 }
 
 fn may_retry(core: &Core, call: &Call) -> bool {
     let now = core.now();
     let mut inner = core.lock();
-    let refused = inner
-        .control
-        .state()
-        .suspects()
-        .quarantined(call.outgoing.request);
+    let refused = inner.control.state().suspects().quarantined(call.outgoing.request);
     let allowed = !refused && inner.budget.withdraw(now);
     drop(inner);
     if allowed {
@@ -222,23 +197,14 @@
     let caller = core.lock().upstream(&permit.upstream).caller.clone();
     let mut streamed = forward::open(core, &caller, &permit.upstream, &call.outgoing).await?;
     if streamed.status == NOT_LOADED {
-        return Err(Error::new(
-            ErrorKind::UpstreamUnavailable,
-            "the model is not loaded",
-        ));
+        return Err(Error::new(ErrorKind::UpstreamUnavailable, "the model is not loaded"));
     }
     if streamed.status >= 500 {
         let message = format!("upstream answered {}", streamed.status);
         return Err(Error::new(ErrorKind::UpstreamFailed, message));
     }
-    let silence = core
-        .progress(&permit.upstream, call.call.prompt.0)
-        .silence();
-    let silence = if call.call.stream {
-        silence
-    } else {
-        millis(core.settings.times.first)
-    };
+    let silence = core.progress(&permit.upstream, call.call.prompt.0).silence();
+    let silence = if call.call.stream { silence } else { millis(core.settings.times.first) };
     let first = streamed.chunk(silence).await?;
     Ok((streamed, first))
 }
@@ -263,8 +229,7 @@
 ) -> Result<Reply> {
     let core = Arc::clone(&call.core);
     let waited = core.now() - call.started;
-    core.metrics
-        .first_token(call.tenant.name.as_str(), call.class, waited);
+    core.metrics.first_token(call.tenant.name.as_str(), call.class, waited);
     let headers = clean_headers(&streamed.headers, None, &call.outgoing.id);
     let status = streamed.status;
     if call.call.stream && status == 200 {
@@ -280,17 +245,13 @@
             Ok(None) => break,
             Err(err) => {
                 note_failure(&core, &call, &permit, &err).await;
-                return Err(err.with_retry(Duration::from_secs(1)));
+                return Err(err.with_retry(COME_BACK));
             }
         }
     }
     let mut usage = Usage::default();
     usage.read(&body);
-    let used = if status == 200 {
-        call.call.prompt.0 + usage.tokens()
-    } else {
-        0
-    };
+    let used = if status == 200 { call.call.prompt.0 + usage.tokens() } else { 0 };
     finish(&mut call, &permit, Tokens(used));
     Ok(Reply::new(status, "application/json", body).with_headers(headers))
 }
@@ -323,8 +284,7 @@
             () = tx.closed() => Ok(None),
         };
         let now = core.now();
-        core.metrics
-            .token_gap(call.tenant.name.as_str(), call.class, now - last);
+        core.metrics.token_gap(call.tenant.name.as_str(), call.class, now - last);
         last = now;
     }
     let used = Tokens(call.call.prompt.0 + usage.tokens());
@@ -344,12 +304,7 @@
     core.note_end(&permit.upstream, Ok(()));
     call.settle(used);
     call.ended();
-    let crashes = core
-        .lock()
-        .control
-        .state()
-        .suspects()
-        .crashes(call.outgoing.request);
+    let crashes = core.lock().control.state().suspects().crashes(call.outgoing.request);
     if crashes > 0 {
         drop(core.control_log.add(Record::Cleared(call.outgoing.request)));
     }
--- a/crates/carob-entry/src/orders.rs
+++ b/crates/carob-entry/src/orders.rs
@@ -82,9 +82,7 @@
         let duty = format!("upstream:{}", upstream.name);
         inner.fleet.in_charge(&duty, &core.me, now) == core.me
     });
-    others
-        .into_iter()
-        .for_each(|upstream| inner.upstream(&upstream.name).missed = 0);
+    others.into_iter().for_each(|upstream| inner.upstream(&upstream.name).missed = 0);
     let state = inner.control.state();
     let accounts = mine.into_iter().filter_map(|upstream| {
         let account = state.ledger().account(&upstream.name)?;
@@ -114,11 +112,7 @@
         account.fencing || charge.phase != Phase::Loading || !late
     };
     let mut orders = Vec::new();
-    for (model, charge) in account
-        .charges
-        .iter()
-        .filter(|(_, c)| under_way(c) && in_time(c))
-    {
+    for (model, charge) in account.charges.iter().filter(|(_, c)| under_way(c) && in_time(c)) {
         if let Entry::Vacant(slot) = sent.entry(charge.order) {
             slot.insert(now);
             orders.push((model.clone(), charge.clone()));
@@ -134,18 +128,11 @@
     incarnation: Incarnation,
     (model, charge): (ModelName, Charge),
 ) {
-    let kind = if charge.phase == Phase::Loading {
-        "load"
-    } else {
-        "evict"
-    };
+    let kind = if charge.phase == Phase::Loading { "load" } else { "evict" };
     let adapter = {
         let inner = core.lock();
         let config = inner.control.state().config();
-        config
-            .models
-            .get(&model)
-            .is_some_and(|model| model.base.is_some())
+        config.models.get(&model).is_some_and(|model| model.base.is_some())
     };
     let order = OrderWire {
         order: charge.order,
@@ -159,18 +146,10 @@
         return;
     };
     core.metrics.ordered(kind);
-    log::info!(
-        "orders: Order {}: {kind} {model} on {}.",
-        charge.order,
-        upstream.name
-    );
+    log::info!("orders: Order {}: {kind} {model} on {}.", charge.order, upstream.name);
     let url = format!("http://{}/control/orders", upstream.address);
     if let Err(err) = caller.post(&url, body.into(), CALL_TIMEOUT).await {
-        log::warn!(
-            "orders: Order {} to {} failed: {err}.",
-            charge.order,
-            upstream.name
-        );
+        log::warn!("orders: Order {} to {} failed: {err}.", charge.order, upstream.name);
     }
 }
 
@@ -200,10 +179,7 @@
     };
     drop(inner);
     if report.incarnation > account.incarnation {
-        let restarted = Restarted {
-            upstream: name.clone(),
-            incarnation: report.incarnation,
-        };
+        let restarted = Restarted { upstream: name.clone(), incarnation: report.incarnation };
         core.add_new(Record::Restarted(restarted), now);
         return;
     }
@@ -214,11 +190,7 @@
     for charge in account.charges.values().filter(|charge| under_way(charge)) {
         if report.done.contains(&charge.order) {
             let (upstream, incarnation) = (name.clone(), report.incarnation);
-            let resolve = Resolve {
-                upstream,
-                incarnation,
-                order: charge.order,
-            };
+            let resolve = Resolve { upstream, incarnation, order: charge.order };
             core.add_new(Record::Resolve(resolve), now);
         }
     }
@@ -244,13 +216,7 @@
         log::warn!("orders: Model {model} is missing from {name}.");
         let (upstream, incarnation) = (name.clone(), account.incarnation);
         let (kind, model, size) = (IntentKind::Evict, model.clone(), charge.size);
-        let intent = Intent {
-            upstream,
-            incarnation,
-            kind,
-            model,
-            size,
-        };
+        let intent = Intent { upstream, incarnation, kind, model, size };
         drop(core.control_log.add_solo(Record::Intent(intent)));
     }
 }
@@ -262,9 +228,7 @@
             return;
         };
         let mut inner = self.lock();
-        inner
-            .added
-            .retain(|_, at| now.saturating_sub(*at) < Duration::from_secs(1));
+        inner.added.retain(|_, at| now.saturating_sub(*at) < Duration::from_secs(1));
         if inner.added.insert(text, now).is_none() {
             drop(self.control_log.add(record));
         }
@@ -331,11 +295,7 @@
         let verdict = core.lock().control.state().verdict(id).cloned();
         match verdict {
             Some(Verdict::Accepted(offset)) => {
-                let kind = if intent.kind == IntentKind::Load {
-                    "load"
-                } else {
-                    "evict"
-                };
+                let kind = if intent.kind == IntentKind::Load { "load" } else { "evict" };
                 log::info!(
                     "orders: Intent {offset}: {kind} {} on {}.",
                     intent.model,
--- a/crates/carob-entry/src/peers.rs
+++ b/crates/carob-entry/src/peers.rs
@@ -107,11 +107,7 @@
         let cert = cert.wrap_err_with(|| format!("$.tls.cert: {:?}", tls.cert))?;
         let key = PrivateKeyDer::from_pem_file(&tls.key).map_err(|err| eyre!("{err}"));
         let key = key.wrap_err_with(|| format!("$.tls.key: {:?}", tls.key))?;
-        Ok(Certificates {
-            roots: Arc::new(roots),
-            chain: vec![cert],
-            key,
-        })
+        Ok(Certificates { roots: Arc::new(roots), chain: vec![cert], key })
     }
 
     fn server(&self) -> Result<quinn::ServerConfig> {
@@ -157,9 +153,7 @@
         let mut endpoint = quinn::Endpoint::server(certificates.server()?, address)
             .wrap_err_with(|| format!("$.listen.peers: {address}"))?;
         endpoint.set_default_client_config(certificates.client()?);
-        self.endpoint
-            .set(endpoint)
-            .map_err(|_| eyre!("the endpoint is open already"))
+        self.endpoint.set(endpoint).map_err(|_| eyre!("the endpoint is open already"))
     }
 
     /// Closes the endpoint.
@@ -177,10 +171,7 @@
             }
             open.remove(&address);
         }
-        let endpoint = self
-            .endpoint
-            .get()
-            .ok_or_else(|| eyre!("the endpoint is not open"))?;
+        let endpoint = self.endpoint.get().ok_or_else(|| eyre!("the endpoint is not open"))?;
         drop(open);
         let connection = endpoint.connect(address, PEER_NAME)?.await?;
         self.open.lock().await.insert(address, connection.clone());
@@ -277,10 +268,7 @@
         }
         PeerRequest::Ask { vm, asks } => {
             let mut inner = core.lock();
-            let loans = asks
-                .iter()
-                .map(|ask| inner.pool.lend(&vm, ask, now))
-                .collect();
+            let loans = asks.iter().map(|ask| inner.pool.lend(&vm, ask, now)).collect();
             PeerReply::Lent { loans }
         }
         PeerRequest::Read { claims, from } => read_for_peer(core, claims, from).await,
@@ -300,17 +288,9 @@
 }
 
 async fn read_for_peer(core: &Core, claims: bool, from: Offset) -> PeerReply {
-    let stream = if claims {
-        Stream::Claims
-    } else {
-        Stream::Control
-    };
+    let stream = if claims { Stream::Claims } else { Stream::Control };
     let started = core.now();
-    let page = core
-        .batcher(stream)
-        .client()
-        .read(from, Duration::ZERO)
-        .await;
+    let page = core.batcher(stream).client().read(from, Duration::ZERO).await;
     match page {
         Ok(mut page) => {
             page.entries.truncate(PAGE_MAX);
--- a/crates/carob-entry/src/queue.rs
+++ b/crates/carob-entry/src/queue.rs
@@ -32,7 +32,7 @@
     pub cost: Tokens,
     /// The request.
     pub request: Fingerprint,
-    /// Upstreams that failed it.
+    /// Upstreams that failed it, which get it again only when no other has the model.
     pub tried: BTreeSet<UpstreamName>,
 }
 
@@ -160,17 +160,17 @@
 ) -> Vec<Candidate> {
     let config = inner.control.state().config();
     let limit = core.settings.limits.upstream;
-    let loaded = inner.loaded_on(&ticket.wanted.model).into_iter();
-    let untried = loaded.filter(|name| !ticket.wanted.tried.contains(name));
-    let candidates = untried.filter_map(|name| {
+    let mut loaded = inner.loaded_on(&ticket.wanted.model);
+    let untried = |name: &UpstreamName| !ticket.wanted.tried.contains(name);
+    if loaded.iter().any(untried) {
+        loaded.retain(untried);
+    }
+    let candidates = loaded.into_iter().filter_map(|name| {
         let used = inner.upstreams.get(&name);
         if used.is_some_and(|used| !used.health.usable(now)) {
             return None;
         }
-        let place = config
-            .upstreams
-            .get(&name)
-            .map(|upstream| upstream.data_centre.as_str());
+        let place = config.upstreams.get(&name).map(|upstream| upstream.data_centre.as_str());
         Some(Candidate {
             own: used.map_or(0, |used| used.running),
             others: loads.get(&name).copied().unwrap_or(0),
@@ -178,9 +178,7 @@
             name,
         })
     });
-    candidates
-        .filter(|candidate| candidate.own + candidate.others < limit)
-        .collect()
+    candidates.filter(|candidate| candidate.own + candidate.others < limit).collect()
 }
 
 fn grant(core: &Arc<Core>, inner: &mut Inner, loads: &Loads, ticket: Ticket, now: Duration) {
@@ -188,12 +186,7 @@
         return;
     }
     let mut list = candidates(core, inner, loads, &ticket, now);
-    let suspect = inner
-        .control
-        .state()
-        .suspects()
-        .crashes(ticket.wanted.request)
-        > 0;
+    let suspect = inner.control.state().suspects().crashes(ticket.wanted.request) > 0;
     if suspect {
         isolate(&mut list);
     }
@@ -205,16 +198,8 @@
     let used = inner.upstream(&upstream);
     used.running += 1;
     used.health.start();
-    inner
-        .models
-        .entry(ticket.wanted.model.clone())
-        .or_default()
-        .running += 1;
-    let permit = Permit {
-        upstream,
-        model: ticket.wanted.model,
-        core: Arc::clone(core),
-    };
+    inner.models.entry(ticket.wanted.model.clone()).or_default().running += 1;
+    let permit = Permit { upstream, model: ticket.wanted.model, core: Arc::clone(core) };
     // The room is given back when the waiting request has left meanwhile; the lock is held here,
     // so that happens in a task of its own.
     if let Err(permit) = ticket.grant.send(permit) {
@@ -224,9 +209,6 @@
 
 /// A request under suspicion goes where the fewest others run.
 fn isolate(list: &mut Vec<Candidate>) {
-    let least = list
-        .iter()
-        .map(|candidate| candidate.own + candidate.others)
-        .min();
+    let least = list.iter().map(|candidate| candidate.own + candidate.others).min();
     list.retain(|candidate| Some(candidate.own + candidate.others) == least);
 }
--- a/crates/carob-entry/src/service.rs
+++ b/crates/carob-entry/src/service.rs
@@ -36,11 +36,8 @@
 ) -> Result<Reply> {
     let key = caller.as_ref().map(|(_, key)| key.as_str());
     let query = strip_key(&incoming.query, key);
-    let target = if query.is_empty() {
-        incoming.path.clone()
-    } else {
-        format!("{}?{query}", incoming.path)
-    };
+    let target =
+        if query.is_empty() { incoming.path.clone() } else { format!("{}?{query}", incoming.path) };
     let request = Fingerprint::of(incoming.method.as_str(), &target, &incoming.body);
     let outgoing = Outgoing {
         headers: clean_headers(&incoming.headers, key, &incoming.id),
@@ -52,9 +49,7 @@
         prompt: 0,
     };
     let service = config.services.get(&route.service);
-    let upstreams = service
-        .map(|service| service.upstreams.clone())
-        .unwrap_or_default();
+    let upstreams = service.map(|service| service.upstreams.clone()).unwrap_or_default();
     let reply = if route.once.contains(incoming.method.as_str()) {
         let tenant = caller.as_ref().map(|(tenant, _)| tenant.name.clone());
         let tenant = tenant.unwrap_or_else(|| OPEN_TENANT.parse().unwrap_or_default());
@@ -62,15 +57,9 @@
     } else {
         call_again(&core, &upstreams, &outgoing).await
     };
-    let name = caller
-        .as_ref()
-        .map_or(OPEN_TENANT, |(tenant, _)| tenant.name.as_str());
-    let class = caller
-        .as_ref()
-        .map(|(tenant, _)| tenant.class)
-        .unwrap_or_default();
-    core.metrics
-        .ended(name, class, core.now() - incoming.started);
+    let name = caller.as_ref().map_or(OPEN_TENANT, |(tenant, _)| tenant.name.as_str());
+    let class = caller.as_ref().map(|(tenant, _)| tenant.class).unwrap_or_default();
+    core.metrics.ended(name, class, core.now() - incoming.started);
     reply
 }
 
@@ -82,21 +71,14 @@
     let mut list: Vec<UpstreamName> = taking.cloned().collect();
     let order = |name: &UpstreamName| {
         let used = inner.upstream(name);
-        (
-            !used.health.usable(now),
-            used.running,
-            rand::rng().random::<u32>(),
-        )
+        (!used.health.usable(now), used.running, rand::rng().random::<u32>())
     };
     list.sort_by_cached_key(order);
     list
 }
 
 fn no_upstream() -> Error {
-    let err = Error::new(
-        ErrorKind::UpstreamUnavailable,
-        "no upstream of the service answers",
-    );
+    let err = Error::new(ErrorKind::UpstreamUnavailable, "no upstream of the service answers");
     err.with_retry(Duration::from_secs(1))
 }
 
@@ -147,27 +129,18 @@
     upstreams: &[UpstreamName],
     outgoing: &Outgoing,
 ) -> Result<Reply> {
-    let key = incoming
-        .headers
-        .get(KEY_HEADER)
-        .map(|value| value.to_str().unwrap_or(""));
+    let key = incoming.headers.get(KEY_HEADER).map(|value| value.to_str().unwrap_or(""));
     let Some(key) = key else {
         if route.key_required {
-            let message = format!(
-                "{} on {:?} needs Idempotency-Key",
-                incoming.method, route.prefix
-            );
+            let message =
+                format!("{} on {:?} needs Idempotency-Key", incoming.method, route.prefix);
             return Err(Error::new(ErrorKind::KeyRequired, message));
         }
         return send_once(core, upstreams, outgoing).await.map(reply);
     };
     check_key(key)?;
     let attempt = format!("{}-{:016x}", core.me, rand::rng().random::<u64>());
-    let claim = ClaimRef {
-        tenant,
-        key: key.to_owned(),
-        attempt,
-    };
+    let claim = ClaimRef { tenant, key: key.to_owned(), attempt };
     let running = Running::enter(core, &claim);
     match wait_for_end(core, &claim, outgoing.request).await {
         Decision::Append => {}
@@ -196,10 +169,7 @@
 impl Running {
     fn enter(core: &Arc<Core>, claim: &ClaimRef) -> Self {
         core.lock().attempts.insert(claim.attempt.clone());
-        Running {
-            core: Arc::clone(core),
-            attempt: claim.attempt.clone(),
-        }
+        Running { core: Arc::clone(core), attempt: claim.attempt.clone() }
     }
 }
 
@@ -233,19 +203,12 @@
 
 fn not_sent(decision: Decision) -> Result<Reply> {
     match decision {
-        Decision::Replay(Outcome::Answered {
-            status,
-            content,
-            body,
-        }) => {
+        Decision::Replay(Outcome::Answered { status, content, body }) => {
             let body = STANDARD.decode(body).unwrap_or_default();
             Ok(Reply::new(status, &content, body).with_header(REPLAYED, "true"))
         }
         Decision::Refuse(err) => Err(err),
-        _ => Err(Error::new(
-            ErrorKind::Internal,
-            "the claim is in no state to answer from",
-        )),
+        _ => Err(Error::new(ErrorKind::Internal, "the claim is in no state to answer from")),
     }
 }
 
@@ -255,11 +218,7 @@
 /// as an orphan.
 async fn win(core: &Core, claim: &ClaimRef, request: Fingerprint) -> Result<Decision> {
     core.claims_log.check(core.now())?;
-    let record = Claim {
-        claim: claim.clone(),
-        request,
-        vm: core.me.clone(),
-    };
+    let record = Claim { claim: claim.clone(), request, vm: core.me.clone() };
     drop(core.claims_log.add(Record::Claim(record)));
     let until = core.now() + millis(core.settings.times.claim);
     while core.now() < until {
@@ -294,10 +253,7 @@
 fn record_end(core: &Core, claim: &ClaimRef, result: &Result<Received>) {
     let outcome = match result {
         Ok(received) if received.body.len() <= core.settings.limits.outcome => {
-            let content = received
-                .headers
-                .get("content-type")
-                .and_then(|v| v.to_str().ok());
+            let content = received.headers.get("content-type").and_then(|v| v.to_str().ok());
             Outcome::Answered {
                 status: received.status,
                 content: content.unwrap_or("application/octet-stream").to_owned(),
@@ -311,10 +267,7 @@
         }
         Err(_) => Outcome::Unknown,
     };
-    let done = ClaimDone {
-        claim: claim.clone(),
-        outcome,
-    };
+    let done = ClaimDone { claim: claim.clone(), outcome };
     drop(core.claims_log.add(Record::Done(done)));
 }
 
@@ -325,9 +278,7 @@
         let mut inner = core.lock();
         inner.forget_ended(&core.me);
         let orphans = inner.orphans(&core.me);
-        inner
-            .releasing
-            .retain(|attempt| orphans.iter().any(|claim| claim.attempt == *attempt));
+        inner.releasing.retain(|attempt| orphans.iter().any(|claim| claim.attempt == *attempt));
         for claim in orphans {
             if inner.releasing.insert(claim.attempt.clone()) {
                 drop(core.claims_log.add(Record::Release(claim)));
--- a/crates/carob-entry/src/settings.rs
+++ b/crates/carob-entry/src/settings.rs
@@ -137,11 +137,7 @@
 
 impl Default for Listen {
     fn default() -> Self {
-        Listen {
-            callers: loopback(8080),
-            admin: loopback(8081),
-            peers: loopback(8082),
-        }
+        Listen { callers: loopback(8080), admin: loopback(8081), peers: loopback(8082) }
     }
 }
 
@@ -176,10 +172,7 @@
 
 impl Default for Store {
     fn default() -> Self {
-        Store {
-            loads: 2,
-            adapters: 16,
-        }
+        Store { loads: 2, adapters: 16 }
     }
 }
 
@@ -209,16 +202,10 @@
             problems.push(format!("$.data_centre: {}", err.message()));
         }
         if !["text", "json"].contains(&self.format.as_str()) {
-            problems.push(format!(
-                "$.format: {:?} must be \"text\" or \"json\"",
-                self.format
-            ));
+            problems.push(format!("$.format: {:?} must be \"text\" or \"json\"", self.format));
         }
-        for (name, path) in [
-            ("ca", &self.tls.ca),
-            ("cert", &self.tls.cert),
-            ("key", &self.tls.key),
-        ] {
+        for (name, path) in [("ca", &self.tls.ca), ("cert", &self.tls.cert), ("key", &self.tls.key)]
+        {
             if path.is_empty() {
                 problems.push(format!("$.tls.{name}: \"\" must be the path of a PEM file"));
             }
--- a/crates/carob-entry/src/shares.rs
+++ b/crates/carob-entry/src/shares.rs
@@ -38,9 +38,7 @@
 pub fn renewed(inner: &mut Inner) {
     if let Some(made) = inner.hold.renewing.take() {
         inner.hold.renewed = Some(made);
-        inner
-            .pool
-            .set_lapse(Some(made + SLOT_LEASE.mul_f64(LEASE_USED)));
+        inner.pool.set_lapse(Some(made + SLOT_LEASE.mul_f64(LEASE_USED)));
     }
 }
 
@@ -48,10 +46,7 @@
 pub fn refresh(inner: &mut Inner, me: &VmRef, now: Duration) {
     let state = inner.control.state();
     let slots = state.slots();
-    inner
-        .hold
-        .giving
-        .retain(|slot| slots.holder(*slot).is_some_and(|holder| holder.vm == *me));
+    inner.hold.giving.retain(|slot| slots.holder(*slot).is_some_and(|holder| holder.vm == *me));
     let held: BTreeMap<u16, Holder> = state
         .slots()
         .held_by(me)
@@ -59,9 +54,7 @@
         .map(|(slot, holder)| (slot, holder.clone()))
         .collect();
     let same = held.len() == inner.slots.len()
-        && held
-            .iter()
-            .all(|(slot, holder)| inner.slots.get(slot) == Some(&holder.taken));
+        && held.iter().all(|(slot, holder)| inner.slots.get(slot) == Some(&holder.taken));
     if same && state.version() == inner.pool_version {
         return;
     }
@@ -71,39 +64,23 @@
     for tenant in config.tenants.values() {
         let known = inner.pool_tenants.get(&tenant.name) == Some(&tenant.grant.created);
         let recreated = state.recreated(&tenant.name);
-        let mut share = Share {
-            grant: tenant.grant,
-            slots: 0,
-        };
+        let mut share = Share { grant: tenant.grant, slots: 0 };
         let mut added = 0;
         for (slot, holder) in held.range(slots_of(&tenant.name)) {
             share.slots += 1;
             if !known || inner.slots.get(slot) != Some(&holder.taken) {
-                added += if recreated {
-                    0
-                } else {
-                    initial(&share, &tenant.name, holder)
-                };
+                added += if recreated { 0 } else { initial(&share, &tenant.name, holder) };
             }
         }
         shares.push((tenant.name.clone(), share, added));
     }
     inner.pool_version = state.version();
-    inner.pool_tenants = config
-        .tenants
-        .values()
-        .map(|t| (t.name.clone(), t.grant.created))
-        .collect();
-    inner.slots = held
-        .into_iter()
-        .map(|(slot, holder)| (slot, holder.taken))
-        .collect();
+    inner.pool_tenants =
+        config.tenants.values().map(|t| (t.name.clone(), t.grant.created)).collect();
+    inner.slots = held.into_iter().map(|(slot, holder)| (slot, holder.taken)).collect();
     inner.pool.retain(created);
     for (tenant, share, added) in shares {
-        inner
-            .pool
-            .lender
-            .set_share(&tenant, share, Tokens(added), now);
+        inner.pool.lender.set_share(&tenant, share, Tokens(added), now);
     }
 }
 
@@ -135,37 +112,23 @@
     if inner.hold.renewing.is_some() {
         return;
     }
-    let free = inner
-        .control
-        .state()
-        .slots()
-        .free_for(&core.me, inner.log_time(now));
+    let free = inner.control.state().slots().free_for(&core.me, inner.log_time(now));
     let mine = |slot: &u16| in_charge(core, inner, *slot, now);
     let slots: Vec<u16> = free.into_iter().filter(mine).collect();
     if slots.is_empty() {
         return;
     }
     inner.hold.renewing = Some(now);
-    let take = SlotTake {
-        vm: core.me.clone(),
-        slots,
-        levels: BTreeMap::new(),
-    };
+    let take = SlotTake { vm: core.me.clone(), slots, levels: BTreeMap::new() };
     drop(core.control_log.add(Record::SlotTake(take)));
 }
 
 fn in_charge(core: &Core, inner: &Inner, slot: u16, now: Duration) -> bool {
-    inner
-        .fleet
-        .in_charge(&format!("slot:{slot}"), &core.me, now)
-        == core.me
+    inner.fleet.in_charge(&format!("slot:{slot}"), &core.me, now) == core.me
 }
 
 fn renew(core: &Core, inner: &mut Inner, now: Duration) {
-    let due = inner
-        .hold
-        .renewed
-        .is_none_or(|at| now.saturating_sub(at) > SLOT_LEASE / 4);
+    let due = inner.hold.renewed.is_none_or(|at| now.saturating_sub(at) > SLOT_LEASE / 4);
     if due && inner.hold.renewing.is_none() {
         inner.hold.renewing = Some(now);
         drop(core.control_log.add(Record::Renew(core.me.clone())));
@@ -179,11 +142,7 @@
     }
     let fair = usize::from(SLOTS) / (inner.fleet.living(now).count() + 1);
     let spare = inner.slots.len().saturating_sub(fair).min(GIVE_MOST);
-    let slots = inner
-        .slots
-        .keys()
-        .copied()
-        .filter(|slot| !in_charge(core, inner, *slot, now));
+    let slots = inner.slots.keys().copied().filter(|slot| !in_charge(core, inner, *slot, now));
     let slots: Vec<u16> = slots.take(spare).collect();
     let slots = without_lent(inner, slots);
     inner.hold.given = now;
@@ -202,10 +161,7 @@
             continue;
         };
         let share = bucket.share();
-        let left = Share {
-            slots: share.slots.saturating_sub(given),
-            ..share
-        };
+        let left = Share { slots: share.slots.saturating_sub(given), ..share };
         if !bucket.fits(left) {
             kept.retain(|slot| !range.contains(slot));
         }
@@ -229,18 +185,10 @@
             continue;
         }
         let moved = level * (before - after) / before;
-        let taken = inner
-            .pool
-            .lender
-            .bucket(&tenant)
-            .map(|b| keep_at_most(b, level - moved, now));
+        let taken = inner.pool.lender.bucket(&tenant).map(|b| keep_at_most(b, level - moved, now));
         levels.insert(tenant, moved.min(taken.map_or(moved, |left| level - left)));
     }
-    let give = SlotTake {
-        vm: core.me.clone(),
-        slots,
-        levels,
-    };
+    let give = SlotTake { vm: core.me.clone(), slots, levels };
     drop(core.control_log.add(Record::SlotGive(give)));
 }
 
@@ -255,11 +203,7 @@
 
 fn slot_counts(inner: &Inner) -> BTreeMap<TenantName, u64> {
     let count = |tenant: &TenantName| inner.slots.range(slots_of(tenant)).count() as u64;
-    inner
-        .pool_tenants
-        .keys()
-        .map(|tenant| (tenant.clone(), count(tenant)))
-        .collect()
+    inner.pool_tenants.keys().map(|tenant| (tenant.clone(), count(tenant))).collect()
 }
 
 /// Gives all slots up before the process ends. Waits until no loan can be spent any more.
@@ -316,10 +260,7 @@
 pub async fn ask(core: &Arc<Core>, lender: VmRef, asks: Vec<Ask>) -> Option<Duration> {
     let asked = core.now();
     let address = core.lock().member(&lender).map(|member| member.peer)?;
-    let request = PeerRequest::Ask {
-        vm: core.me.clone(),
-        asks: asks.clone(),
-    };
+    let request = PeerRequest::Ask { vm: core.me.clone(), asks: asks.clone() };
     let Ok(PeerReply::Lent { loans }) = peers::call(core, address, &request).await else {
         return None;
     };
@@ -331,8 +272,5 @@
     for loan in &loans {
         inner.pool.receive(&lender, loan, asked, now);
     }
-    loans
-        .iter()
-        .map(|loan| Duration::from_millis(loan.wait))
-        .min()
+    loans.iter().map(|loan| Duration::from_millis(loan.wait)).min()
 }
--- a/crates/carob-entry/src/tail.rs
+++ b/crates/carob-entry/src/tail.rs
@@ -38,11 +38,7 @@
 
 fn take_in(core: &Core, stream: Stream, page: LogPage, started: Duration, own: bool) {
     let now = core.now();
-    let page = Page {
-        first: page.first,
-        next: page.next,
-        entries: page.entries,
-    };
+    let page = Page { first: page.first, next: page.next, entries: page.entries };
     let mut inner = core.lock();
     let applied = match stream {
         Stream::Control => {
@@ -64,8 +60,7 @@
     };
     note_log_time(&mut inner, &applied, now);
     drop(inner);
-    core.batcher(stream)
-        .applied(applied.iter().map(|entry| entry.id.as_str()));
+    core.batcher(stream).applied(applied.iter().map(|entry| entry.id.as_str()));
     if !applied.is_empty() {
         core.applied.notify_waiters();
         core.room.notify_one();
@@ -101,11 +96,7 @@
 async fn read_from_peer(core: &Arc<Core>, stream: Stream, started: Duration) -> bool {
     let (reader, from) = {
         let inner = core.lock();
-        let reader = inner
-            .fleet
-            .reader(started)
-            .and_then(|vm| inner.member(vm))
-            .cloned();
+        let reader = inner.fleet.reader(started).and_then(|vm| inner.member(vm)).cloned();
         let from = match stream {
             Stream::Control => inner.control.next(),
             Stream::Claims => inner.claims.next(),
@@ -113,10 +104,7 @@
         (reader, from)
     };
     let Some(reader) = reader else { return false };
-    let request = PeerRequest::Read {
-        claims: stream == Stream::Claims,
-        from,
-    };
+    let request = PeerRequest::Read { claims: stream == Stream::Claims, from };
     let reply = peers::call(core, reader.peer, &request).await;
     let Ok(PeerReply::Page { page, age }) = reply else {
         return false;
@@ -138,14 +126,8 @@
                 install_from(core, *address).await;
             }
         }
-        let members: Vec<_> = core
-            .lock()
-            .control
-            .state()
-            .members()
-            .values()
-            .map(|m| m.peer)
-            .collect();
+        let members: Vec<_> =
+            core.lock().control.state().members().values().map(|m| m.peer).collect();
         addresses.extend(members);
         addresses.sort();
         addresses.dedup();
@@ -155,13 +137,7 @@
 async fn install_from(core: &Arc<Core>, address: std::net::SocketAddr) {
     let started = core.now();
     let reply = peers::call(core, address, &PeerRequest::State).await;
-    let Ok(PeerReply::State {
-        control,
-        claims,
-        age,
-        beats,
-    }) = reply
-    else {
+    let Ok(PeerReply::State { control, claims, age, beats }) = reply else {
         return;
     };
     let mut inner = core.lock();
--- a/crates/carob-entry/src/tokens.rs
+++ b/crates/carob-entry/src/tokens.rs
@@ -90,10 +90,7 @@
         }
         None
     };
-    let enough = tokio::time::timeout(ROUND_TIME, answers)
-        .await
-        .ok()
-        .flatten();
+    let enough = tokio::time::timeout(ROUND_TIME, answers).await.ok().flatten();
     calls.detach_all();
     enough.map_or(Borrowed::TooFew(shortest), Borrowed::Enough)
 }
--- a/crates/carob-entry/src/usage.rs
+++ b/crates/carob-entry/src/usage.rs
@@ -37,14 +37,10 @@
 
     /// Whether the last event of a stream was seen.
     pub fn complete(&self) -> bool {
-        String::from_utf8_lossy(&self.tail)
-            .trim_end()
-            .ends_with(DONE)
+        String::from_utf8_lossy(&self.tail).trim_end().ends_with(DONE)
     }
 }
 
 fn count(text: &[u8], part: &[u8]) -> u64 {
-    text.windows(part.len())
-        .filter(|window| *window == part)
-        .count() as u64
+    text.windows(part.len()).filter(|window| *window == part).count() as u64
 }
--- a/crates/carob-lab/src/bin/carob-standin.rs
+++ b/crates/carob-lab/src/bin/carob-standin.rs
@@ -36,11 +36,7 @@
         .about("Small stand-ins of the platform and of upstreams, for tests and the demo")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
-        .subcommand(
-            Command::new("log")
-                .about("The platform's append-only log")
-                .arg(listen()),
-        )
+        .subcommand(Command::new("log").about("The platform's append-only log").arg(listen()))
         .subcommand(
             Command::new("store")
                 .about("The weight store and the list of vms")
@@ -52,12 +48,7 @@
                 .about("A model engine")
                 .arg(listen())
                 .arg(address("store", "Address of the weight store"))
-                .arg(
-                    Arg::new("name")
-                        .long("name")
-                        .required(true)
-                        .help("Name in messages"),
-                )
+                .arg(Arg::new("name").long("name").required(true).help("Name in messages"))
                 .arg(
                     Arg::new("memory")
                         .long("memory")
@@ -74,20 +65,13 @@
                 .arg(number("pace", "20", "Milliseconds between two tokens"))
                 .arg(number("batch", "16", "Requests that run at full pace")),
         )
-        .subcommand(
-            Command::new("service")
-                .about("A plain service")
-                .arg(listen()),
-        )
+        .subcommand(Command::new("service").about("A plain service").arg(listen()))
         .subcommand(
             Command::new("relay")
                 .about("A TCP relay that can be cut or go silent")
                 .arg(listen())
                 .arg(address("to", "Address to relay to"))
-                .arg(address(
-                    "control",
-                    "Address that takes /open, /cut and /silent",
-                )),
+                .arg(address("control", "Address that takes /open, /cut and /silent")),
         )
 }
 
@@ -102,11 +86,8 @@
 }
 
 fn start(name: &str, args: &ArgMatches) -> Result<Option<Server>> {
-    let listen = ServeOptions {
-        address: get(args, "listen"),
-        threads: 1,
-        ..ServeOptions::default()
-    };
+    let listen =
+        ServeOptions { address: get(args, "listen"), threads: 1, ..ServeOptions::default() };
     let server = match name {
         "log" => LogStandin::serve(listen)?,
         "store" => serve_store(listen, count(args, "loads") as usize)?,
--- a/crates/carob-lab/src/engine.rs
+++ b/crates/carob-lab/src/engine.rs
@@ -120,10 +120,7 @@
     /// When the address cannot be bound.
     pub fn serve(options: EngineOptions, listen: ServeOptions) -> std::io::Result<Server> {
         let clock = SystemClock::default();
-        let report = Report {
-            incarnation: clock.unix_millis(),
-            ..Report::default()
-        };
+        let report = Report { incarnation: clock.unix_millis(), ..Report::default() };
         let state = State {
             report,
             sizes: BTreeMap::new(),
@@ -142,12 +139,7 @@
             keys_seen: Vec::new(),
         };
         let state = Mutex::new(state);
-        let engine = Arc::new(Engine {
-            options,
-            state,
-            clock,
-            store: Caller::pooled(),
-        });
+        let engine = Arc::new(Engine { options, state, clock, store: Caller::pooled() });
         serve(listen, move |request| {
             let engine = Arc::clone(&engine);
             async move { engine.handle(request).await }
@@ -155,10 +147,7 @@
     }
 
     async fn handle(self: Arc<Self>, mut request: Request) -> Reply {
-        let body = request
-            .read_body(BODY_MAX, Duration::from_secs(30))
-            .await
-            .unwrap_or_default();
+        let body = request.read_body(BODY_MAX, Duration::from_secs(30)).await.unwrap_or_default();
         if request.path() == "/faults" {
             return self.set_faults(&body);
         }
@@ -233,11 +222,7 @@
             let (lose, double) = (state.faults.order_lose, state.faults.order_double);
             let lost = state.random.random_bool(lose.clamp(0.0, 1.0));
             let double = state.random.random_bool(double.clamp(0.0, 1.0));
-            (
-                Duration::from_millis(state.faults.order_delay),
-                lost,
-                double,
-            )
+            (Duration::from_millis(state.faults.order_delay), lost, double)
         };
         if lost {
             return Reply::text(504, "lost");
@@ -371,11 +356,7 @@
         if refused {
             return Reply::json(409, &json!({ "error": { "code": "not_loaded" } }));
         }
-        let id = request
-            .headers()
-            .get("x-request-id")
-            .and_then(|v| v.to_str().ok())
-            .unwrap_or("");
+        let id = request.headers().get("x-request-id").and_then(|v| v.to_str().ok()).unwrap_or("");
         let tokens = body["max_tokens"].as_u64().unwrap_or(16);
         let job = Job {
             incarnation: lock(&self.state).report.incarnation,
@@ -432,8 +413,7 @@
             }
         }
         let last = json!({ "id": job.id, "choices": [], "usage": job.usage() });
-        tx.send(format!("data: {last}\n\ndata: [DONE]\n\n").into())
-            .await;
+        tx.send(format!("data: {last}\n\ndata: [DONE]\n\n").into()).await;
         self.end();
         tx.finish().await;
     }
@@ -452,11 +432,7 @@
             }
             cached
         };
-        let prefill = if cached {
-            job.prompt / 20
-        } else {
-            job.prompt / 4
-        };
+        let prefill = if cached { job.prompt / 20 } else { job.prompt / 4 };
         tokio::time::sleep(Duration::from_millis(prefill.min(2000))).await;
     }
 
@@ -464,16 +440,9 @@
     async fn step(&self, job: &Job) -> bool {
         let (pace, silent) = {
             let state = lock(&self.state);
-            let crowd = state
-                .report
-                .running
-                .div_ceil(self.options.batch.max(1))
-                .max(1) as u64;
+            let crowd = state.report.running.div_ceil(self.options.batch.max(1)).max(1) as u64;
             let slow = state.faults.slow.max(1);
-            (
-                self.options.pace * crowd * slow,
-                state.silent.contains(&job.caller),
-            )
+            (self.options.pace * crowd * slow, state.silent.contains(&job.caller))
         };
         if silent {
             std::future::pending::<()>().await;
--- a/crates/carob-lab/src/lib.rs
+++ b/crates/carob-lab/src/lib.rs
@@ -10,9 +10,7 @@
 
 /// Locks `mutex`, also after a panic of another holder.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(std::sync::PoisonError::into_inner)
+    mutex.lock().unwrap_or_else(std::sync::PoisonError::into_inner)
 }
 
 /// A shared value behind a lock.
--- a/crates/carob-lab/src/log.rs
+++ b/crates/carob-lab/src/log.rs
@@ -36,14 +36,7 @@
 
 impl Default for LogFaults {
     fn default() -> Self {
-        LogFaults {
-            outage: false,
-            lose: 0.0,
-            delay: 2,
-            rate: 500,
-            keep: 1_000_000,
-            seed: 1,
-        }
+        LogFaults { outage: false, lose: 0.0, delay: 2, rate: 500, keep: 1_000_000, seed: 1 }
     }
 }
 
@@ -93,11 +86,7 @@
             appends: 0,
             bytes: 0,
         };
-        LogStandin {
-            state: Mutex::new(state),
-            grown: Notify::new(),
-            clock: SystemClock::default(),
-        }
+        LogStandin { state: Mutex::new(state), grown: Notify::new(), clock: SystemClock::default() }
     }
 
     /// Serves the log.
@@ -131,10 +120,7 @@
     }
 
     async fn set_faults(&self, request: &mut Request) -> Reply {
-        let body = request
-            .read_body(BODY_MAX, Duration::from_secs(5))
-            .await
-            .unwrap_or_default();
+        let body = request.read_body(BODY_MAX, Duration::from_secs(5)).await.unwrap_or_default();
         match serde_json::from_slice::<LogFaults>(&body) {
             Ok(faults) => {
                 let mut state = lock(&self.state);
@@ -191,17 +177,9 @@
         let stream = state
             .streams
             .entry(stream.to_owned())
-            .or_insert_with(|| Stream {
-                first: 1,
-                entries: VecDeque::new(),
-            });
+            .or_insert_with(|| Stream { first: 1, entries: VecDeque::new() });
         let offset = stream.next();
-        let entry = Entry {
-            offset: Offset(offset),
-            time,
-            id: append.id,
-            records: append.records,
-        };
+        let entry = Entry { offset: Offset(offset), time, id: append.id, records: append.records };
         stream.entries.push_back(entry);
         while stream.entries.len() > keep {
             stream.entries.pop_front();
@@ -211,11 +189,7 @@
     }
 
     async fn read(&self, stream: &str, request: &Request) -> Reply {
-        let number = |name| {
-            request
-                .param(name)
-                .and_then(|text| text.parse::<u64>().ok())
-        };
+        let number = |name| request.param(name).and_then(|text| text.parse::<u64>().ok());
         let from = number("from").unwrap_or(0);
         let wait = Duration::from_millis(number("wait_ms").unwrap_or(0).min(30_000));
         let until = self.clock.now() + wait;
@@ -234,10 +208,7 @@
         if state.faults.outage {
             return Some(Reply::text(503, "outage"));
         }
-        let empty = Stream {
-            first: 1,
-            entries: VecDeque::new(),
-        };
+        let empty = Stream { first: 1, entries: VecDeque::new() };
         let stream = state.streams.get(stream).unwrap_or(&empty);
         let skip = from.saturating_sub(stream.first) as usize;
         let entries: Vec<&Entry> = stream.entries.iter().skip(skip).take(PAGE_MAX).collect();
--- a/crates/carob-lab/src/relay.rs
+++ b/crates/carob-lab/src/relay.rs
@@ -27,11 +27,7 @@
     let mode = Arc::new(AtomicU8::new(OPEN));
     let epoch = Arc::new(std::sync::atomic::AtomicU64::new(0));
     let (set, bump) = (Arc::clone(&mode), Arc::clone(&epoch));
-    let options = ServeOptions {
-        address: control,
-        threads: 1,
-        ..ServeOptions::default()
-    };
+    let options = ServeOptions { address: control, threads: 1, ..ServeOptions::default() };
     let _server = serve(options, move |request| {
         let value = match request.path() {
             "/cut" => CUT,
@@ -74,10 +70,7 @@
     async fn join(self, near: TcpStream, far: TcpStream) {
         let (near_in, near_out) = near.into_split();
         let (far_in, far_out) = far.into_split();
-        tokio::join!(
-            self.clone().pump(near_in, far_out),
-            self.pump(far_in, near_out)
-        );
+        tokio::join!(self.clone().pump(near_in, far_out), self.pump(far_in, near_out));
     }
 
     fn silent(&self) -> bool {
--- a/crates/carob-lab/src/service.rs
+++ b/crates/carob-lab/src/service.rs
@@ -55,10 +55,7 @@
 }
 
 async fn handle(state: &State, mut request: Request) -> Reply {
-    let body = request
-        .read_body(BODY_MAX, Duration::from_secs(30))
-        .await
-        .unwrap_or_default();
+    let body = request.read_body(BODY_MAX, Duration::from_secs(30)).await.unwrap_or_default();
     match request.path() {
         "/faults" => match serde_json::from_slice(&body) {
             Ok(faults) => {
@@ -80,9 +77,7 @@
     let ran = Ran {
         method: request.method().to_string(),
         target: format!("{}?{}", request.path(), request.query()),
-        headers: headers
-            .map(|(k, v)| (k.to_string(), text(v.as_bytes())))
-            .collect(),
+        headers: headers.map(|(k, v)| (k.to_string(), text(v.as_bytes()))).collect(),
         body: text(body),
     };
     let count = {
@@ -94,11 +89,7 @@
     if faults.lose {
         return Reply::stream(200).1;
     }
-    let id = request
-        .headers()
-        .get("x-request-id")
-        .and_then(|v| v.to_str().ok())
-        .unwrap_or("");
+    let id = request.headers().get("x-request-id").and_then(|v| v.to_str().ok()).unwrap_or("");
     let answer = serde_json::json!({ "done": true, "count": count });
     Reply::json(200, &answer).with_header("x-request-id", id)
 }
--- a/crates/carob-net/src/call.rs
+++ b/crates/carob-net/src/call.rs
@@ -73,26 +73,16 @@
             }
             body.extend_from_slice(&chunk);
         }
-        Ok(Received {
-            status: self.status,
-            headers: self.headers,
-            body: body.into(),
-        })
+        Ok(Received { status: self.status, headers: self.headers, body: body.into() })
     }
 }
 
 fn silent(silence: Duration) -> Error {
-    Error::new(
-        ErrorKind::Timeout,
-        format!("no progress for {} ms", silence.as_millis()),
-    )
+    Error::new(ErrorKind::Timeout, format!("no progress for {} ms", silence.as_millis()))
 }
 
 fn failed(err: &dyn std::error::Error) -> Error {
-    let cause = err
-        .source()
-        .map(|source| format!(": {source}"))
-        .unwrap_or_default();
+    let cause = err.source().map(|source| format!(": {source}")).unwrap_or_default();
     Error::new(ErrorKind::UpstreamFailed, format!("{err}{cause}"))
 }
 
@@ -105,9 +95,7 @@
 impl Caller {
     /// A caller that keeps idle connections for later calls.
     pub fn pooled() -> Self {
-        Caller {
-            client: build(usize::MAX),
-        }
+        Caller { client: build(usize::MAX) }
     }
 
     /// A caller that opens a connection for each call, so that a failure to connect proves that
@@ -140,18 +128,13 @@
         let answer = tokio::time::timeout(silence, self.client.request(request)).await;
         match answer {
             Err(_) => Err(silent(silence)),
-            Ok(Err(err)) if err.is_connect() => Err(Error::new(
-                ErrorKind::UpstreamUnavailable,
-                failed(&err).message(),
-            )),
+            Ok(Err(err)) if err.is_connect() => {
+                Err(Error::new(ErrorKind::UpstreamUnavailable, failed(&err).message()))
+            }
             Ok(Err(err)) => Err(failed(&err)),
             Ok(Ok(response)) => {
                 let (parts, body) = response.into_parts();
-                Ok(Streamed {
-                    status: parts.status.as_u16(),
-                    headers: parts.headers,
-                    body,
-                })
+                Ok(Streamed { status: parts.status.as_u16(), headers: parts.headers, body })
             }
         }
     }
@@ -168,14 +151,8 @@
         within: Duration,
     ) -> carobglade::Result<Received> {
         let mut headers = HeaderMap::new();
-        headers.insert(
-            "content-type",
-            http::HeaderValue::from_static("application/json"),
-        );
-        self.open(Method::POST, url, headers, body, within)
-            .await?
-            .whole(within)
-            .await
+        headers.insert("content-type", http::HeaderValue::from_static("application/json"));
+        self.open(Method::POST, url, headers, body, within).await?.whole(within).await
     }
 
     /// Gets `url` and reads the answer whole.
@@ -184,9 +161,7 @@
     ///
     /// As [`open`](Self::open).
     pub async fn get(&self, url: &str, within: Duration) -> carobglade::Result<Received> {
-        let opened = self
-            .open(Method::GET, url, HeaderMap::new(), Bytes::new(), within)
-            .await?;
+        let opened = self.open(Method::GET, url, HeaderMap::new(), Bytes::new(), within).await?;
         opened.whole(within).await
     }
 }
--- a/crates/carob-net/src/clock.rs
+++ b/crates/carob-net/src/clock.rs
@@ -19,9 +19,7 @@
 
 impl Default for SystemClock {
     fn default() -> Self {
-        SystemClock {
-            start: Instant::now(),
-        }
+        SystemClock { start: Instant::now() }
     }
 }
 
@@ -31,9 +29,7 @@
     }
 
     fn unix_millis(&self) -> u64 {
-        let since = SystemTime::now()
-            .duration_since(UNIX_EPOCH)
-            .unwrap_or_default();
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     }
 }
--- a/crates/carob-net/src/platform.rs
+++ b/crates/carob-net/src/platform.rs
@@ -41,10 +41,7 @@
 impl LogClient {
     /// A client of `stream` on the log at `address`.
     pub fn new(address: &str, stream: &str) -> Self {
-        LogClient {
-            caller: Caller::pooled(),
-            base: format!("http://{address}/streams/{stream}"),
-        }
+        LogClient { caller: Caller::pooled(), base: format!("http://{address}/streams/{stream}") }
     }
 
     /// Appends `records` as one entry.
@@ -61,11 +58,7 @@
     ) -> carobglade::Result<Offset> {
         let body = serde_json::to_vec(&AppendWire { id, records }).map_err(unreadable)?;
         let url = format!("{}/append", self.base);
-        let answer = self
-            .caller
-            .post(&url, body.into(), within)
-            .await
-            .map_err(unavailable)?;
+        let answer = self.caller.post(&url, body.into(), within).await.map_err(unavailable)?;
         let appended: AppendedWire = parse(answer.status, &answer.body)?;
         Ok(appended.offset)
     }
@@ -76,16 +69,8 @@
     ///
     /// `LogUnavailable` when the log does not answer.
     pub async fn read(&self, from: Offset, wait: Duration) -> carobglade::Result<LogPage> {
-        let url = format!(
-            "{}/read?from={from}&wait_ms={}",
-            self.base,
-            wait.as_millis()
-        );
-        let answer = self
-            .caller
-            .get(&url, wait + SLACK)
-            .await
-            .map_err(unavailable)?;
+        let url = format!("{}/read?from={from}&wait_ms={}", self.base, wait.as_millis());
+        let answer = self.caller.get(&url, wait + SLACK).await.map_err(unavailable)?;
         parse(answer.status, &answer.body)
     }
 }
--- a/crates/carob-net/src/serve.rs
+++ b/crates/carob-net/src/serve.rs
@@ -78,14 +78,8 @@
 
     /// The value of `name` in the query, as written.
     pub fn param(&self, name: &str) -> Option<&str> {
-        let pairs = self
-            .query()
-            .split('&')
-            .filter_map(|pair| pair.split_once('='));
-        pairs
-            .into_iter()
-            .find(|(key, _)| *key == name)
-            .map(|(_, value)| value)
+        let pairs = self.query().split('&').filter_map(|pair| pair.split_once('='));
+        pairs.into_iter().find(|(key, _)| *key == name).map(|(_, value)| value)
     }
 
     /// The headers.
@@ -101,12 +95,10 @@
     /// than `within`.
     pub async fn read_body(&mut self, limit: usize, within: Duration) -> carobglade::Result<Bytes> {
         let reading = read_all(&mut self.body, limit);
-        tokio::time::timeout(within, reading)
-            .await
-            .unwrap_or_else(|_| {
-                let message = format!("body did not arrive within {} ms", within.as_millis());
-                Err(Error::new(ErrorKind::InvalidRequest, message))
-            })
+        tokio::time::timeout(within, reading).await.unwrap_or_else(|_| {
+            let message = format!("body did not arrive within {} ms", within.as_millis());
+            Err(Error::new(ErrorKind::InvalidRequest, message))
+        })
     }
 }
 
@@ -193,11 +185,8 @@
 impl Reply {
     /// An answer with `body` of `content_type`.
     pub fn new(status: u16, content_type: &str, body: impl Into<Bytes>) -> Self {
-        let reply = Reply {
-            status,
-            headers: HeaderMap::new(),
-            body: ReplyBody::Whole(body.into()),
-        };
+        let reply =
+            Reply { status, headers: HeaderMap::new(), body: ReplyBody::Whole(body.into()) };
         reply.with_header("content-type", content_type)
     }
 
@@ -218,14 +207,7 @@
     pub fn stream(status: u16) -> (ChunkSender, Self) {
         let (tx, rx) = mpsc::channel(CHUNKS_BUFFERED);
         let body = ReplyBody::Chunks(ChunkBody { rx, done: false });
-        (
-            ChunkSender { tx },
-            Reply {
-                status,
-                headers: HeaderMap::new(),
-                body,
-            },
-        )
+        (ChunkSender { tx }, Reply { status, headers: HeaderMap::new(), body })
     }
 
     /// Adds a header; one whose value is not valid is left out.
@@ -294,12 +276,7 @@
             let (parts, body) = request.into_parts();
             let caller = *body.socket_addr();
             let (_, body) = body.replace_body(());
-            let reply = handler(Request {
-                parts,
-                body,
-                caller,
-            })
-            .await;
+            let reply = handler(Request { parts, body, caller }).await;
             Ok::<_, Infallible>(reply.into_web())
         }
     });
@@ -318,8 +295,5 @@
     let thread = std::thread::spawn(move || {
         let _ = running.wait();
     });
-    Ok(Server {
-        stop: Box::new(move || handle.stop(false)),
-        thread: Some(thread),
-    })
+    Ok(Server { stop: Box::new(move || handle.stop(false)), thread: Some(thread) })
 }
--- a/crates/carobctl/src/apply.rs
+++ b/crates/carobctl/src/apply.rs
@@ -29,10 +29,7 @@
     /// Reads the stream up to its tail.
     pub async fn open(log: SocketAddr) -> Result<Self> {
         let client = LogClient::new(&log.to_string(), "control");
-        let mut follower = Follower {
-            client,
-            replay: Replay::default(),
-        };
+        let mut follower = Follower { client, replay: Replay::default() };
         follower.catch_up().await?;
         Ok(follower)
     }
@@ -48,11 +45,7 @@
             let page = self.client.read(self.replay.next(), Duration::ZERO).await;
             let page = page.map_err(|err| eyre!("{err}"))?;
             let next = page.next;
-            self.replay.page(&Page {
-                first: page.first,
-                next,
-                entries: page.entries,
-            });
+            self.replay.page(&Page { first: page.first, next, entries: page.entries });
             if self.replay.next() >= next {
                 break;
             }
@@ -83,15 +76,11 @@
 }
 
 fn log_of(args: &ArgMatches) -> Result<SocketAddr> {
-    args.get_one::<SocketAddr>("log")
-        .copied()
-        .ok_or_else(|| eyre!("no --log"))
+    args.get_one::<SocketAddr>("log").copied().ok_or_else(|| eyre!("no --log"))
 }
 
 fn file_of(args: &ArgMatches) -> Result<ConfigWire> {
-    let path = args
-        .get_one::<PathBuf>("file")
-        .ok_or_else(|| eyre!("no file"))?;
+    let path = args.get_one::<PathBuf>("file").ok_or_else(|| eyre!("no file"))?;
     read(path)
 }
 
@@ -111,14 +100,8 @@
     }
     let follower = Follower::open(log_of(args)?).await?;
     let changes = Change::diff(follower.state().wire(), &wire);
-    println!(
-        "against version {}: {} changes",
-        follower.state().version(),
-        changes.len()
-    );
-    changes
-        .iter()
-        .for_each(|change| println!("{}", describe(change)));
+    println!("against version {}: {} changes", follower.state().version(), changes.len());
+    changes.iter().for_each(|change| println!("{}", describe(change)));
     Ok(Ended::Done)
 }
 
@@ -136,19 +119,14 @@
         }
     };
     let state = follower.state();
-    let base = args
-        .get_one::<u64>("base")
-        .copied()
-        .map_or(state.version(), Offset);
+    let base = args.get_one::<u64>("base").copied().map_or(state.version(), Offset);
     let changes = Change::diff(state.wire(), &wire);
     if changes.is_empty() && base == state.version() {
         println!("version {base} is in force already");
         return Ok(Ended::Done);
     }
     let count = changes.len();
-    let (id, _) = follower
-        .append(Record::Config(ConfigChange { base, changes }))
-        .await?;
+    let (id, _) = follower.append(Record::Config(ConfigChange { base, changes })).await?;
     follower.catch_up().await?;
     match follower.state().verdict(&id) {
         Some(Verdict::Accepted(version)) => {
@@ -186,11 +164,7 @@
                 left.push(member);
             }
         }
-        println!(
-            "in force on {} of {} vms",
-            members.len() - left.len(),
-            members.len()
-        );
+        println!("in force on {} of {} vms", members.len() - left.len(), members.len());
         if left.is_empty() {
             return Ok(Ended::Done);
         }
@@ -198,10 +172,6 @@
         tokio::time::sleep(PAUSE).await;
     }
     let names: Vec<String> = waiting.iter().map(|member| member.vm.to_string()).collect();
-    eprintln!(
-        "not in force within {} s on: {}",
-        within.as_secs(),
-        names.join(", ")
-    );
+    eprintln!("not in force within {} s on: {}", within.as_secs(), names.join(", "));
     Ok(Ended::Waiting)
 }
--- a/crates/carobctl/src/cert.rs
+++ b/crates/carobctl/src/cert.rs
@@ -13,15 +13,11 @@
 /// Writes an authority's certificate, and one certificate with its key that it signed. The
 /// authority's own key is thrown away: to replace one certificate, replace them all.
 pub fn write(args: &ArgMatches) -> Result<Ended> {
-    let directory = args
-        .get_one::<PathBuf>("directory")
-        .ok_or_else(|| eyre!("no directory"))?;
+    let directory = args.get_one::<PathBuf>("directory").ok_or_else(|| eyre!("no directory"))?;
     std::fs::create_dir_all(directory)?;
     let mut authority = CertificateParams::new(Vec::new())?;
     authority.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
-    authority
-        .distinguished_name
-        .push(DnType::CommonName, "carobglade authority");
+    authority.distinguished_name.push(DnType::CommonName, "carobglade authority");
     let authority_key = KeyPair::generate()?;
     let ca = authority.self_signed(&authority_key)?;
     let issuer = Issuer::new(authority, authority_key);
--- a/crates/carobctl/src/fleet.rs
+++ b/crates/carobctl/src/fleet.rs
@@ -15,9 +15,7 @@
 const TIMEOUT: Duration = Duration::from_secs(3);
 
 fn admin_of(args: &ArgMatches) -> Result<SocketAddr> {
-    args.get_one::<SocketAddr>("admin")
-        .copied()
-        .ok_or_else(|| eyre!("no --admin"))
+    args.get_one::<SocketAddr>("admin").copied().ok_or_else(|| eyre!("no --admin"))
 }
 
 /// Prints the status of the fleet as one process sees it.
@@ -72,15 +70,11 @@
             text(&member["slots"]),
         );
     }
-    println!(
-        "\n{:<16} {:>10} {:>10}  MODELS",
-        "UPSTREAM", "MEMORY", "CHARGED"
-    );
+    println!("\n{:<16} {:>10} {:>10}  MODELS", "UPSTREAM", "MEMORY", "CHARGED");
     for (name, upstream) in status["upstreams"].as_object().into_iter().flatten() {
         let models = upstream["models"].as_array().into_iter().flatten();
-        let models: Vec<String> = models
-            .map(|m| format!("{} ({})", text(&m["model"]), text(&m["phase"])))
-            .collect();
+        let models: Vec<String> =
+            models.map(|m| format!("{} ({})", text(&m["model"]), text(&m["phase"]))).collect();
         println!(
             "{:<16} {:>10} {:>10}  {}",
             name,
@@ -109,17 +103,11 @@
 
 /// States in the log that a vm is gone, which frees what it held.
 pub async fn gone(args: &ArgMatches) -> Result<Ended> {
-    let log = args
-        .get_one::<SocketAddr>("log")
-        .copied()
-        .ok_or_else(|| eyre!("no --log"))?;
+    let log = args.get_one::<SocketAddr>("log").copied().ok_or_else(|| eyre!("no --log"))?;
     let name = args.get_one::<String>("vm").cloned().unwrap_or_default();
     let mut follower = Follower::open(log).await?;
     let members = follower.state().members().values();
-    let Some(vm) = members
-        .map(|member| &member.vm)
-        .find(|vm| vm.vm.as_str() == name)
-        .cloned()
+    let Some(vm) = members.map(|member| &member.vm).find(|vm| vm.vm.as_str() == name).cloned()
     else {
         eprintln!("vm {name:?} is not a member");
         return Ok(Ended::Invalid);
--- a/crates/carobctl/src/main.rs
+++ b/crates/carobctl/src/main.rs
@@ -73,21 +73,14 @@
 
 fn command() -> Command {
     let flag = |name: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .action(ArgAction::SetTrue)
-            .help(help)
+        Arg::new(name).long(name).action(ArgAction::SetTrue).help(help)
     };
     Command::new("carobctl")
         .about("Drives carobglade")
         .version(env!("CARGO_PKG_VERSION"))
         .subcommand_required(true)
         .arg_required_else_help(true)
-        .subcommand(
-            Command::new("check")
-                .about("Check a file; every error at once")
-                .arg(file()),
-        )
+        .subcommand(Command::new("check").about("Check a file; every error at once").arg(file()))
         .subcommand(
             Command::new("diff")
                 .about("Show what a file would change")
@@ -117,9 +110,7 @@
                 ),
         )
         .subcommand(
-            Command::new("show")
-                .about("Print the configuration in force")
-                .arg(log_address()),
+            Command::new("show").about("Print the configuration in force").arg(log_address()),
         )
         .subcommand(
             Command::new("status")
@@ -134,41 +125,28 @@
                 .subcommand(Command::new("new").about("Make a key and its digest")),
         )
         .subcommand(
-            Command::new("cert")
-                .about("Make certificates for the connections between vms")
-                .arg(
-                    Arg::new("directory")
-                        .required(true)
-                        .value_name("DIRECTORY")
-                        .help("Where ca.pem, vm.pem and vm.key are written")
-                        .value_parser(value_parser!(PathBuf)),
-                ),
+            Command::new("cert").about("Make certificates for the connections between vms").arg(
+                Arg::new("directory")
+                    .required(true)
+                    .value_name("DIRECTORY")
+                    .help("Where ca.pem, vm.pem and vm.key are written")
+                    .value_parser(value_parser!(PathBuf)),
+            ),
         )
         .subcommand(
-            Command::new("drain")
-                .about("Stop an entry process, planned")
-                .arg(admin_address()),
+            Command::new("drain").about("Stop an entry process, planned").arg(admin_address()),
         )
         .subcommand(
             Command::new("gone")
                 .about("State that a vm was switched off and will not come back")
-                .arg(
-                    Arg::new("vm")
-                        .required(true)
-                        .value_name("VM")
-                        .help("Name of the vm"),
-                )
+                .arg(Arg::new("vm").required(true).value_name("VM").help("Name of the vm"))
                 .arg(log_address()),
         )
         .subcommand(Command::new("schema").about("Print the JSON Schema of the configuration"))
         .subcommand(
             Command::new("completions")
                 .about("Print completions for a shell")
-                .arg(
-                    Arg::new("shell")
-                        .required(true)
-                        .value_parser(value_parser!(Shell)),
-                ),
+                .arg(Arg::new("shell").required(true).value_parser(value_parser!(Shell))),
         )
         .after_help(
             "Exit codes:\n  0  done\n  1  failed\n  2  invalid file or arguments\n  \
@@ -198,9 +176,7 @@
 }
 
 fn check_file(args: &ArgMatches) -> Result<Ended> {
-    let Some(path) = args.get_one::<PathBuf>("file") else {
-        bail!("no file")
-    };
+    let Some(path) = args.get_one::<PathBuf>("file") else { bail!("no file") };
     let Some(config) = checked(&read(path)?) else {
         return Ok(Ended::Invalid);
     };
@@ -243,10 +219,7 @@
         "key" => key::new(),
         "cert" => cert::write(args),
         "schema" => {
-            println!(
-                "{}",
-                include_str!("../../../docs/config.schema.json").trim_end()
-            );
+            println!("{}", include_str!("../../../docs/config.schema.json").trim_end());
             Ok(Ended::Done)
         }
         "completions" => {
@@ -270,11 +243,7 @@
         Err(err) => {
             eprintln!("carobctl: {err:#}");
             let file = err.chain().any(|cause| cause.is::<serde_json::Error>());
-            if file {
-                Ended::Invalid.into()
-            } else {
-                ExitCode::FAILURE
-            }
+            if file { Ended::Invalid.into() } else { ExitCode::FAILURE }
         }
     }
 }
--- a/src/connection/health.rs
+++ b/src/connection/health.rs
@@ -37,10 +37,7 @@
 impl Health {
     /// A healthy upstream.
     pub fn new(settings: HealthSettings) -> Self {
-        Health {
-            settings,
-            ..Health::default()
-        }
+        Health { settings, ..Health::default() }
     }
 
     /// Whether a request may go to the upstream at `now`.
--- a/src/connection/progress.rs
+++ b/src/connection/progress.rs
@@ -35,11 +35,7 @@
 impl Progress {
     /// The bounds for a request with a prompt of `prompt` tokens.
     pub fn new(settings: ProgressSettings, prompt: u64) -> Self {
-        Progress {
-            settings,
-            prompt,
-            started: false,
-        }
+        Progress { settings, prompt, started: false }
     }
 
     /// Notes that a chunk arrived.
@@ -53,8 +49,6 @@
             return self.settings.between;
         }
         let thousands = u32::try_from(self.prompt / 1000).unwrap_or(u32::MAX);
-        self.settings
-            .first
-            .saturating_add(self.settings.prompt.saturating_mul(thousands))
+        self.settings.first.saturating_add(self.settings.prompt.saturating_mul(thousands))
     }
 }
--- a/src/error.rs
+++ b/src/error.rs
@@ -138,11 +138,7 @@
     /// assert_eq!(err.kind().answer().status, 404);
     /// ```
     pub fn new(kind: ErrorKind, message: impl Into<String>) -> Self {
-        Error {
-            kind,
-            message: message.into(),
-            retry: None,
-        }
+        Error { kind, message: message.into(), retry: None }
     }
 
     /// Adds the delay after which the caller can come back.
@@ -168,8 +164,7 @@
 
     /// The delay in whole seconds, rounded up, as in `Retry-After`.
     pub fn retry_seconds(&self) -> Option<u64> {
-        self.retry
-            .map(|d| d.as_secs() + u64::from(d.subsec_nanos() > 0))
+        self.retry.map(|d| d.as_secs() + u64::from(d.subsec_nanos() > 0))
     }
 }
 
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -115,11 +115,7 @@
 
     /// What replay made of the entry with `id`.
     pub fn verdict(&self, id: &str) -> Option<&Verdict> {
-        self.verdicts
-            .iter()
-            .rev()
-            .find(|(known, _)| known == id)
-            .map(|(_, verdict)| verdict)
+        self.verdicts.iter().rev().find(|(known, _)| known == id).map(|(_, verdict)| verdict)
     }
 
     fn decide(&mut self, id: &str, verdict: Verdict) {
@@ -135,30 +131,19 @@
             return Verdict::Void(message);
         }
         let mut wire = self.wire.clone();
-        change
-            .changes
-            .iter()
-            .for_each(|change| change.make(&mut wire));
+        change.changes.iter().for_each(|change| change.make(&mut wire));
         let config = match check(&wire, offset) {
             Ok(config) => config,
             Err(problems) => {
                 return Verdict::Void(
-                    problems
-                        .first()
-                        .map(ToString::to_string)
-                        .unwrap_or_default(),
+                    problems.first().map(ToString::to_string).unwrap_or_default(),
                 );
             }
         };
-        for tenant in self
-            .created
-            .keys()
-            .filter(|name| !config.tenants.contains_key(*name))
-        {
+        for tenant in self.created.keys().filter(|name| !config.tenants.contains_key(*name)) {
             self.removed.insert(tenant.clone(), offset);
         }
-        self.created
-            .retain(|name, _| config.tenants.contains_key(name));
+        self.created.retain(|name, _| config.tenants.contains_key(name));
         for tenant in config.tenants.keys() {
             self.created.entry(tenant.clone()).or_insert(offset);
         }
@@ -174,14 +159,10 @@
         }
         for upstream in config.upstreams.values() {
             if let Some(memory) = upstream.memory {
-                self.ledger
-                    .configure(&upstream.name, memory, upstream.fencing);
+                self.ledger.configure(&upstream.name, memory, upstream.fencing);
             }
         }
-        self.derived = Derived {
-            keys: Arc::new(KeyIndex::new(&config)),
-            config: Arc::new(config),
-        };
+        self.derived = Derived { keys: Arc::new(KeyIndex::new(&config)), config: Arc::new(config) };
     }
 
     fn join(&mut self, join: &Join, time: u64) {
@@ -201,22 +182,14 @@
 
     fn leave(&mut self, vm: &VmRef) {
         self.slots.free(vm);
-        if self
-            .members
-            .get(&vm.vm)
-            .is_some_and(|member| member.vm == *vm)
-        {
+        if self.members.get(&vm.vm).is_some_and(|member| member.vm == *vm) {
             self.members.remove(&vm.vm);
         }
     }
 
     fn renew(&mut self, vm: &VmRef, time: u64) {
         self.slots.renew(vm, time);
-        if let Some(member) = self
-            .members
-            .get_mut(&vm.vm)
-            .filter(|member| member.vm == *vm)
-        {
+        if let Some(member) = self.members.get_mut(&vm.vm).filter(|member| member.vm == *vm) {
             member.time = time;
         }
     }
@@ -261,6 +234,7 @@
     }
 
     fn restore(&mut self) {
+        self.ledger.restore();
         if let Ok(config) = check(&self.wire, self.version) {
             self.derive(config);
         }
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -86,8 +86,7 @@
         if known.is_some_and(|peer| peer.beat.count >= beat.count) {
             return false;
         }
-        self.peers
-            .insert(beat.vm.clone(), Peer { beat, heard: now });
+        self.peers.insert(beat.vm.clone(), Peer { beat, heard: now });
         true
     }
 
@@ -98,9 +97,7 @@
 
     /// Whether `vm` was heard of lately.
     pub fn alive(&self, vm: &VmRef, now: Duration) -> bool {
-        self.peers
-            .get(vm)
-            .is_some_and(|peer| now.saturating_sub(peer.heard) < DEAD_AFTER)
+        self.peers.get(vm).is_some_and(|peer| now.saturating_sub(peer.heard) < DEAD_AFTER)
     }
 
     /// The heartbeats of all processes that were heard of lately.
@@ -112,10 +109,7 @@
     /// The process in charge of `duty`, among `me` and those that are heard of and not leaving.
     /// Two processes may take themselves for it at once; what it does must be safe all the same.
     pub fn in_charge(&self, duty: &str, me: &VmRef, now: Duration) -> VmRef {
-        let others = self
-            .living(now)
-            .filter(|beat| !beat.draining)
-            .map(|beat| &beat.vm);
+        let others = self.living(now).filter(|beat| !beat.draining).map(|beat| &beat.vm);
         let all = others.chain([me]);
         let weight = |vm: &&VmRef| xxh3_64(format!("{duty}\0{vm}").as_bytes());
         all.max_by_key(weight).unwrap_or(me).clone()
@@ -152,18 +146,12 @@
             }
         }
         let fleet = members.len() + 1;
-        if 2 * without > fleet {
-            Standing::Outage
-        } else {
-            Standing::Isolated
-        }
+        if 2 * without > fleet { Standing::Outage } else { Standing::Isolated }
     }
 
     /// A process that reads the log while this one cannot.
     pub fn reader(&self, now: Duration) -> Option<&VmRef> {
-        let fresh = self
-            .living(now)
-            .filter(|beat| Duration::from_millis(beat.own_age) < FRESH_FOR);
+        let fresh = self.living(now).filter(|beat| Duration::from_millis(beat.own_age) < FRESH_FOR);
         fresh.min_by_key(|beat| beat.own_age).map(|beat| &beat.vm)
     }
 
@@ -182,10 +170,7 @@
         let mut living: Vec<&Peer> = self.peers.values().collect();
         living.retain(|peer| now.saturating_sub(peer.heard) < DEAD_AFTER);
         living.sort_by_key(|peer| std::cmp::Reverse(peer.heard));
-        let relayed = living
-            .into_iter()
-            .take(GOSSIP_RELAYED)
-            .map(|peer| peer.beat.clone());
+        let relayed = living.into_iter().take(GOSSIP_RELAYED).map(|peer| peer.beat.clone());
         (targets.collect(), relayed.collect())
     }
 }
--- a/src/process/ledger.rs
+++ b/src/process/ledger.rs
@@ -9,7 +9,7 @@
 //! meant for a former incarnation. There a model stays charged until an eviction is resolved that
 //! was ordered after the last moment at which an earlier load could land.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -85,6 +85,8 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Ledger {
     accounts: BTreeMap<UpstreamName, Account>,
+    #[serde(skip)]
+    holders: BTreeMap<ModelName, BTreeSet<UpstreamName>>,
 }
 
 impl Ledger {
@@ -98,6 +100,25 @@
         self.accounts.iter()
     }
 
+    /// The accounts on which `model` is charged.
+    pub fn holding<'a>(
+        &'a self,
+        model: &ModelName,
+    ) -> impl Iterator<Item = (&'a UpstreamName, &'a Account)> {
+        let names = self.holders.get(model).into_iter().flatten();
+        names.filter_map(|name| self.accounts.get_key_value(name))
+    }
+
+    /// Derives the index of holders from the accounts.
+    pub(crate) fn restore(&mut self) {
+        self.holders.clear();
+        for (upstream, account) in &self.accounts {
+            for model in account.charges.keys() {
+                self.holders.entry(model.clone()).or_default().insert(upstream.clone());
+            }
+        }
+    }
+
     /// Sets an upstream's capacity from the configuration.
     pub(crate) fn configure(&mut self, upstream: &UpstreamName, capacity: ByteSize, fencing: bool) {
         let account = self.accounts.entry(upstream.clone()).or_default();
@@ -112,17 +133,17 @@
         offset: Offset,
         time: u64,
     ) -> Result<(), &'static str> {
-        let account = self
-            .accounts
-            .get_mut(&intent.upstream)
-            .ok_or("upstream does not exist")?;
+        let account = self.accounts.get_mut(&intent.upstream).ok_or("upstream does not exist")?;
         if account.incarnation != intent.incarnation {
             return Err("upstream runs with another incarnation");
         }
         match intent.kind {
-            IntentKind::Load => admit_load(account, intent, offset, time),
-            IntentKind::Evict => admit_evict(account, intent, offset, time),
+            IntentKind::Load => admit_load(account, intent, offset, time)?,
+            IntentKind::Evict => admit_evict(account, intent, offset, time)?,
         }
+        let holders = self.holders.entry(intent.model.clone()).or_default();
+        holders.insert(intent.upstream.clone());
+        Ok(())
     }
 
     /// Ends an order: a load becomes loaded, an eviction frees its memory.
@@ -152,6 +173,9 @@
         }
         if let Some(model) = gone {
             account.charges.remove(&model);
+            if let Some(holders) = self.holders.get_mut(&model) {
+                holders.remove(&resolve.upstream);
+            }
         }
     }
 
@@ -166,7 +190,11 @@
         }
         account.incarnation = restarted.incarnation;
         if account.fencing {
-            account.charges.clear();
+            for model in std::mem::take(&mut account.charges).into_keys() {
+                if let Some(holders) = self.holders.get_mut(&model) {
+                    holders.remove(&restarted.upstream);
+                }
+            }
             return;
         }
         for charge in account.charges.values_mut() {
@@ -181,22 +209,14 @@
     offset: Offset,
     time: u64,
 ) -> Result<(), &'static str> {
-    let ghost = account
-        .charges
-        .get(&intent.model)
-        .map(|charge| charge.phase);
+    let ghost = account.charges.get(&intent.model).map(|charge| charge.phase);
     match ghost {
         Some(Phase::Ghost) => {}
         Some(_) => return Err("model is charged already"),
         None if account.free() < intent.size => return Err("memory is full"),
         None => {}
     }
-    let charge = Charge {
-        size: intent.size,
-        phase: Phase::Loading,
-        order: offset,
-        time,
-    };
+    let charge = Charge { size: intent.size, phase: Phase::Loading, order: offset, time };
     account.charges.insert(intent.model.clone(), charge);
     Ok(())
 }
@@ -208,10 +228,7 @@
     time: u64,
 ) -> Result<(), &'static str> {
     let fencing = account.fencing;
-    let charge = account
-        .charges
-        .get_mut(&intent.model)
-        .ok_or("model is not loaded")?;
+    let charge = account.charges.get_mut(&intent.model).ok_or("model is not loaded")?;
     let landed = time >= charge.time + ORDER_LIFETIME_MS;
     charge.phase = match charge.phase {
         Phase::Loaded => Phase::Evicting,
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -109,6 +109,8 @@
         orders: Vec::new(),
         loads: 0,
         adapters: 0,
+        making_room: 0,
+        on_base: demand_on_base(input),
     };
     planner.count_loads();
     planner.purge();
@@ -116,6 +118,17 @@
     planner.orders
 }
 
+/// Demand of all adapters of each model.
+fn demand_on_base(input: &PlanInput<'_>) -> BTreeMap<ModelName, f32> {
+    let mut sums = BTreeMap::new();
+    for (model, demand) in input.demand {
+        if let Some(base) = input.config.models.get(model).and_then(|m| m.base.clone()) {
+            *sums.entry(base).or_insert(0.0) += demand.total();
+        }
+    }
+    sums
+}
+
 /// Whether a charge in this phase will be gone some time.
 fn frees(account: &Account, phase: Phase) -> bool {
     match phase {
@@ -131,15 +144,13 @@
     orders: Vec<Intent>,
     loads: usize,
     adapters: usize,
+    making_room: usize,
+    on_base: BTreeMap<ModelName, f32>,
 }
 
 impl Planner<'_> {
     fn is_adapter(&self, model: &ModelName) -> bool {
-        self.input
-            .config
-            .models
-            .get(model)
-            .is_some_and(|m| m.base.is_some())
+        self.input.config.models.get(model).is_some_and(|m| m.base.is_some())
     }
 
     fn count_loads(&mut self) {
@@ -193,30 +204,17 @@
 
     /// Demand for a model and, for a base, for the adapters on it.
     fn whole_demand(&self, model: &ModelName) -> f32 {
-        let adapters = self
-            .input
-            .config
-            .models
-            .values()
-            .filter(|m| m.base.as_ref() == Some(model));
-        let sum: f32 = adapters.map(|m| self.demand(&m.name).total()).sum();
-        self.demand(model).total() + sum
+        self.demand(model).total() + self.on_base.get(model).copied().unwrap_or(0.0)
     }
 
     /// Models by need: those that requests wait for first, the longest wait before others; then
     /// loaded ones whose demand is more than their copies run well.
     fn place_wanted(&mut self) {
-        let mut wanted: Vec<(ModelName, Demand)> = self
-            .input
-            .demand
-            .iter()
-            .map(|(model, demand)| (model.clone(), *demand))
-            .collect();
+        let mut wanted: Vec<(ModelName, Demand)> =
+            self.input.demand.iter().map(|(model, demand)| (model.clone(), *demand)).collect();
         wanted.retain(|(model, _)| self.input.config.models.contains_key(model));
         wanted.sort_by(|(a, x), (b, y)| {
-            (y.oldest, y.total(), a)
-                .partial_cmp(&(x.oldest, x.total(), b))
-                .unwrap()
+            (y.oldest, y.total(), a).partial_cmp(&(x.oldest, x.total(), b)).unwrap()
         });
         for (model, demand) in wanted {
             if self.copies(&model) < self.wanted_copies(&demand) {
@@ -233,17 +231,13 @@
     }
 
     fn copies(&self, model: &ModelName) -> usize {
-        let ledger = self.input.ledger.accounts();
-        let usable = ledger.filter(|(name, _)| self.takes_new(name));
-        let loaded = usable.filter(|(_, account)| {
+        let holding = self.input.ledger.holding(model);
+        let loaded = holding.filter(|(name, account)| {
             let phase = account.charges.get(model).map(|charge| charge.phase);
-            matches!(phase, Some(Phase::Loading | Phase::Loaded))
+            matches!(phase, Some(Phase::Loading | Phase::Loaded)) && self.takes_new(name)
         });
         let ordered = self.orders.iter();
-        loaded.count()
-            + ordered
-                .filter(|o| o.model == *model && o.kind == IntentKind::Load)
-                .count()
+        loaded.count() + ordered.filter(|o| o.model == *model && o.kind == IntentKind::Load).count()
     }
 
     fn takes_new(&self, upstream: &UpstreamName) -> bool {
@@ -261,10 +255,9 @@
         }
         match self.roomy(model, &base) {
             Some(upstream) => self.order(&upstream, model, IntentKind::Load),
-            None if self.settings.policy != PlacementPolicy::Static => {
-                self.make_room(model, &base, demand);
-            }
-            None => {}
+            None if self.settings.policy == PlacementPolicy::Static => {}
+            None if self.making_room >= self.settings.loads => {}
+            None => self.make_room(model, &base, demand),
         }
     }
 
@@ -284,19 +277,12 @@
     }
 
     fn size(&self, model: &ModelName) -> u64 {
-        self.input
-            .config
-            .models
-            .get(model)
-            .map_or(u64::MAX, |m| m.size.0)
+        self.input.config.models.get(model).map_or(u64::MAX, |m| m.size.0)
     }
 
     fn ordered_on(&self, upstream: &UpstreamName) -> u64 {
         let loads = self.orders.iter().filter(|o| o.upstream == *upstream);
-        loads
-            .filter(|o| o.kind == IntentKind::Load)
-            .map(|o| o.size.0)
-            .sum()
+        loads.filter(|o| o.kind == IntentKind::Load).map(|o| o.size.0).sum()
     }
 
     fn roomy(&self, model: &ModelName, base: &ModelName) -> Option<UpstreamName> {
@@ -313,8 +299,7 @@
     fn make_room(&mut self, model: &ModelName, base: &ModelName, demand: &Demand) {
         let size = self.size(model);
         let options = self.hosts(model, base).filter_map(|(name, account)| {
-            self.victims(account, base, size, demand)
-                .map(|(cost, list)| (cost, name, list))
+            self.victims(account, base, size, demand).map(|(cost, list)| (cost, name, list))
         });
         let best = options.min_by(|(a, n, _), (b, m, _)| (a, n).partial_cmp(&(b, m)).unwrap());
         let Some((_, upstream, victims)) = best else {
@@ -359,16 +344,9 @@
     }
 
     fn carries_adapters(&self, account: &Account, base: &ModelName) -> bool {
-        let adapters = account
-            .charges
-            .iter()
-            .filter(|(_, c)| c.phase != Phase::Ghost);
+        let adapters = account.charges.iter().filter(|(_, c)| c.phase != Phase::Ghost);
         adapters.into_iter().any(|(name, _)| {
-            self.input
-                .config
-                .models
-                .get(name)
-                .is_some_and(|m| m.base.as_ref() == Some(base))
+            self.input.config.models.get(name).is_some_and(|m| m.base.as_ref() == Some(base))
         })
     }
 
@@ -407,12 +385,6 @@
             self.note_load(model);
         }
         let (upstream, model) = (upstream.clone(), model.clone());
-        self.orders.push(Intent {
-            upstream,
-            incarnation: account.incarnation,
-            kind,
-            model,
-            size,
-        });
+        self.orders.push(Intent { upstream, incarnation: account.incarnation, kind, model, size });
     }
 }
--- a/src/process/quota/bucket.rs
+++ b/src/process/quota/bucket.rs
@@ -67,13 +67,7 @@
     pub fn new(share: Share, level: Tokens, now: Duration) -> Self {
         let level = (u128::from(level.0) * NANOS).min(share.burst());
         let now = Mark { step: 0, at: now };
-        Bucket {
-            share,
-            level,
-            lent: 0,
-            now,
-            peaks: VecDeque::new(),
-        }
+        Bucket { share, level, lent: 0, now, peaks: VecDeque::new() }
     }
 
     /// The share.
@@ -158,15 +152,9 @@
     /// Starts a step: adds the tokens that came since the last one.
     fn refill(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.now.at);
-        self.now = Mark {
-            step: self.now.step + 1,
-            at: self.now.at.max(now),
-        };
+        self.now = Mark { step: self.now.step + 1, at: self.now.at.max(now) };
         self.level = (self.level + self.share.refill(passed)).min(self.headroom());
-        let peak = Peak {
-            mark: self.now,
-            potential: self.level + self.lent,
-        };
+        let peak = Peak { mark: self.now, potential: self.level + self.lent };
         self.push_peak(peak);
         let oldest = self.now.at.saturating_sub(REFUND_WINDOW);
         while self.peaks.front().is_some_and(|peak| peak.mark.at < oldest) {
@@ -191,15 +179,8 @@
 
     fn raise_peaks(&mut self, since: Mark, restored: u128) {
         let raised = self.peaks.iter().map(|peak| {
-            let added = if peak.mark.step > since.step {
-                restored
-            } else {
-                0
-            };
-            Peak {
-                potential: peak.potential + added,
-                ..*peak
-            }
+            let added = if peak.mark.step > since.step { restored } else { 0 };
+            Peak { potential: peak.potential + added, ..*peak }
         });
         let raised: Vec<Peak> = raised.collect();
         self.peaks.clear();
--- a/src/process/quota/lender.rs
+++ b/src/process/quota/lender.rs
@@ -73,11 +73,7 @@
 impl Loan {
     /// Tokens that the borrower may still spend, as far as the lender knows.
     fn open(&self) -> u64 {
-        if self.lapsed {
-            0
-        } else {
-            self.tokens - self.report.spent - self.report.returned
-        }
+        if self.lapsed { 0 } else { self.tokens - self.report.spent - self.report.returned }
     }
 }
 
@@ -120,9 +116,7 @@
     /// Whole tokens in each bucket.
     pub fn levels(&mut self, now: Duration) -> BTreeMap<TenantName, u64> {
         let levels = self.buckets.iter_mut();
-        levels
-            .map(|(tenant, bucket)| (tenant.clone(), bucket.level(now).0))
-            .collect()
+        levels.map(|(tenant, bucket)| (tenant.clone(), bucket.level(now).0)).collect()
     }
 
     /// Makes no more loans. The slots can be given up once [`open_loans`](Self::open_loans) is 0.
@@ -142,13 +136,7 @@
             self.report(borrower, report, now);
         }
         let (tenant, created) = (ask.tenant.clone(), ask.created);
-        let none = Lent {
-            tenant,
-            created,
-            loan: 0,
-            tokens: 0,
-            wait: NO_BUCKET_WAIT_MS,
-        };
+        let none = Lent { tenant, created, loan: 0, tokens: 0, wait: NO_BUCKET_WAIT_MS };
         let bucket = self.buckets.get_mut(&ask.tenant).filter(|_| !self.closed);
         let bucket = bucket.filter(|bucket| bucket.share().grant.created == created);
         let Some(bucket) = bucket else { return none };
@@ -164,21 +152,13 @@
             tenant: ask.tenant.clone(),
             borrower: borrower.clone(),
             tokens,
-            report: LoanReport {
-                loan: self.last,
-                ..LoanReport::default()
-            },
+            report: LoanReport { loan: self.last, ..LoanReport::default() },
             made: now,
             lapsed: false,
             settled: None,
         };
         self.loans.insert(self.last, loan);
-        Lent {
-            loan: self.last,
-            tokens,
-            wait,
-            ..none
-        }
+        Lent { loan: self.last, tokens, wait, ..none }
     }
 
     fn report(&mut self, borrower: &VmRef, report: &LoanReport, now: Duration) {
@@ -205,12 +185,7 @@
         if let Some(mark) = loan.settled {
             bucket.refund(Tokens(refunded - old.refunded), mark, now);
         }
-        loan.report = LoanReport {
-            loan: report.loan,
-            spent,
-            returned,
-            refunded,
-        };
+        loan.report = LoanReport { loan: report.loan, spent, returned, refunded };
     }
 
     /// Counts loans as spent whose time is over.
@@ -226,7 +201,6 @@
                 loan.settled.get_or_insert(mark);
             }
         }
-        self.loans
-            .retain(|_, loan| now.saturating_sub(loan.made) < LOAN_MEMORY);
+        self.loans.retain(|_, loan| now.saturating_sub(loan.made) < LOAN_MEMORY);
     }
 }
--- a/src/process/quota/pool.rs
+++ b/src/process/quota/pool.rs
@@ -13,15 +13,8 @@
 
 #[derive(Clone, Debug)]
 enum Part {
-    Own {
-        tokens: u64,
-        mark: Mark,
-    },
-    Borrowed {
-        lender: VmRef,
-        loan: u64,
-        tokens: u64,
-    },
+    Own { tokens: u64, mark: Mark },
+    Borrowed { lender: VmRef, loan: u64, tokens: u64 },
 }
 
 impl Part {
@@ -90,8 +83,7 @@
 
     /// Drops the loans of tenants that were removed, or removed and created again.
     pub fn retain(&mut self, created: impl Fn(&TenantName) -> Option<Offset>) {
-        self.loans
-            .retain(|_, loan| created(&loan.tenant) == Some(loan.created));
+        self.loans.retain(|_, loan| created(&loan.tenant) == Some(loan.created));
         self.demand.retain(|tenant, _| created(tenant).is_some());
         self.lender.retain(|tenant| created(tenant).is_some());
     }
@@ -99,14 +91,7 @@
     /// Answers an ask of `borrower`.
     pub fn lend(&mut self, borrower: &VmRef, ask: &Ask, now: Duration) -> Lent {
         let want = if self.owns(now) { ask.want } else { 0 };
-        self.lender.ask(
-            borrower,
-            &Ask {
-                want,
-                ..ask.clone()
-            },
-            now,
-        )
+        self.lender.ask(borrower, &Ask { want, ..ask.clone() }, now)
     }
 
     fn owns(&self, now: Duration) -> bool {
@@ -143,34 +128,20 @@
         let mut left = tokens.0;
         let mut parts = Vec::new();
         for ((lender, id), loan) in &mut self.loans {
-            let part = if loan.tenant == *tenant {
-                loan.open(now).min(left)
-            } else {
-                0
-            };
+            let part = if loan.tenant == *tenant { loan.open(now).min(left) } else { 0 };
             if part > 0 {
                 loan.report.spent += part;
                 loan.used = now;
                 left -= part;
-                parts.push(Part::Borrowed {
-                    lender: lender.clone(),
-                    loan: *id,
-                    tokens: part,
-                });
+                parts.push(Part::Borrowed { lender: lender.clone(), loan: *id, tokens: part });
             }
         }
         if left > 0 {
-            let taken = self
-                .lender
-                .bucket(tenant)
-                .and_then(|b| b.take(Tokens(left), now));
+            let taken = self.lender.bucket(tenant).and_then(|b| b.take(Tokens(left), now));
             let mark = taken.unwrap_or_default();
             parts.push(Part::Own { tokens: left, mark });
         }
-        Ok(Reservation {
-            tenant: tenant.clone(),
-            parts,
-        })
+        Ok(Reservation { tenant: tenant.clone(), parts })
     }
 
     /// Ends a reservation of which `used` tokens were used.
@@ -199,10 +170,7 @@
         if lent.tokens == 0 {
             return;
         }
-        let report = LoanReport {
-            loan: lent.loan,
-            ..LoanReport::default()
-        };
+        let report = LoanReport { loan: lent.loan, ..LoanReport::default() };
         let loan = Loan {
             tenant: lent.tenant.clone(),
             created: lent.created,
@@ -212,9 +180,7 @@
             until: asked + LOAN_TIME,
             used: now,
         };
-        self.loans
-            .entry((lender.clone(), lent.loan))
-            .or_insert(loan);
+        self.loans.entry((lender.clone(), lent.loan)).or_insert(loan);
     }
 
     /// Asks for the missing tokens of one request: from each lender its part of them, or all of
@@ -301,11 +267,7 @@
 
     /// Returns all unspent loans of a tenant, after a request that could not be served.
     pub fn give_up(&mut self, tenant: &TenantName, now: Duration) {
-        for loan in self
-            .loans
-            .values_mut()
-            .filter(|loan| loan.tenant == *tenant)
-        {
+        for loan in self.loans.values_mut().filter(|loan| loan.tenant == *tenant) {
             loan.report.returned += loan.open(now);
         }
     }
@@ -315,12 +277,7 @@
         let mine = self.loans.iter().filter(|((lender, _), _)| lender == home);
         let news = mine.filter(|(_, loan)| loan.tenant == tenant.0 && loan.report != loan.told);
         let reports = news.map(|(_, loan)| loan.report).collect();
-        Ask {
-            tenant: tenant.0.clone(),
-            created: tenant.1,
-            want,
-            reports,
-        }
+        Ask { tenant: tenant.0.clone(), created: tenant.1, want, reports }
     }
 
     /// The lender confirmed `reports`.
--- a/src/process/replay.rs
+++ b/src/process/replay.rs
@@ -81,10 +81,7 @@
 impl<S: Fold> Default for Replay<S> {
     fn default() -> Self {
         Replay {
-            folded: Folded {
-                state: S::default(),
-                recent: Recent::default(),
-            },
+            folded: Folded { state: S::default(), recent: Recent::default() },
             next: Offset::FIRST,
             status: ReplayStatus::Current,
             waiting: Vec::new(),
@@ -144,11 +141,7 @@
         }
         self.next = entry.offset.next();
         self.since_snapshot += 1;
-        if entry
-            .records
-            .iter()
-            .any(|record| matches!(record, Record::Snapshot(_)))
-        {
+        if entry.records.iter().any(|record| matches!(record, Record::Snapshot(_))) {
             self.since_snapshot = 0;
         }
         if self.folded.recent.insert(&entry.id) {
@@ -163,9 +156,7 @@
             Record::Snapshot(snapshot) => Some(snapshot),
             _ => None,
         });
-        let covering = snapshots
-            .into_iter()
-            .find(|snapshot| snapshot.upto.next() >= self.next);
+        let covering = snapshots.into_iter().find(|snapshot| snapshot.upto.next() >= self.next);
         let Some(snapshot) = covering else { return };
         let waiting = std::mem::take(&mut self.waiting);
         if self.install(snapshot).is_err() {
--- a/src/process/slots.rs
+++ b/src/process/slots.rs
@@ -74,9 +74,7 @@
 
     /// The slots that `vm` could take at `time`, in milliseconds on the log's clock.
     pub fn free_for(&self, vm: &VmRef, time: u64) -> Vec<u16> {
-        (0..SLOTS)
-            .filter(|slot| self.is_free(*slot, vm, time))
-            .collect()
+        (0..SLOTS).filter(|slot| self.is_free(*slot, vm, time)).collect()
     }
 
     /// Slots that are not held by any process in `alive`.
@@ -84,10 +82,7 @@
         &'a self,
         alive: impl Fn(&VmRef) -> bool + 'a,
     ) -> impl Iterator<Item = u16> + 'a {
-        self.held
-            .iter()
-            .filter(move |(_, holder)| !alive(&holder.vm))
-            .map(|(slot, _)| *slot)
+        self.held.iter().filter(move |(_, holder)| !alive(&holder.vm)).map(|(slot, _)| *slot)
     }
 
     fn is_free(&self, slot: u16, vm: &VmRef, time: u64) -> bool {
@@ -95,11 +90,7 @@
             return true;
         };
         let successor = holder.vm.vm == vm.vm && holder.vm.incarnation < vm.incarnation;
-        let renewed = self
-            .renewed
-            .get(&holder.vm.to_string())
-            .copied()
-            .unwrap_or(0);
+        let renewed = self.renewed.get(&holder.vm.to_string()).copied().unwrap_or(0);
         successor || time >= renewed + SLOT_LEASE.as_millis() as u64
     }
 
@@ -110,42 +101,26 @@
             }
             let levels = self.left.remove(slot).unwrap_or_default();
             let unused = self.used.insert(*slot);
-            let holder = Holder {
-                vm: take.vm.clone(),
-                taken: offset,
-                levels,
-                unused,
-            };
+            let holder = Holder { vm: take.vm.clone(), taken: offset, levels, unused };
             self.held.insert(*slot, holder);
         }
         self.renew(&take.vm, time);
     }
 
     pub(crate) fn give(&mut self, give: &SlotTake) {
-        let mine = |slot: &&u16| {
-            self.held
-                .get(*slot)
-                .is_some_and(|holder| holder.vm == give.vm)
-        };
+        let mine = |slot: &&u16| self.held.get(*slot).is_some_and(|holder| holder.vm == give.vm);
         let slots: Vec<u16> = give.slots.iter().filter(mine).copied().collect();
         for slot in &slots {
             self.held.remove(slot);
         }
         for (tenant, level) in &give.levels {
             let range = slots_of(tenant);
-            let shares: Vec<u16> = slots
-                .iter()
-                .filter(|s| range.contains(s))
-                .copied()
-                .collect();
+            let shares: Vec<u16> = slots.iter().filter(|s| range.contains(s)).copied().collect();
             let Some(part) = level.checked_div(shares.len() as u64) else {
                 continue;
             };
             for slot in shares {
-                self.left
-                    .entry(slot)
-                    .or_default()
-                    .insert(tenant.clone(), part);
+                self.left.entry(slot).or_default().insert(tenant.clone(), part);
             }
         }
     }
--- a/src/request/budget.rs
+++ b/src/request/budget.rs
@@ -15,11 +15,7 @@
 
 impl Default for RetrySettings {
     fn default() -> Self {
-        RetrySettings {
-            ratio: 0.1,
-            most: 20.0,
-            floor: 1.0,
-        }
+        RetrySettings { ratio: 0.1, most: 20.0, floor: 1.0 }
     }
 }
 
@@ -43,11 +39,7 @@
 impl RetryBudget {
     /// A full budget.
     pub fn new(settings: RetrySettings) -> Self {
-        RetryBudget {
-            settings,
-            saved: settings.most,
-            last: Duration::ZERO,
-        }
+        RetryBudget { settings, saved: settings.most, last: Duration::ZERO }
     }
 
     /// Earns the part of a retry that a first try brings.
--- a/src/request/choose.rs
+++ b/src/request/choose.rs
@@ -81,9 +81,5 @@
     let first = random(count) % count;
     let second = (first + 1 + random(count.max(2) - 1)) % count;
     let cost = |i: usize| (candidates[i].load(), candidates[i].remote);
-    if cost(second) < cost(first) {
-        second
-    } else {
-        first
-    }
+    if cost(second) < cost(first) { second } else { first }
 }
--- a/src/request/claim.rs
+++ b/src/request/claim.rs
@@ -82,9 +82,7 @@
     /// Claims that `vm` holds without an end.
     pub fn open_of<'a>(&'a self, vm: &'a VmRef) -> impl Iterator<Item = ClaimRef> + 'a {
         self.claims.iter().flat_map(move |(tenant, keys)| {
-            let open = keys
-                .iter()
-                .filter(|(_, claim)| claim.phase == ClaimPhase::Held);
+            let open = keys.iter().filter(|(_, claim)| claim.phase == ClaimPhase::Held);
             let mine = open.filter(move |(_, claim)| claim.vm == *vm);
             mine.map(|(key, claim)| ClaimRef {
                 tenant: tenant.clone(),
@@ -105,10 +103,7 @@
             return Decision::Append;
         };
         if held.request != request {
-            let message = format!(
-                "idempotency key {:?} was used with another request",
-                claim.key
-            );
+            let message = format!("idempotency key {:?} was used with another request", claim.key);
             return Decision::Refuse(Error::new(ErrorKind::KeyReused, message));
         }
         match &held.phase {
@@ -171,10 +166,7 @@
         let expired = std::mem::replace(&mut self.ages, kept);
         for (time, names) in expired {
             for (tenant, key) in names {
-                if self
-                    .find(&tenant, &key)
-                    .is_some_and(|held| held.time == time)
-                {
+                if self.find(&tenant, &key).is_some_and(|held| held.time == time) {
                     self.remove(&tenant, &key);
                 }
             }
--- a/src/request/class.rs
+++ b/src/request/class.rs
@@ -58,9 +58,7 @@
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        let found = Class::ALL
-            .into_iter()
-            .find(|class| class.to_string() == text);
+        let found = Class::ALL.into_iter().find(|class| class.to_string() == text);
         found.ok_or_else(|| {
             let message = format!("class {text:?} must be \"interactive\" or \"batch\"");
             Error::new(ErrorKind::InvalidRequest, message)
--- a/src/request/estimate.rs
+++ b/src/request/estimate.rs
@@ -31,10 +31,7 @@
 }
 
 fn bad(field: &str, value: &Value, wanted: &str) -> Error {
-    Error::new(
-        ErrorKind::InvalidRequest,
-        format!("{field} {value} must be {wanted}"),
-    )
+    Error::new(ErrorKind::InvalidRequest, format!("{field} {value} must be {wanted}"))
 }
 
 const PREFIX_BYTES: usize = 256;
@@ -45,11 +42,7 @@
         let list = list.ok_or_else(|| bad("messages", messages, "a list with a message"))?;
         for (i, message) in list.iter().enumerate() {
             if !message.get("role").is_some_and(Value::is_string) {
-                return Err(bad(
-                    &format!("messages[{i}]"),
-                    message,
-                    "an object with a role",
-                ));
+                return Err(bad(&format!("messages[{i}]"), message, "an object with a role"));
             }
         }
         return Ok(messages.to_string());
@@ -57,10 +50,7 @@
     match body.get("prompt") {
         Some(prompt @ (Value::String(_) | Value::Array(_))) => Ok(prompt.to_string()),
         Some(other) => Err(bad("prompt", other, "text or a list")),
-        None => Err(Error::new(
-            ErrorKind::InvalidRequest,
-            "\"messages\" or \"prompt\" is missing",
-        )),
+        None => Err(Error::new(ErrorKind::InvalidRequest, "\"messages\" or \"prompt\" is missing")),
     }
 }
 
@@ -71,16 +61,8 @@
     let Some((name, value)) = field else {
         return Ok(OUTPUT_DEFAULT);
     };
-    let limit = value
-        .as_u64()
-        .filter(|limit| (1..=OUTPUT_MAX).contains(limit));
-    limit.ok_or_else(|| {
-        bad(
-            name,
-            value,
-            &format!("a whole number from 1 to {OUTPUT_MAX}"),
-        )
-    })
+    let limit = value.as_u64().filter(|limit| (1..=OUTPUT_MAX).contains(limit));
+    limit.ok_or_else(|| bad(name, value, &format!("a whole number from 1 to {OUTPUT_MAX}")))
 }
 
 impl ModelCall {
@@ -91,18 +73,13 @@
     /// `InvalidRequest` naming the field and its value.
     pub fn parse(body: &Value) -> Result<Self> {
         if !body.is_object() {
-            return Err(Error::new(
-                ErrorKind::InvalidRequest,
-                "body must be a JSON object",
-            ));
+            return Err(Error::new(ErrorKind::InvalidRequest, "body must be a JSON object"));
         }
         let model = body.get("model").unwrap_or(&Value::Null);
         let name = model.as_str().ok_or_else(|| bad("model", model, "text"))?;
         let stream = match body.get("stream") {
             None | Some(Value::Null) => false,
-            Some(value) => value
-                .as_bool()
-                .ok_or_else(|| bad("stream", value, "true or false"))?,
+            Some(value) => value.as_bool().ok_or_else(|| bad("stream", value, "true or false"))?,
         };
         let count = body.get("n").and_then(Value::as_u64).unwrap_or(1);
         if count != 1 {
--- a/src/request/key.rs
+++ b/src/request/key.rs
@@ -17,27 +17,15 @@
 pub fn take_key<'a>(headers: impl Iterator<Item = (&'a str, &'a str)>) -> Result<String> {
     let mut found: Option<String> = None;
     for (_, value) in headers.filter(|(name, _)| KEY_HEADERS.contains(name)) {
-        let bearer = value
-            .get(..BEARER.len())
-            .is_some_and(|b| b.eq_ignore_ascii_case(BEARER));
-        let key = if bearer {
-            &value[BEARER.len()..]
-        } else {
-            value
-        };
+        let bearer = value.get(..BEARER.len()).is_some_and(|b| b.eq_ignore_ascii_case(BEARER));
+        let key = if bearer { &value[BEARER.len()..] } else { value };
         if found.as_ref().is_some_and(|known| known != key.trim()) {
-            return Err(Error::new(
-                ErrorKind::InvalidRequest,
-                "two different keys were given",
-            ));
+            return Err(Error::new(ErrorKind::InvalidRequest, "two different keys were given"));
         }
         found = Some(key.trim().to_owned());
     }
     found.filter(|key| !key.is_empty()).ok_or_else(|| {
-        Error::new(
-            ErrorKind::Unauthenticated,
-            "no key: send \"Authorization: Bearer KEY\"",
-        )
+        Error::new(ErrorKind::Unauthenticated, "no key: send \"Authorization: Bearer KEY\"")
     })
 }
 
--- a/src/request/queue.rs
+++ b/src/request/queue.rs
@@ -30,9 +30,7 @@
 
 impl<T> Default for Lane<T> {
     fn default() -> Self {
-        Lane {
-            tenants: BTreeMap::new(),
-        }
+        Lane { tenants: BTreeMap::new() }
     }
 }
 
@@ -47,22 +45,14 @@
 
 impl<T> Default for FairQueue<T> {
     fn default() -> Self {
-        FairQueue {
-            lanes: BTreeMap::new(),
-            served: BTreeMap::new(),
-            turn: 0,
-        }
+        FairQueue { lanes: BTreeMap::new(), served: BTreeMap::new(), turn: 0 }
     }
 }
 
 impl<T> FairQueue<T> {
     /// Number of requests that wait.
     pub fn len(&self) -> usize {
-        self.lanes
-            .values()
-            .flat_map(|lane| lane.tenants.values())
-            .map(VecDeque::len)
-            .sum()
+        self.lanes.values().flat_map(|lane| lane.tenants.values()).map(VecDeque::len).sum()
     }
 
     /// Whether none waits.
@@ -76,12 +66,7 @@
         let tenant = waiting.tenant.clone();
         let busy = |name: &TenantName| self.lanes.values().any(|l| l.tenants.contains_key(name));
         if !busy(&tenant) {
-            let floor = self
-                .served
-                .iter()
-                .filter(|(name, _)| busy(name))
-                .map(|(_, n)| *n)
-                .min();
+            let floor = self.served.iter().filter(|(name, _)| busy(name)).map(|(_, n)| *n).min();
             let served = self.served.entry(tenant.clone()).or_insert(0);
             *served = (*served).max(floor.unwrap_or(0));
         }
@@ -93,14 +78,8 @@
     pub fn pop(&mut self, ready: impl Fn(&T) -> bool) -> Option<Waiting<T>> {
         self.turn = self.turn.wrapping_add(1);
         let batch_first = self.turn.is_multiple_of(BATCH_TURN);
-        let classes = if batch_first {
-            [Class::Batch, Class::Interactive]
-        } else {
-            Class::ALL
-        };
-        classes
-            .into_iter()
-            .find_map(|class| self.pop_class(class, &ready))
+        let classes = if batch_first { [Class::Batch, Class::Interactive] } else { Class::ALL };
+        classes.into_iter().find_map(|class| self.pop_class(class, &ready))
     }
 
     fn pop_class(&mut self, class: Class, ready: &impl Fn(&T) -> bool) -> Option<Waiting<T>> {
--- a/src/units.rs
+++ b/src/units.rs
@@ -161,10 +161,7 @@
     fn from_str(text: &str) -> Result<Self> {
         let units = [("GiB", GIB), ("MiB", MIB), ("B", 1)];
         let parsed = units.iter().find_map(|(suffix, unit)| {
-            text.strip_suffix(suffix)?
-                .parse::<u64>()
-                .ok()?
-                .checked_mul(*unit)
+            text.strip_suffix(suffix)?.parse::<u64>().ok()?.checked_mul(*unit)
         });
         parsed
             .map(ByteSize)
--- a/src/version/change.rs
+++ b/src/version/change.rs
@@ -52,32 +52,18 @@
     let before: BTreeMap<&str, &T> = old.iter().map(|item| (name(item), item)).collect();
     let after: BTreeMap<&str, &T> = new.iter().map(|item| (name(item), item)).collect();
     let gone = before.keys().filter(|key| !after.contains_key(*key));
-    let changed = after
-        .iter()
-        .filter(|(key, item)| before.get(*key) != Some(item));
+    let changed = after.iter().filter(|(key, item)| before.get(*key) != Some(item));
     let removals = gone.map(|key| remove((*key).to_owned()));
-    removals
-        .chain(changed.map(|(_, item)| put((*item).clone())))
-        .collect()
+    removals.chain(changed.map(|(_, item)| put((*item).clone()))).collect()
 }
 
 impl Change {
     /// The changes that make `new` out of `old`.
     pub fn diff(old: &ConfigWire, new: &ConfigWire) -> Vec<Change> {
-        let tenants = between(
-            &old.tenants,
-            &new.tenants,
-            |t| &t.name,
-            Change::Tenant,
-            Change::RemoveTenant,
-        );
-        let models = between(
-            &old.models,
-            &new.models,
-            |m| &m.name,
-            Change::Model,
-            Change::RemoveModel,
-        );
+        let tenants =
+            between(&old.tenants, &new.tenants, |t| &t.name, Change::Tenant, Change::RemoveTenant);
+        let models =
+            between(&old.models, &new.models, |m| &m.name, Change::Model, Change::RemoveModel);
         let upstreams = between(
             &old.upstreams,
             &new.upstreams,
@@ -92,13 +78,8 @@
             Change::Service,
             Change::RemoveService,
         );
-        let routes = between(
-            &old.routes,
-            &new.routes,
-            |r| &r.prefix,
-            Change::Route,
-            Change::RemoveRoute,
-        );
+        let routes =
+            between(&old.routes, &new.routes, |r| &r.prefix, Change::Route, Change::RemoveRoute);
         [tenants, models, upstreams, services, routes].concat()
     }
 
--- a/src/version/check.rs
+++ b/src/version/check.rs
@@ -31,23 +31,16 @@
 
 impl Checker {
     fn report(&mut self, path: impl Into<String>, message: impl Into<String>) {
-        self.problems.push(Problem {
-            path: path.into(),
-            message: message.into(),
-        });
+        self.problems.push(Problem { path: path.into(), message: message.into() });
     }
 
     fn parse<T: FromStr<Err: Display>>(&mut self, path: &str, text: &str) -> Option<T> {
-        text.parse()
-            .map_err(|err: T::Err| self.report(path, err.to_string()))
-            .ok()
+        text.parse().map_err(|err: T::Err| self.report(path, err.to_string())).ok()
     }
 
     fn parse_all<T: FromStr<Err: Display>>(&mut self, path: &str, texts: &[String]) -> Vec<T> {
         let parsed = texts.iter().enumerate();
-        parsed
-            .filter_map(|(i, text)| self.parse(&format!("{path}[{i}]"), text))
-            .collect()
+        parsed.filter_map(|(i, text)| self.parse(&format!("{path}[{i}]"), text)).collect()
     }
 
     fn unique(&mut self, path: &str, seen: &mut BTreeSet<String>, value: &str) {
@@ -59,10 +52,7 @@
     fn methods(&mut self, path: &str, texts: &[String]) -> BTreeSet<String> {
         for (i, text) in texts.iter().enumerate() {
             if !METHODS.contains(&text.as_str()) {
-                self.report(
-                    format!("{path}[{i}]"),
-                    format!("{text:?} is not one of {METHODS:?}"),
-                );
+                self.report(format!("{path}[{i}]"), format!("{text:?} is not one of {METHODS:?}"));
             }
         }
         texts.iter().cloned().collect()
@@ -91,11 +81,7 @@
     check_services(&mut checker, wire, &mut config);
     check_routes(&mut checker, wire, &mut config);
     check_placeable(&mut checker, &config);
-    if checker.problems.is_empty() {
-        Ok(config)
-    } else {
-        Err(checker.problems)
-    }
+    if checker.problems.is_empty() { Ok(config) } else { Err(checker.problems) }
 }
 
 fn check_models(checker: &mut Checker, wire: &ConfigWire, config: &mut Config) {
@@ -147,20 +133,10 @@
             checker.report(format!("{path}.burst"), "0 must be at least 1");
         }
         if let (Some(name), Some(class), Some(rate)) = (name, class, rate) {
-            let grant = Grant {
-                rate,
-                burst: Tokens(tenant.burst),
-                created,
-            };
+            let grant = Grant { rate, burst: Tokens(tenant.burst), created };
             let keys = digests.into_iter().collect();
             let models = models.into_iter().collect();
-            let tenant = Tenant {
-                name,
-                class,
-                keys,
-                grant,
-                models,
-            };
+            let tenant = Tenant { name, class, keys, grant, models };
             config.tenants.insert(tenant.name.clone(), tenant);
         }
     }
@@ -204,10 +180,7 @@
                 checker.report(format!("{path}.upstreams[{u}]"), message);
             }
         }
-        let service = Service {
-            name: service.name.clone(),
-            upstreams,
-        };
+        let service = Service { name: service.name.clone(), upstreams };
         config.services.insert(service.name.clone(), service);
     }
 }
@@ -232,10 +205,7 @@
         let methods = checker.methods(&format!("{path}.methods"), &route.methods);
         let once = checker.methods(&format!("{path}.once"), &route.once);
         for method in once.difference(&methods) {
-            checker.report(
-                format!("{path}.once"),
-                format!("{method:?} is not in methods"),
-            );
+            checker.report(format!("{path}.once"), format!("{method:?} is not in methods"));
         }
         let tenants: Vec<crate::TenantName> =
             checker.parse_all(&format!("{path}.tenants"), &route.tenants);
@@ -260,10 +230,7 @@
 
 /// A model that fits no upstream could never be reached.
 fn check_placeable(checker: &mut Checker, config: &Config) {
-    let largest = config
-        .engines()
-        .filter_map(|upstream| upstream.memory)
-        .max();
+    let largest = config.engines().filter_map(|upstream| upstream.memory).max();
     let Some(largest) = largest else { return };
     for model in config.models.values() {
         let base = model.base.as_ref().and_then(|base| config.models.get(base));
--- a/src/version/config.rs
+++ b/src/version/config.rs
@@ -111,26 +111,18 @@
 impl Config {
     /// The route with the longest prefix of `path`.
     pub fn route(&self, path: &str) -> Option<&Route> {
-        let matching = self
-            .routes
-            .values()
-            .filter(|route| path.starts_with(&route.prefix));
+        let matching = self.routes.values().filter(|route| path.starts_with(&route.prefix));
         matching.max_by_key(|route| route.prefix.len())
     }
 
     /// The upstreams with accelerators.
     pub fn engines(&self) -> impl Iterator<Item = &Upstream> {
-        self.upstreams
-            .values()
-            .filter(|upstream| upstream.memory.is_some())
+        self.upstreams.values().filter(|upstream| upstream.memory.is_some())
     }
 
     /// Memory that a model takes, with its base when it is an adapter.
     pub fn base_of<'a>(&'a self, model: &'a ModelName) -> &'a ModelName {
-        self.models
-            .get(model)
-            .and_then(|m| m.base.as_ref())
-            .unwrap_or(model)
+        self.models.get(model).and_then(|m| m.base.as_ref()).unwrap_or(model)
     }
 }
 
@@ -189,10 +181,7 @@
 
 impl From<&Service> for ServiceWire {
     fn from(service: &Service) -> Self {
-        ServiceWire {
-            name: service.name.clone(),
-            upstreams: texts(&service.upstreams),
-        }
+        ServiceWire { name: service.name.clone(), upstreams: texts(&service.upstreams) }
     }
 }
 
--- a/src/version/key.rs
+++ b/src/version/key.rs
@@ -48,9 +48,7 @@
                 format!("key digest {text:?} must be \"{PREFIX}\" and 64 digits of 0-9a-f");
             Error::new(ErrorKind::InvalidRequest, message)
         };
-        let digits = text
-            .strip_prefix(PREFIX)
-            .filter(|d| d.len() == 64 && d.is_ascii());
+        let digits = text.strip_prefix(PREFIX).filter(|d| d.len() == 64 && d.is_ascii());
         let digits = digits.ok_or_else(bad)?;
         let mut bytes = [0; 32];
         for (i, byte) in bytes.iter_mut().enumerate() {
@@ -73,10 +71,7 @@
         let tenants = config.tenants.values();
         let mut sorted: Vec<_> = tenants
             .flat_map(|tenant| {
-                tenant
-                    .keys
-                    .iter()
-                    .map(|key| (key.bucket(), *key, tenant.name.clone()))
+                tenant.keys.iter().map(|key| (key.bucket(), *key, tenant.name.clone()))
             })
             .collect();
         sorted.sort();
@@ -86,9 +81,7 @@
     /// The tenant whose key is `key`.
     pub fn find(&self, key: &str) -> Option<&TenantName> {
         let digest = KeyDigest::of(key);
-        let start = self
-            .sorted
-            .partition_point(|(bucket, _, _)| *bucket < digest.bucket());
+        let start = self.sorted.partition_point(|(bucket, _, _)| *bucket < digest.bucket());
         let candidates = self.sorted[start..].iter();
         let candidates = candidates.take_while(|(bucket, _, _)| *bucket == digest.bucket());
         let mut found = None;
