--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -17,19 +17,11 @@
 
 fn claim_ref(key: u8, attempt: &str) -> ClaimRef {
     let tenant = "apron".parse().unwrap();
-    ClaimRef {
-        tenant,
-        key: format!("k{key}"),
-        attempt: attempt.into(),
-    }
+    ClaimRef { tenant, key: format!("k{key}"), attempt: attempt.into() }
 }
 
 fn claim(key: u8, attempt: &str, by: &VmRef) -> Record {
-    Record::Claim(Claim {
-        claim: claim_ref(key, attempt),
-        request: REQUEST,
-        vm: by.clone(),
-    })
+    Record::Claim(Claim { claim: claim_ref(key, attempt), request: REQUEST, vm: by.clone() })
 }
 
 fn folded(records: Vec<(u64, Record)>) -> ClaimState {
@@ -43,18 +35,11 @@
 }
 
 fn done(attempt: &str, outcome: Outcome) -> Record {
-    Record::Done(ClaimDone {
-        claim: claim_ref(1, attempt),
-        outcome,
-    })
+    Record::Done(ClaimDone { claim: claim_ref(1, attempt), outcome })
 }
 
 fn answered() -> Outcome {
-    Outcome::Answered {
-        status: 200,
-        content: "text/plain".into(),
-        body: "b2s=".into(),
-    }
+    Outcome::Answered { status: 200, content: "text/plain".into(), body: "b2s=".into() }
 }
 
 /// Checks the decision for attempt `b` after `records`, with the claimant alive or not.
@@ -120,10 +105,7 @@
 fn a_key_is_forgotten_after_its_time() {
     let memory = KEY_MEMORY.as_millis() as u64;
     let other = claim(2, "z", &vm("y", 1));
-    let state = folded(vec![
-        (1, claim(1, "a", &vm("x", 1))),
-        (memory, other.clone()),
-    ]);
+    let state = folded(vec![(1, claim(1, "a", &vm("x", 1))), (memory, other.clone())]);
     assert_eq!(state.len(), 2);
     let state = folded(vec![(1, claim(1, "a", &vm("x", 1))), (memory + 2, other)]);
     assert_eq!(state.len(), 1);
@@ -183,13 +165,10 @@
                 let attempt = format!("a{count}");
                 let node = &mut nodes[vm];
                 let claimed = claim(key, &attempt, &me(vm, node));
-                if node
-                    .state
-                    .decide(&claim_ref(key, &attempt), REQUEST, |_| true)
+                if node.state.decide(&claim_ref(key, &attempt), REQUEST, |_| true)
                     == Decision::Append
                 {
-                    node.attempts
-                        .insert((key, attempt.clone()), Attempt::Waiting);
+                    node.attempts.insert((key, attempt.clone()), Attempt::Waiting);
                     way.push((attempt, claimed));
                 }
             }
@@ -217,28 +196,17 @@
                     if *phase == Attempt::Waiting && decision == Decision::Send {
                         *phase = Attempt::Sent;
                         *sent.entry(*key).or_insert(0) += 1;
-                        let end = ClaimDone {
-                            claim: reference,
-                            outcome: answered(),
-                        };
+                        let end = ClaimDone { claim: reference, outcome: answered() };
                         way.push((format!("{attempt}-done"), Record::Done(end)));
                     }
                 }
                 let this = me(vm, node);
                 let backed = |attempt: &str| {
-                    let phases = node
-                        .attempts
-                        .iter()
-                        .filter(|((_, known), _)| known == attempt);
-                    phases
-                        .into_iter()
-                        .any(|(_, phase)| *phase != Attempt::Abandoned)
+                    let phases = node.attempts.iter().filter(|((_, known), _)| known == attempt);
+                    phases.into_iter().any(|(_, phase)| *phase != Attempt::Abandoned)
                 };
-                let orphans: Vec<ClaimRef> = node
-                    .state
-                    .open_of(&this)
-                    .filter(|c| !backed(&c.attempt))
-                    .collect();
+                let orphans: Vec<ClaimRef> =
+                    node.state.open_of(&this).filter(|c| !backed(&c.attempt)).collect();
                 for orphan in orphans {
                     if node.releasing.insert(orphan.attempt.clone()) {
                         way.push((format!("{}-free", orphan.attempt), Record::Release(orphan)));
@@ -247,18 +215,13 @@
             }
             Step::Abandon { vm } => {
                 let waiting = nodes[vm].attempts.values_mut();
-                waiting
-                    .filter(|phase| **phase == Attempt::Waiting)
-                    .for_each(|phase| {
-                        *phase = Attempt::Abandoned;
-                    });
+                waiting.filter(|phase| **phase == Attempt::Waiting).for_each(|phase| {
+                    *phase = Attempt::Abandoned;
+                });
             }
             Step::Kill { vm } => {
                 let incarnation = nodes[vm].incarnation + 1;
-                nodes[vm] = Node {
-                    incarnation,
-                    ..Node::default()
-                };
+                nodes[vm] = Node { incarnation, ..Node::default() };
             }
         }
         for (key, times) in &sent {
--- a/tests/ledger.rs
+++ b/tests/ledger.rs
@@ -35,19 +35,10 @@
         ..UpstreamWire::default()
     };
     let models = SIZES.iter().enumerate().map(|(i, size)| {
-        Change::Model(ModelWire {
-            name: format!("m{i}"),
-            size: format!("{size}GiB"),
-            base: None,
-        })
+        Change::Model(ModelWire { name: format!("m{i}"), size: format!("{size}GiB"), base: None })
     });
-    let changes = std::iter::once(Change::Upstream(engine))
-        .chain(models)
-        .collect();
-    Record::Config(ConfigChange {
-        base: Offset(0),
-        changes,
-    })
+    let changes = std::iter::once(Change::Upstream(engine)).chain(models).collect();
+    Record::Config(ConfigChange { base: Offset(0), changes })
 }
 
 fn intent(kind: IntentKind, i: usize, incarnation: u64) -> Record {
@@ -62,18 +53,11 @@
 
 fn resolve(order: u64, incarnation: u64) -> Record {
     let incarnation = Incarnation(incarnation);
-    Record::Resolve(Resolve {
-        upstream: upstream(),
-        incarnation,
-        order: Offset(order),
-    })
+    Record::Resolve(Resolve { upstream: upstream(), incarnation, order: Offset(order) })
 }
 
 fn restarted(incarnation: u64) -> Record {
-    Record::Restarted(Restarted {
-        upstream: upstream(),
-        incarnation: Incarnation(incarnation),
-    })
+    Record::Restarted(Restarted { upstream: upstream(), incarnation: Incarnation(incarnation) })
 }
 
 /// Folds records, one an entry and a second apart, after the configuration at offset 1 and the
@@ -88,11 +72,7 @@
     log.entries.iter().for_each(|entry| state.apply(entry));
     let last = &log.entries.last().unwrap().id;
     let verdict = state.verdict(last).unwrap();
-    assert_eq!(
-        matches!(verdict, Verdict::Accepted(_)),
-        accepted,
-        "{verdict:?}"
-    );
+    assert_eq!(matches!(verdict, Verdict::Accepted(_)), accepted, "{verdict:?}");
 }
 
 const LOAD: IntentKind = IntentKind::Load;
@@ -241,13 +221,7 @@
                 let (name, number, load) = &busy[at % busy.len()];
                 let model = (0..MODELS).find(|i| model(*i) == *name).unwrap();
                 let incarnation = account.incarnation.0;
-                let order = Order {
-                    number: *number,
-                    incarnation,
-                    load: *load,
-                    model,
-                    sent: time,
-                };
+                let order = Order { number: *number, incarnation, load: *load, model, sent: time };
                 way.push(order);
             }
             Step::Land { at, double, lost } if !way.is_empty() => {
@@ -281,11 +255,7 @@
         // No order lands later than its lifetime after it was sent.
         way.retain(|order| time < order.sent + ORDER_LIFETIME_MS / 2);
         let used = engine.used();
-        prop_assert!(
-            used <= 64,
-            "{used} GiB of 64 are used: {:?}",
-            engine.resident
-        );
+        prop_assert!(used <= 64, "{used} GiB of 64 are used: {:?}", engine.resident);
     }
     Ok(())
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -23,18 +23,11 @@
 }
 
 fn grant(rate: u64, burst: u64) -> Grant {
-    Grant {
-        rate: TokenRate(rate),
-        burst: Tokens(burst),
-        created: Offset(1),
-    }
+    Grant { rate: TokenRate(rate), burst: Tokens(burst), created: Offset(1) }
 }
 
 fn share(slots: u16) -> Share {
-    Share {
-        grant: grant(RATE, BURST),
-        slots,
-    }
+    Share { grant: grant(RATE, BURST), slots }
 }
 
 fn at(millis: u64) -> Duration {
@@ -77,10 +70,7 @@
 fn a_refund_does_not_restore_what_the_full_bucket_turned_away() {
     let mut bucket = Bucket::new(share(SLOTS_PER_GROUP), Tokens(BURST), at(0));
     let mark = bucket.take(Tokens(1000), at(0)).unwrap();
-    assert!(
-        bucket.take(Tokens(BURST), at(5000)).is_some(),
-        "it was full again"
-    );
+    assert!(bucket.take(Tokens(BURST), at(5000)).is_some(), "it was full again");
     bucket.refund(Tokens(1000), mark, at(5000));
     assert_eq!(bucket.level(at(5000)), Tokens(0));
 }
@@ -115,19 +105,8 @@
 
 #[derive(Clone)]
 enum Message {
-    Ask {
-        from: VmRef,
-        to: VmRef,
-        asks: Vec<Ask>,
-        asked: Duration,
-    },
-    Lent {
-        from: VmRef,
-        to: VmRef,
-        loans: Vec<Lent>,
-        asks: Vec<Ask>,
-        asked: Duration,
-    },
+    Ask { from: VmRef, to: VmRef, asks: Vec<Ask>, asked: Duration },
+    Lent { from: VmRef, to: VmRef, loans: Vec<Lent>, asks: Vec<Ask>, asked: Duration },
 }
 
 struct Node {
@@ -157,20 +136,10 @@
         for i in 0..VMS {
             let mut pool = Pool::default();
             let slots = SLOTS_PER_GROUP / VMS as u16;
-            pool.lender
-                .set_share(&tenant(), share(slots), Tokens(BURST), Duration::ZERO);
-            nodes.push(Node {
-                me: vm(&format!("vm-{i}"), 1),
-                pool,
-                paused: Duration::ZERO,
-            });
-        }
-        World {
-            now: Duration::ZERO,
-            nodes,
-            way: Vec::new(),
-            requests: Vec::new(),
+            pool.lender.set_share(&tenant(), share(slots), Tokens(BURST), Duration::ZERO);
+            nodes.push(Node { me: vm(&format!("vm-{i}"), 1), pool, paused: Duration::ZERO });
         }
+        World { now: Duration::ZERO, nodes, way: Vec::new(), requests: Vec::new() }
     }
 
     fn index(&self, name: &VmRef) -> Option<usize> {
@@ -185,20 +154,13 @@
         }
         if let Ok(held) = node.pool.reserve(&tenant(), Tokens(tokens), now) {
             let (vm, held) = (node.me.clone(), Some(held));
-            self.requests.push(Request {
-                vm,
-                held,
-                admitted: now,
-                used,
-                charge: tokens,
-            });
+            self.requests.push(Request { vm, held, admitted: now, used, charge: tokens });
         }
     }
 
     fn settle(&mut self, at: usize) {
-        let open: Vec<usize> = (0..self.requests.len())
-            .filter(|i| self.requests[*i].held.is_some())
-            .collect();
+        let open: Vec<usize> =
+            (0..self.requests.len()).filter(|i| self.requests[*i].held.is_some()).collect();
         if open.is_empty() {
             return;
         }
@@ -208,9 +170,7 @@
         };
         let (now, request) = (self.now, &mut self.requests[request]);
         if let Some(held) = request.held.take() {
-            self.nodes[node]
-                .pool
-                .settle(held, Tokens(request.used), now);
+            self.nodes[node].pool.settle(held, Tokens(request.used), now);
             request.charge = request.used;
         }
     }
@@ -225,12 +185,7 @@
         let homes = |_: &TenantName| others.iter().filter(|(o, _)| *o != me).cloned().collect();
         let asks = node.pool.tick(homes, |_| Some(Offset(1)), STEP, now);
         for (to, ask) in asks {
-            self.way.push(Message::Ask {
-                from: me.clone(),
-                to,
-                asks: vec![ask],
-                asked: now,
-            });
+            self.way.push(Message::Ask { from: me.clone(), to, asks: vec![ask], asked: now });
         }
     }
 
@@ -251,28 +206,11 @@
         };
         let (now, pool) = (self.now, &mut self.nodes[i].pool);
         match message {
-            Message::Ask {
-                from,
-                to,
-                asks,
-                asked,
-            } => {
+            Message::Ask { from, to, asks, asked } => {
                 let loans = asks.iter().map(|ask| pool.lend(&from, ask, now)).collect();
-                self.way.push(Message::Lent {
-                    from: to,
-                    to: from,
-                    loans,
-                    asks,
-                    asked,
-                });
+                self.way.push(Message::Lent { from: to, to: from, loans, asks, asked });
             }
-            Message::Lent {
-                from,
-                loans,
-                asks,
-                asked,
-                ..
-            } => {
+            Message::Lent { from, loans, asks, asked, .. } => {
                 for (loan, ask) in loans.iter().zip(&asks) {
                     pool.confirm(&from, &ask.reports);
                     pool.receive(&from, loan, asked, now);
@@ -287,13 +225,8 @@
         let incarnation = self.nodes[i].me.incarnation.0 + 1;
         let mut pool = Pool::default();
         let slots = SLOTS_PER_GROUP / VMS as u16;
-        pool.lender
-            .set_share(&tenant(), share(slots), Tokens(0), now);
-        self.nodes[i] = Node {
-            me: vm(&format!("vm-{i}"), incarnation),
-            pool,
-            paused: now,
-        };
+        pool.lender.set_share(&tenant(), share(slots), Tokens(0), now);
+        self.nodes[i] = Node { me: vm(&format!("vm-{i}"), incarnation), pool, paused: now };
     }
 
     fn step(&mut self, step: &Step) {
@@ -315,10 +248,7 @@
     /// Tokens that all vms together could spend at this moment, those that are paused included.
     fn unspent(&mut self) -> u64 {
         let now = self.now;
-        self.nodes
-            .iter_mut()
-            .map(|node| node.pool.available(&tenant(), now).0)
-            .sum()
+        self.nodes.iter_mut().map(|node| node.pool.available(&tenant(), now).0).sum()
     }
 
     /// The bound over every interval between two admissions.
@@ -333,10 +263,7 @@
                 total += tokens;
                 let passed = (*end - *start).as_millis() as u64;
                 let allowed = BURST + RATE * passed / 1000;
-                prop_assert!(
-                    total <= allowed,
-                    "{total} of {allowed} from {start:?} to {end:?}"
-                );
+                prop_assert!(total <= allowed, "{total} of {allowed} from {start:?} to {end:?}");
             }
         }
         Ok(())
@@ -387,11 +314,7 @@
         let last = world.requests.len();
         (0..last.min(4)).for_each(|i| world.settle(i));
     }
-    assert!(
-        refused * 1000 <= admitted,
-        "{refused} of {} refused",
-        admitted + refused
-    );
+    assert!(refused * 1000 <= admitted, "{refused} of {} refused", admitted + refused);
     world.check().unwrap();
 }
 
@@ -400,10 +323,7 @@
     let mut bucket = Bucket::new(share(SLOTS_PER_GROUP), Tokens(BURST), at(0));
     let first = bucket.take(Tokens(1000), at(0)).unwrap();
     let second = bucket.take(Tokens(1000), at(0)).unwrap();
-    assert!(
-        bucket.take(Tokens(3500), at(1500)).is_some(),
-        "500 below its burst"
-    );
+    assert!(bucket.take(Tokens(3500), at(1500)).is_some(), "500 below its burst");
     bucket.refund(Tokens(1000), first, at(1500));
     assert_eq!(bucket.level(at(1500)), Tokens(500));
     bucket.refund(Tokens(1000), second, at(1500));
@@ -413,18 +333,9 @@
 #[test]
 fn a_loan_that_arrives_twice_is_spent_once() {
     let mut pool = Pool::default();
-    let lent = Lent {
-        tenant: tenant(),
-        created: Offset(1),
-        loan: 1,
-        tokens: 100,
-        wait: 0,
-    };
+    let lent = Lent { tenant: tenant(), created: Offset(1), loan: 1, tokens: 100, wait: 0 };
     pool.receive(&vm("home", 1), &lent, at(0), at(0));
     assert!(pool.reserve(&tenant(), Tokens(100), at(10)).is_ok());
     pool.receive(&vm("home", 1), &lent, at(0), at(20));
-    assert_eq!(
-        pool.reserve(&tenant(), Tokens(1), at(30)).unwrap_err(),
-        Tokens(1)
-    );
+    assert_eq!(pool.reserve(&tenant(), Tokens(1), at(30)).unwrap_err(), Tokens(1));
 }
--- a/tests/support/mod.rs
+++ b/tests/support/mod.rs
@@ -16,10 +16,7 @@
 
 /// An incarnation of a vm.
 pub fn vm(name: &str, incarnation: u64) -> VmRef {
-    VmRef {
-        vm: name.parse().unwrap(),
-        incarnation: Incarnation(incarnation),
-    }
+    VmRef { vm: name.parse().unwrap(), incarnation: Incarnation(incarnation) }
 }
 
 /// A log in memory that stamps offsets and times.
@@ -33,12 +30,7 @@
     /// Appends records as one entry.
     pub fn append(&mut self, id: &str, time: u64, records: Vec<Record>) -> Offset {
         let offset = Offset(self.entries.len() as u64 + 1);
-        self.entries.push(Entry {
-            offset,
-            time,
-            id: id.into(),
-            records,
-        });
+        self.entries.push(Entry { offset, time, id: id.into(), records });
         offset
     }
 }
