--- a/benches/carob-bench/src/lib.rs
+++ b/benches/carob-bench/src/lib.rs
@@ -4,7 +4,11 @@
 pub mod config;
 pub mod fleet;
 pub mod history;
+pub mod policies;
 pub mod process;
+pub mod report;
+pub mod scenario;
+pub mod slopes;
 
 pub use client::{Answer, Client};
 pub use fleet::{Fleet, FleetOptions};
--- a/benches/carob-bench/src/main.rs
+++ b/benches/carob-bench/src/main.rs
@@ -1,3 +1,77 @@
 //! Load and measurement of fleets of real processes, compared with bounds.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+
+use carob_bench::report::{Bounds, Report};
+use carob_bench::{policies, scenario, slopes};
+use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
+use eyre::{Context, Result};
+
+fn command() -> Command {
+    let path = |name: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .global(true)
+            .value_name("FILE")
+            .help(help)
+            .value_parser(value_parser!(PathBuf))
+    };
+    Command::new("carob-bench")
+        .about("Measures carobglade on loopback and compares with bounds")
+        .version(env!("CARGO_PKG_VERSION"))
+        .subcommand_required(true)
+        .arg(path("out", "Write the rows as JSON"))
+        .arg(path("bounds", "Compare with the bounds in this file"))
+        .subcommand(
+            Command::new("slopes").about("State, time and bytes over size").arg(
+                Arg::new("parts")
+                    .long("parts")
+                    .action(ArgAction::SetTrue)
+                    .help("Only the parts without I/O"),
+            ),
+        )
+        .subcommand(Command::new("policies").about("Decisions against their baselines"))
+        .subcommand(
+            Command::new("users").about("Both users' workloads at their sizes, with a fault").arg(
+                Arg::new("seconds")
+                    .long("seconds")
+                    .default_value("20")
+                    .help("Length of each workload")
+                    .value_parser(value_parser!(u64).range(5..=600)),
+            ),
+        )
+        .after_help("Exit codes:\n  0  all bounds kept\n  1  failed\n  2  a bound was exceeded")
+}
+
+async fn run(args: &ArgMatches) -> Result<bool> {
+    let mut report = Report::default();
+    match args.subcommand() {
+        Some(("slopes", sub)) => slopes::run(&mut report, !sub.get_flag("parts")).await?,
+        Some(("policies", _)) => policies::run(&mut report),
+        Some(("users", sub)) => {
+            let seconds = sub.get_one::<u64>("seconds").copied().unwrap_or(20);
+            scenario::run(&mut report, seconds).await?;
+        }
+        _ => {}
+    }
+    if let Some(path) = args.get_one::<PathBuf>("out") {
+        report.write(path)?;
+    }
+    let Some(path) = args.get_one::<PathBuf>("bounds") else { return Ok(true) };
+    let text = std::fs::read_to_string(path).wrap_err_with(|| path.display().to_string())?;
+    let bounds: Bounds = serde_json::from_str(&text)?;
+    Ok(report.judge(&bounds))
+}
+
+#[tokio::main]
+async fn main() -> ExitCode {
+    match run(&command().get_matches()).await {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(2),
+        Err(err) => {
+            eprintln!("carob-bench: {err:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/benches/carob-bench/src/scenario.rs
@@ -0,0 +1,176 @@
+//! Both users' workloads at the brief's sizes, on real processes, with a fault half-way.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use carob_net::{Clock, SystemClock};
+use carobglade::{ModelWire, TenantWire};
+use eyre::Result;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+use crate::config::{adapter, key_of, model, tenant};
+use crate::report::{Report, quantile};
+use crate::{Answer, Client, Fleet, FleetOptions};
+
+const CALLERS: usize = 40;
+const PACE: u64 = 20; // milliseconds between tokens of an engine
+
+struct User {
+    name: &'static str,
+    vms: usize,
+    engines: usize,
+    services: usize,
+    loads: u64,
+}
+
+const USERS: [User; 2] = [
+    User { name: "syndicat", vms: 9, engines: 9, services: 4, loads: 2 },
+    User { name: "derwent", vms: 6, engines: 9, services: 3, loads: 3 },
+];
+
+fn models() -> Vec<ModelWire> {
+    let models = (0..20).map(|i| model(&format!("m{i}"), "20GiB"));
+    models.chain((0..40).map(|i| adapter(&format!("a{i}"), &format!("m{}", i % 20)))).collect()
+}
+
+/// Five tenants, two of them large; the last sends five times its rate.
+fn tenants(models: &[ModelWire]) -> Vec<TenantWire> {
+    let rates = [40_000, 40_000, 8_000, 4_000, 300];
+    let each = rates.iter().enumerate();
+    each.map(|(i, rate)| tenant(&format!("t{i}"), *rate, rate * 4, models)).collect()
+}
+
+#[derive(Default)]
+struct Outcome {
+    first: Vec<f64>,
+    gaps: Vec<f64>,
+    calls: [u64; 5],
+    attained: [u64; 5],
+    refused_inside: u64,
+    broken: u64,
+}
+
+impl Outcome {
+    fn take(&mut self, tenant: usize, answer: &Answer) {
+        self.calls[tenant] += 1;
+        let first = answer.first.as_secs_f64() * 1000.0;
+        if answer.status == 200 && answer.whole {
+            self.first.push(first);
+            self.gaps.extend(answer.gaps.iter().map(|gap| gap.as_secs_f64() * 1000.0));
+            self.attained[tenant] += u64::from(first <= 1100.0);
+        } else if answer.status == 429 && tenant < 4 {
+            self.refused_inside += 1;
+        } else if answer.status == 200 {
+            self.broken += 1;
+        }
+    }
+}
+
+async fn caller(
+    addresses: Arc<Vec<std::net::SocketAddr>>,
+    seed: u64,
+    until: Duration,
+    clock: Arc<SystemClock>,
+) -> Outcome {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut outcome = Outcome::default();
+    let clients: Vec<Client> = (0..5).map(|i| Client::new(&key_of(&format!("t{i}")))).collect();
+    while clock.now() < until {
+        let tenant = [0, 0, 1, 1, 2, 3, 4][random.random_range(0..7)];
+        let rank = (random.random::<f64>().powi(3) * 60.0) as usize;
+        let name = if rank < 20 { format!("m{rank}") } else { format!("a{}", rank - 20) };
+        let address = addresses[random.random_range(0..addresses.len())];
+        let prompt = format!("prompt {}", random.random_range(0..20));
+        let answer = clients[tenant].complete(address, &name, &prompt, 25, true).await;
+        if answer.status == 0 {
+            continue;
+        }
+        outcome.take(tenant, &answer);
+        tokio::time::sleep(Duration::from_millis(random.random_range(50..250))).await;
+    }
+    outcome
+}
+
+/// Measures.
+///
+/// # Errors
+///
+/// When a fleet does not start.
+pub async fn run(report: &mut Report, seconds: u64) -> Result<()> {
+    for user in USERS {
+        run_user(report, &user, seconds).await?;
+    }
+    Ok(())
+}
+
+async fn run_user(report: &mut Report, user: &User, seconds: u64) -> Result<()> {
+    let models = models();
+    let options = FleetOptions {
+        vms: user.vms,
+        engines: user.engines,
+        services: user.services,
+        loads: user.loads,
+        pace: PACE,
+        tenants: tenants(&models),
+        models,
+        settings: json!({ "store": { "loads": user.loads } }),
+        ..FleetOptions::default()
+    };
+    let mut fleet = Fleet::start(options).await?;
+    let clock = Arc::new(SystemClock::default());
+    let addresses: Arc<Vec<_>> = Arc::new(fleet.vms.iter().map(|vm| vm.callers).collect());
+    let until = Duration::from_secs(seconds);
+    let callers: Vec<_> = (0..CALLERS)
+        .map(|i| tokio::spawn(caller(Arc::clone(&addresses), i as u64, until, Arc::clone(&clock))))
+        .collect();
+    tokio::time::sleep(until / 2).await;
+    fleet.vms[0].process.kill();
+    fleet.faults(fleet.engines[1], json!({ "slow": 3 })).await?;
+    let mut total = Outcome::default();
+    for caller in callers {
+        let outcome = caller.await?;
+        total.first.extend(outcome.first);
+        total.gaps.extend(outcome.gaps);
+        for i in 0..5 {
+            total.calls[i] += outcome.calls[i];
+            total.attained[i] += outcome.attained[i];
+        }
+        total.refused_inside += outcome.refused_inside;
+        total.broken += outcome.broken;
+    }
+    summarise(report, user, &mut total);
+    for broken in fleet.broken() {
+        println!("broken: {broken}");
+    }
+    Ok(())
+}
+
+fn summarise(report: &mut Report, user: &User, total: &mut Outcome) {
+    let name = |part: &str| format!("{}.{part}", user.name);
+    let calls: u64 = total.calls.iter().sum();
+    let share = |i: usize| total.attained[i] as f64 / total.calls[i].max(1) as f64 * 100.0;
+    let note = format!("{calls} calls; one vm killed and one engine slowed at half time");
+    let attained: u64 = total.attained.iter().sum();
+    let per_engine = attained as f64 / calls.max(1) as f64 * 100.0;
+    report.add(
+        &name("attained"),
+        per_engine,
+        "%",
+        &format!("{note}; {} accelerators", user.engines),
+    );
+    let worst = (0..4).map(share).fold(100.0, f64::min);
+    report.add(&name("worst_tenant"), worst, "%", "of the four tenants inside their rates");
+    let refused = total.refused_inside as f64 / calls.max(1) as f64 * 1000.0;
+    report.add(&name("wrongful"), refused, "per 1000", "429 to a tenant inside its rate");
+    let broken = total.broken as f64;
+    report.add(&name("incomplete"), broken, "answers", "cut off by the killed vm or a crash");
+    report.add(&name("first_p95"), quantile(&mut total.first, 0.95), "ms", "first token");
+    report.add(
+        &name("gap_p95"),
+        quantile(&mut total.gaps, 0.95),
+        "ms",
+        "the engines' pace is 20 ms",
+    );
+}
--- /dev/null
+++ b/benches/carob-bench/src/slopes/control.rs
@@ -0,0 +1,171 @@
+//! The control and claims streams: replay time, state and record sizes.
+
+use super::{micros, resident};
+use crate::config;
+use crate::report::Report;
+use carobglade::{
+    Change, Claim, ClaimRef, ClaimState, ConfigChange, ControlState, Entry, Fingerprint, Fold,
+    Incarnation, Intent, IntentKind, Join, Offset, Record, Restarted, SLOTS, SlotTake, VmRef,
+};
+
+const MODELS: usize = 740;
+const TENANTS: usize = 200;
+
+fn vm(i: usize) -> VmRef {
+    VmRef { vm: format!("vm-{i}").parse().unwrap_or_default(), incarnation: Incarnation(1) }
+}
+
+fn address(i: usize) -> std::net::SocketAddr {
+    std::net::SocketAddr::from(([10, (i >> 16) as u8, (i >> 8) as u8, i as u8], 9000))
+}
+
+/// A control state of the given size, as its entries make it.
+pub struct Build {
+    /// The state.
+    pub state: ControlState,
+    next: u64,
+}
+
+impl Build {
+    fn append(&mut self, record: Record) {
+        let entry = self.entry(record);
+        self.state.apply(&entry);
+    }
+
+    /// The next entry, which is not applied yet.
+    pub fn entry(&mut self, record: Record) -> Entry {
+        self.next += 1;
+        let (offset, time) = (Offset(self.next), self.next);
+        Entry { offset, time, id: format!("e{}", self.next), records: vec![record] }
+    }
+
+    /// A state with `vms` processes and `upstreams` engines with eight models each.
+    pub fn new(vms: usize, upstreams: usize) -> Self {
+        let mut build = Build { state: ControlState::default(), next: 0 };
+        let models: Vec<_> =
+            (0..MODELS).map(|i| config::model(&format!("model-{i}"), "6GiB")).collect();
+        let few = &models[..40];
+        let tenants =
+            (0..TENANTS).map(|i| config::tenant(&format!("tenant-{i}"), 100_000, 400_000, few));
+        let engines = (0..upstreams)
+            .map(|i| config::engine(&format!("engine-{i}"), address(i), "64GiB", true));
+        let changes = models.iter().cloned().map(Change::Model);
+        let changes = changes.chain(tenants.map(Change::Tenant));
+        let changes = changes.chain(engines.map(Change::Upstream)).collect();
+        build.append(Record::Config(ConfigChange { base: Offset(0), changes }));
+        for i in 0..vms {
+            let join = Join {
+                vm: vm(i),
+                data_centre: "rennes".parse().unwrap_or_default(),
+                peer: address(i),
+                admin: address(i),
+            };
+            build.append(Record::Join(join));
+        }
+        let slots = (0..SLOTS).collect();
+        build.append(Record::SlotTake(SlotTake { vm: vm(0), slots, levels: Default::default() }));
+        for i in 0..upstreams {
+            build.load(i);
+        }
+        build
+    }
+
+    fn load(&mut self, i: usize) {
+        let upstream: carobglade::UpstreamName = format!("engine-{i}").parse().unwrap_or_default();
+        let incarnation = Incarnation(1);
+        let restarted = Restarted { upstream: upstream.clone(), incarnation };
+        self.append(Record::Restarted(restarted));
+        for k in 0..8 {
+            let model = format!("model-{}", (i * 8 + k) % MODELS).parse().unwrap_or_default();
+            let size = carobglade::ByteSize(6 << 30);
+            let (upstream, kind) = (upstream.clone(), IntentKind::Load);
+            self.append(Record::Intent(Intent { upstream, incarnation, kind, model, size }));
+            let (upstream, order) = (self.upstream(i), Offset(self.next));
+            self.append(Record::Resolve(carobglade::Resolve { upstream, incarnation, order }));
+        }
+    }
+
+    fn upstream(&self, i: usize) -> carobglade::UpstreamName {
+        format!("engine-{i}").parse().unwrap_or_default()
+    }
+
+    /// A small change of the configuration.
+    pub fn change(&mut self, i: u64) -> Entry {
+        let mut tenant = self.state.wire().tenants[0].clone();
+        tenant.burst = 100_000 + i;
+        let base = self.state.version();
+        let changes = vec![Change::Tenant(tenant)];
+        self.entry(Record::Config(ConfigChange { base, changes }))
+    }
+}
+
+/// Measures.
+pub fn run(report: &mut Report) {
+    let (mut change_time, mut state_bytes, mut memory) = (Vec::new(), Vec::new(), Vec::new());
+    for upstreams in [100, 1000, 10_000] {
+        let before = resident();
+        let mut build = Build::new(1100, upstreams);
+        memory.push((upstreams as f64, (resident() - before) / 1e6));
+        let mut count = 0;
+        let time = micros(10, || {
+            for _ in 0..10 {
+                count += 1;
+                let entry = build.change(count);
+                build.state.apply(&entry);
+            }
+        });
+        change_time.push((upstreams as f64, time));
+        let bytes = serde_json::to_vec(&build.state).unwrap_or_default().len();
+        state_bytes.push((upstreams as f64, bytes as f64));
+        if upstreams == 10_000 {
+            let renew = build.entry(Record::Renew(vm(7)));
+            let time = micros(1000, || (0..1000).for_each(|_| build.state.apply(&renew)));
+            report.add("control.renew_time", time, "us", "at 10000 upstreams, 1100 vms");
+            let entry = build.change(1);
+            let bytes = serde_json::to_vec(&entry).unwrap_or_default().len();
+            report.add("control.change_bytes", bytes as f64, "B", "a tenant with 40 models");
+            let renew_bytes = serde_json::to_vec(&renew).unwrap_or_default().len();
+            report.add("control.renew_bytes", renew_bytes as f64, "B", "one entry");
+            report.add("control.change_time", last(&change_time), "us", "at 10000 upstreams");
+            report.add("control.memory", last(&memory), "MB", "at 10000 upstreams, 1100 vms");
+            report.add("control.snapshot_bytes", last(&state_bytes), "B", "at 10000 upstreams");
+        }
+    }
+    report.fit("control.change_time_per_upstream", &change_time, "us");
+    report.fit("control.snapshot_per_upstream", &state_bytes, "B");
+    claims(report);
+}
+
+fn last(points: &[(f64, f64)]) -> f64 {
+    points.last().map_or(0.0, |(_, y)| *y)
+}
+
+fn claim(i: usize) -> Entry {
+    let claim = ClaimRef {
+        tenant: "tenant-1".parse().unwrap_or_default(),
+        key: format!("order-{i}"),
+        attempt: format!("vm-1#1-{i:016x}"),
+    };
+    let claim = Claim { claim, request: Fingerprint(i as u64), vm: vm(1) };
+    let (offset, time) = (Offset(i as u64 + 1), 1);
+    Entry { offset, time, id: format!("e{i}"), records: vec![Record::Claim(claim)] }
+}
+
+fn claims(report: &mut Report) {
+    let (mut time, mut memory) = (Vec::new(), Vec::new());
+    for count in [10_000, 50_000, 200_000] {
+        let entries: Vec<Entry> = (0..count).map(claim).collect();
+        let before = resident();
+        let mut state = ClaimState::default();
+        let clock = carob_net::SystemClock::default();
+        let start = carob_net::Clock::now(&clock);
+        entries.iter().for_each(|entry| state.apply(entry));
+        let took = carob_net::Clock::now(&clock) - start;
+        memory.push((count as f64, (resident() - before).max(0.0)));
+        time.push((count as f64, took.as_secs_f64() * 1e6));
+    }
+    report.fit("claims.time_each", &time, "us");
+    report.fit("claims.memory_each", &memory, "B");
+    let bytes = serde_json::to_vec(&claim(1)).unwrap_or_default().len();
+    report.add("claims.record_bytes", bytes as f64, "B", "one claim in an entry of its own");
+}
--- /dev/null
+++ b/benches/carob-bench/src/slopes/parts.rs
@@ -0,0 +1,193 @@
+//! The other decision parts: planner, choice, heartbeats, token pools.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carobglade::{
+    Ask, Candidate, Demand, Fleet, Heartbeat, Incarnation, LoanReport, ModelName, Offset,
+    PlacementSettings, PlanInput, Policy, Pool, Share, TenantName, TokenRate, Tokens, UpstreamLoad,
+    VmRef, choose, plan,
+};
+
+use super::control::Build;
+use super::{micros, resident};
+use crate::report::Report;
+
+const BEAT_EVERY: f64 = 0.5; // seconds, the default of the settings
+const TICKS_EACH_SECOND: f64 = 10.0; // of the token pool
+
+/// Measures.
+pub fn run(report: &mut Report) {
+    planner(report);
+    choice(report);
+    heartbeats(report);
+    pools(report);
+}
+
+fn model(i: usize) -> ModelName {
+    format!("model-{i}").parse().unwrap_or_default()
+}
+
+fn demand(cold: bool) -> BTreeMap<ModelName, Demand> {
+    let each = (0..740).map(|i| {
+        let waiting = if cold && i % 10 == 0 { 3 } else { 0 };
+        let running = if cold && i % 10 == 0 { 90.0 } else { 20.0 };
+        (model(i), Demand { running, waiting, oldest: waiting * 500 })
+    });
+    each.collect()
+}
+
+fn planner(report: &mut Report) {
+    let settings = PlacementSettings::default();
+    for (name, cold) in [("planner.steady_time", false), ("planner.cold_time", true)] {
+        let mut points = Vec::new();
+        for upstreams in [100, 1000, 10_000] {
+            let build = Build::new(9, upstreams);
+            let (demand, used) = (demand(cold), BTreeMap::new());
+            let input = PlanInput {
+                config: build.state.config(),
+                ledger: build.state.ledger(),
+                demand: &demand,
+                used: &used,
+                reachable: &|_| true,
+                time: 10_000_000,
+            };
+            points.push((upstreams as f64, micros(1, || drop(plan(&input, &settings)))));
+        }
+        report.add(name, points[2].1, "us", "one plan, 740 models, 10000 upstreams");
+        report.fit(&format!("{name}_per_upstream"), &points, "us");
+    }
+}
+
+fn choice(report: &mut Report) {
+    let candidates: Vec<Candidate> = (0..110)
+        .map(|i| Candidate {
+            name: format!("engine-{i}").parse().unwrap_or_default(),
+            own: i % 3,
+            others: i % 5,
+            remote: i % 2 == 0,
+        })
+        .collect();
+    let mut turn = 0;
+    let time = micros(1000, || {
+        for _ in 0..1000 {
+            turn += 1;
+            let random = |n: usize| turn % n;
+            choose(Policy::Affinity, &candidates, "a prefix of a prompt", random);
+        }
+    });
+    report.add("choice.time", time, "us", "110 upstreams with the model");
+}
+
+fn beat(i: usize, count: u64) -> Heartbeat {
+    Heartbeat {
+        vm: VmRef {
+            vm: format!("vm-{i}").parse().unwrap_or_default(),
+            incarnation: Incarnation(1),
+        },
+        count,
+        demand: (0..30)
+            .map(|k| (model(k), Demand { running: 1.5, waiting: 0, oldest: 0 }))
+            .collect(),
+        loads: (0..60)
+            .map(|k| UpstreamLoad {
+                upstream: format!("engine-{k}").parse().unwrap_or_default(),
+                running: 1,
+            })
+            .collect(),
+        ..Heartbeat::default()
+    }
+}
+
+fn heartbeats(report: &mut Report) {
+    let (mut hear, mut bytes) = (Vec::new(), Vec::new());
+    let mut memory = 0.0;
+    for vms in [9, 100, 1100] {
+        let before = resident();
+        let mut fleet = Fleet::default();
+        let members: Vec<VmRef> = (1..vms).map(|i| beat(i, 0).vm).collect();
+        (1..vms).for_each(|i| {
+            fleet.hear(beat(i, 1), Duration::ZERO);
+        });
+        memory = (resident() - before) / 1e6;
+        let mut count = 1;
+        let time = micros(vms - 1, || {
+            count += 1;
+            (1..vms).for_each(|i| {
+                fleet.hear(beat(i, count), Duration::from_millis(10));
+            });
+        });
+        hear.push((vms as f64, time));
+        let mut turn = 0;
+        let (targets, relayed) = fleet.gossip(&members, Duration::from_millis(20), |n| {
+            turn += 7;
+            turn % n
+        });
+        let message = serde_json::to_vec(&relayed).unwrap_or_default().len()
+            + serde_json::to_vec(&beat(0, 1)).unwrap_or_default().len();
+        bytes.push((vms as f64, (targets.len() * message) as f64 / BEAT_EVERY));
+    }
+    report.add("fleet.hear_time", hear[2].1, "us", "one heartbeat, 1100 vms, made and taken in");
+    report.add("fleet.memory", memory, "MB", "1100 vms");
+    let kilobytes = bytes[2].1 / 1000.0;
+    report.add(
+        "fleet.gossip_sent",
+        kilobytes,
+        "KB/s",
+        "1100 vms, 30 models and 60 upstreams in use",
+    );
+    report.add("fleet.gossip_sent_small", bytes[0].1 / 1000.0, "KB/s", "9 vms, the same use");
+}
+
+fn pools(report: &mut Report) {
+    let mut points = Vec::new();
+    for tenants in [5, 50, 200] {
+        let mut pool = Pool::default();
+        let names: Vec<TenantName> =
+            (0..tenants).map(|i| format!("tenant-{i}").parse().unwrap_or_default()).collect();
+        let grant = carobglade::Grant {
+            rate: TokenRate(100_000),
+            burst: Tokens(400_000),
+            created: Offset(1),
+        };
+        for name in &names {
+            pool.lender.set_share(name, Share { grant, slots: 1 }, Tokens(50_000), Duration::ZERO);
+        }
+        let homes: Vec<(VmRef, u16)> = (1..8).map(|i| (beat(i, 0).vm, 1)).collect();
+        let mut now = Duration::from_secs(1);
+        let time = micros(10, || {
+            for _ in 0..10 {
+                now += Duration::from_millis(100);
+                for name in &names {
+                    if let Ok(held) = pool.reserve(name, Tokens(500), now) {
+                        pool.settle(held, Tokens(100), now);
+                    }
+                }
+                let asks = pool.tick(
+                    |_| homes.clone(),
+                    |_| Some(Offset(1)),
+                    Duration::from_millis(100),
+                    now,
+                );
+                drop(asks);
+            }
+        });
+        points.push((tenants as f64, time));
+    }
+    report.fit("pool.tick_time_per_tenant", &points, "us");
+    let reports =
+        vec![
+            LoanReport { loan: 123_456, spent: 5000, returned: 0, refunded: 400, closed: false };
+            5
+        ];
+    let ask = Ask {
+        tenant: "tenant-1".parse().unwrap_or_default(),
+        created: Offset(10_000),
+        want: 5000,
+        reports,
+    };
+    let bytes = serde_json::to_vec(&ask).unwrap_or_default().len() as f64;
+    report.add("pool.ask_bytes", bytes, "B", "an ask with five reports");
+    let each_second = bytes * TICKS_EACH_SECOND * 7.0 / 1000.0;
+    report.add("pool.asks_sent", each_second, "KB/s", "one busy tenant, seven lenders");
+}
--- /dev/null
+++ b/benches/carob-bench/src/slopes/path.rs
@@ -0,0 +1,99 @@
+//! The data path: tokens for each core, added latency, memory of a stream.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carob_net::{Clock, SystemClock};
+use eyre::Result;
+
+use super::{processor_of, resident_of};
+use crate::config::key_of;
+use crate::report::{Report, quantile};
+use crate::{Client, Fleet, FleetOptions};
+
+const STREAMS: [usize; 3] = [50, 100, 200];
+const CALLS: usize = 400; // of each kind, for the added latency
+
+fn options() -> FleetOptions {
+    FleetOptions {
+        vms: 1,
+        engines: 4,
+        pace: 20,
+        batch: 1000,
+        settings: serde_json::json!({ "limits": { "upstream": 1000 } }),
+        ..FleetOptions::default()
+    }
+}
+
+async fn streams(address: SocketAddr, count: usize, tokens: u64) -> (u64, Vec<f64>) {
+    let tasks = (0..count).map(|i| {
+        tokio::spawn(async move {
+            let client = Client::fresh(&key_of("apron"));
+            client.complete(address, "planner", &format!("stream {i}"), tokens, true).await
+        })
+    });
+    let tasks: Vec<_> = tasks.collect();
+    let (mut total, mut gaps) = (0, Vec::new());
+    for task in tasks {
+        if let Ok(answer) = task.await {
+            total += answer.body.matches("\"delta\"").count() as u64;
+            gaps.extend(answer.gaps.iter().map(|gap| gap.as_secs_f64() * 1000.0));
+        }
+    }
+    (total, gaps)
+}
+
+/// Measures.
+///
+/// # Errors
+///
+/// When the fleet does not start.
+pub async fn run(report: &mut Report) -> Result<()> {
+    let fleet = Fleet::start(options()).await?;
+    let (address, id) = (fleet.at(0), fleet.vms[0].process.id());
+    streams(address, 100, 10).await;
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    let (mut rate, mut memory, mut gap) = (Vec::new(), Vec::new(), 0.0);
+    for count in STREAMS {
+        let clock = SystemClock::default();
+        let before = processor_of(id);
+        let load = tokio::spawn(streams(address, count, 250));
+        tokio::time::sleep(Duration::from_millis(2500)).await;
+        memory.push((count as f64, resident_of(id)));
+        let (tokens, mut gaps) = load.await?;
+        let used = (processor_of(id) - before).max(0.01);
+        rate.push(tokens as f64 / used);
+        gap = quantile(&mut gaps, 0.95);
+        let note = format!("{count} streams, {tokens} tokens in {:?}", clock.now());
+        report.add("path.tokens_per_core", tokens as f64 / used, "1/s", &note);
+    }
+    report.add("path.gap_p95", gap, "ms", "200 streams; the engine's own pace is 20 ms");
+    report.fit("path.memory_per_stream", &memory, "B");
+    added_latency(report, &fleet).await;
+    Ok(())
+}
+
+/// Calls the engine directly and through the entry process in turn, one token each.
+async fn added_latency(report: &mut Report, fleet: &Fleet) {
+    let client = Client::new(&key_of("apron"));
+    let (mut direct, mut through) = (Vec::new(), Vec::new());
+    let mut loaded = fleet.engines[0];
+    for engine in &fleet.engines {
+        let answer = client.complete(*engine, "planner", "direct", 1, false).await;
+        if answer.status == 200 {
+            loaded = *engine;
+        }
+    }
+    for _ in 0..CALLS {
+        let near = client.complete(loaded, "planner", "same", 1, false).await;
+        let far = client.complete(fleet.at(0), "planner", "same", 1, false).await;
+        if near.status == 200 && far.status == 200 {
+            direct.push(near.total.as_secs_f64() * 1000.0);
+            through.push(far.total.as_secs_f64() * 1000.0);
+        }
+    }
+    for (name, part) in [("path.added_p50", 0.5), ("path.added_p99", 0.99)] {
+        let added = quantile(&mut through, part) - quantile(&mut direct, part);
+        report.add(name, added, "ms", &format!("{} calls of each kind in turn", direct.len()));
+    }
+}
--- a/crates/carob-entry/src/tokens.rs
+++ b/crates/carob-entry/src/tokens.rs
@@ -26,26 +26,34 @@
             Ok(reservation) => return Ok(reservation),
             Err(missing) => missing,
         };
+        let now = core.now();
+        if let Some(wait) = core.lock().pool.dry(&tenant.name, tokens, now) {
+            return Err(exceeded(tenant, missing, wait));
+        }
         match borrow(core, tenant, tokens, missing, all).await {
             Borrowed::Enough(reservation) => return Ok(reservation),
             Borrowed::TooFew(shortest) => wait = shortest.or(wait),
         }
     }
-    let now = core.now();
-    let mut inner = core.lock();
-    let missing = match inner.pool.reserve(&tenant.name, tokens, now) {
+    let missing = match take(core, tenant, tokens) {
         Ok(reservation) => return Ok(reservation),
         Err(missing) => missing,
     };
-    inner.pool.give_up(&tenant.name, now);
-    let rate = tenant.grant.rate.0.max(1);
-    let refill = Duration::from_secs_f64(missing.0 as f64 / rate as f64);
+    let refill = Duration::from_secs_f64(missing.0 as f64 / tenant.grant.rate.0.max(1) as f64);
     let wait = wait.unwrap_or(refill).min(refill).max(WAIT_FLOOR);
+    let now = core.now();
+    let mut inner = core.lock();
+    inner.pool.give_up(&tenant.name, now);
+    inner.pool.note_dry(&tenant.name, tokens, wait, now);
+    Err(exceeded(tenant, missing, wait))
+}
+
+fn exceeded(tenant: &Tenant, missing: Tokens, wait: Duration) -> Error {
     let message = format!(
         "tenant {} has used its rate of {} and burst of {}; {missing} tokens are missing",
         tenant.name, tenant.grant.rate, tenant.grant.burst
     );
-    Err(Error::new(ErrorKind::RateExceeded, message).with_retry(wait))
+    Error::new(ErrorKind::RateExceeded, message).with_retry(wait)
 }
 
 fn take(core: &Core, tenant: &Tenant, tokens: Tokens) -> std::result::Result<Reservation, Tokens> {
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -129,6 +129,20 @@
     sums
 }
 
+/// Models that are evicted together.
+struct Group {
+    names: Vec<ModelName>,
+    size: u64,
+    worth: f32,
+}
+
+impl Group {
+    /// Worth of a byte.
+    fn density(&self) -> f32 {
+        self.worth / self.size.max(1) as f32
+    }
+}
+
 /// Whether a charge in this phase will be gone some time.
 fn frees(account: &Account, phase: Phase) -> bool {
     match phase {
@@ -214,7 +228,7 @@
             self.input.demand.iter().map(|(model, demand)| (model.clone(), *demand)).collect();
         wanted.retain(|(model, _)| self.input.config.models.contains_key(model));
         wanted.sort_by(|(a, x), (b, y)| {
-            (y.oldest, y.total(), a).partial_cmp(&(x.oldest, x.total(), b)).unwrap()
+            y.oldest.cmp(&x.oldest).then(y.total().total_cmp(&x.total())).then(a.cmp(b))
         });
         for (model, demand) in wanted {
             if self.copies(&model) < self.wanted_copies(&demand) {
@@ -301,7 +315,7 @@
         let options = self.hosts(model, base).filter_map(|(name, account)| {
             self.victims(account, base, size, demand).map(|(cost, list)| (cost, name, list))
         });
-        let best = options.min_by(|(a, n, _), (b, m, _)| (a, n).partial_cmp(&(b, m)).unwrap());
+        let best = options.min_by(|(a, n, _), (b, m, _)| a.total_cmp(b).then(n.cmp(m)));
         let Some((_, upstream, victims)) = best else {
             return;
         };
@@ -311,7 +325,8 @@
         }
     }
 
-    /// The cheapest models to evict from `account` for `size` bytes, and what they cost.
+    /// The cheapest models to evict from `account` for `size` bytes, and what they cost. A base
+    /// goes together with its adapters.
     fn victims(
         &self,
         account: &Account,
@@ -319,35 +334,49 @@
         size: u64,
         demand: &Demand,
     ) -> Option<(f32, Vec<ModelName>)> {
-        let leaving = account.charges.values().filter(|c| frees(account, c.phase));
-        let mut room = account.free().0 + leaving.map(|charge| charge.size.0).sum::<u64>();
-        let candidates = account.charges.iter().filter(|(name, charge)| {
-            charge.phase == Phase::Loaded
-                && *name != base
-                && !self.carries_adapters(account, name)
-                && self.may_evict(name, charge.time, demand)
-        });
-        let mut candidates: Vec<_> = candidates.collect();
-        candidates
-            .sort_by(|(a, _), (b, _)| (self.worth(a), a).partial_cmp(&(self.worth(b), b)).unwrap());
+        let coming = account.charges.values().filter(|c| frees(account, c.phase));
+        let mut room = account.free().0 + coming.map(|charge| charge.size.0).sum::<u64>();
+        let mut groups: Vec<Group> = account
+            .charges
+            .iter()
+            .filter(|(name, charge)| charge.phase == Phase::Loaded && *name != base)
+            .filter(|(name, charge)| self.may_evict(name, charge.time, demand))
+            .map(|(name, _)| self.group(account, name))
+            .collect();
+        groups.sort_by(|a, b| a.density().total_cmp(&b.density()).then(a.names.cmp(&b.names)));
         let slow = if account.fencing { 0.0 } else { UNFENCED_COST };
-        let (mut cost, mut victims) = (slow, Vec::new());
-        for (name, charge) in candidates {
+        let mut taken: Vec<Group> = Vec::new();
+        for group in groups {
             if room >= size {
                 break;
             }
-            room += charge.size.0;
-            cost += self.worth(name);
-            victims.push(name.clone());
+            if !taken.iter().any(|other| other.names.contains(&group.names[0])) {
+                room += group.size;
+                taken.push(group);
+            }
+        }
+        if room < size {
+            return None;
         }
-        (room >= size).then_some((cost, victims))
+        taken.retain(|group| {
+            let needed = room - group.size < size;
+            room -= if needed { 0 } else { group.size };
+            needed
+        });
+        let cost = slow + taken.iter().map(|group| group.worth).sum::<f32>();
+        Some((cost, taken.into_iter().flat_map(|group| group.names).collect()))
     }
 
-    fn carries_adapters(&self, account: &Account, base: &ModelName) -> bool {
-        let adapters = account.charges.iter().filter(|(_, c)| c.phase != Phase::Ghost);
-        adapters.into_iter().any(|(name, _)| {
-            self.input.config.models.get(name).is_some_and(|m| m.base.as_ref() == Some(base))
-        })
+    /// A model with the adapters that are loaded on it.
+    fn group(&self, account: &Account, model: &ModelName) -> Group {
+        let on_model = account.charges.iter().filter(|(name, charge)| {
+            let base = self.input.config.models.get(*name).and_then(|m| m.base.as_ref());
+            charge.phase == Phase::Loaded && base == Some(model)
+        });
+        let mut names = vec![model.clone()];
+        names.extend(on_model.map(|(name, _)| name.clone()));
+        let size = names.iter().filter_map(|name| account.charges.get(name)).map(|c| c.size.0);
+        Group { size: size.sum(), worth: self.worth(model), names }
     }
 
     fn worth(&self, model: &ModelName) -> f32 {
--- a/src/process/quota/lender.rs
+++ b/src/process/quota/lender.rs
@@ -29,6 +29,8 @@
     pub returned: u64,
     /// Tokens that were reserved and then not used.
     pub refunded: u64,
+    /// Whether nothing more will be reported.
+    pub closed: bool,
 }
 
 /// Asks for a loan and reports on earlier ones.
@@ -185,7 +187,18 @@
         if let Some(mark) = loan.settled {
             bucket.refund(Tokens(refunded - old.refunded), mark, now);
         }
-        loan.report = LoanReport { loan: report.loan, spent, returned, refunded };
+        loan.report = LoanReport { loan: report.loan, spent, returned, refunded, closed: false };
+        if report.closed {
+            self.close_loan(report.loan, now);
+        }
+    }
+
+    /// The borrower will report nothing more; what it did not spend has lapsed there.
+    fn close_loan(&mut self, loan: u64, now: Duration) {
+        let Some(loan) = self.loans.remove(&loan) else { return };
+        if let Some(bucket) = self.buckets.get_mut(&loan.tenant) {
+            bucket.settle(Tokens(loan.open()), now);
+        }
     }
 
     /// Counts loans as spent whose time is over.
--- a/src/process/quota/pool.rs
+++ b/src/process/quota/pool.rs
@@ -48,6 +48,8 @@
     told: LoanReport,
     until: Duration,
     used: Duration,
+    /// Reservations that took tokens from the loan and are not settled.
+    held: u32,
 }
 
 impl Loan {
@@ -59,6 +61,14 @@
     }
 }
 
+/// All lenders together had too few tokens.
+#[derive(Clone, Copy, Debug)]
+struct Dry {
+    tokens: u64,
+    wait: Duration,
+    until: Duration,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Demand {
     current: u64,
@@ -71,6 +81,7 @@
     /// The buckets that the process owns.
     pub lender: Lender,
     loans: BTreeMap<(VmRef, u64), Loan>,
+    dry: BTreeMap<TenantName, Dry>,
     demand: BTreeMap<TenantName, Demand>,
     lapsed: Option<Duration>,
 }
@@ -132,6 +143,7 @@
             if part > 0 {
                 loan.report.spent += part;
                 loan.used = now;
+                loan.held += 1;
                 left -= part;
                 parts.push(Part::Borrowed { lender: lender.clone(), loan: *id, tokens: part });
             }
@@ -159,12 +171,26 @@
                 Part::Borrowed { lender, loan, .. } => {
                     if let Some(loan) = self.loans.get_mut(&(lender.clone(), *loan)) {
                         loan.report.refunded += refund;
+                        loan.held -= 1;
                     }
                 }
             }
         }
     }
 
+    /// Notes that all lenders together had too few for `tokens`, and the wait that they name.
+    pub fn note_dry(&mut self, tenant: &TenantName, tokens: Tokens, wait: Duration, now: Duration) {
+        let dry = Dry { tokens: tokens.0, wait, until: now + wait.min(DRY_TIME) };
+        self.dry.insert(tenant.clone(), dry);
+    }
+
+    /// The wait for as many tokens as were refused a moment ago, so that a tenant far above its
+    /// rate does not make each of its requests cost a round of asks.
+    pub fn dry(&self, tenant: &TenantName, tokens: Tokens, now: Duration) -> Option<Duration> {
+        let dry = self.dry.get(tenant)?;
+        (now < dry.until && tokens.0 >= dry.tokens).then_some(dry.wait)
+    }
+
     /// Takes in a loan that was asked for at `asked`, on the process's own clock.
     pub fn receive(&mut self, lender: &VmRef, lent: &Lent, asked: Duration, now: Duration) {
         if lent.tokens == 0 {
@@ -179,6 +205,7 @@
             told: report,
             until: asked + LOAN_TIME,
             used: now,
+            held: 0,
         };
         self.loans.entry((lender.clone(), lent.loan)).or_insert(loan);
     }
@@ -212,6 +239,7 @@
     ) -> Vec<(VmRef, Ask)> {
         self.lender.lapse(now);
         self.return_idle(now);
+        self.close_ended(now);
         let mut asks = Vec::new();
         for tenant in self.active_tenants() {
             let Some(offset) = created(&tenant) else {
@@ -229,7 +257,6 @@
                 }
             }
         }
-        self.loans.retain(|_, loan| now < loan.until + LOAN_KEPT);
         asks
     }
 
@@ -265,6 +292,18 @@
         }
     }
 
+    /// Closes loans that no reservation refers to any more, and drops those whose lender knows.
+    fn close_ended(&mut self, now: Duration) {
+        for loan in self.loans.values_mut() {
+            loan.report.closed |= loan.held == 0 && loan.open(now) == 0;
+        }
+        self.loans.retain(|_, loan| {
+            let known = loan.report.closed && loan.told == loan.report;
+            // Until its time is over, the loan is kept so that it is not taken in again.
+            (!known || now < loan.until) && now < loan.until + LOAN_KEPT
+        });
+    }
+
     /// Returns all unspent loans of a tenant, after a request that could not be served.
     pub fn give_up(&mut self, tenant: &TenantName, now: Duration) {
         for loan in self.loans.values_mut().filter(|loan| loan.tenant == *tenant) {
@@ -290,4 +329,5 @@
     }
 }
 
+const DRY_TIME: Duration = Duration::from_millis(100); // for which a shortage is remembered
 const LOAN_KEPT: Duration = Duration::from_secs(600); // after its end, for refunds
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -339,3 +339,21 @@
     pool.receive(&vm("home", 1), &lent, at(0), at(20));
     assert_eq!(pool.reserve(&tenant(), Tokens(1), at(30)).unwrap_err(), Tokens(1));
 }
+
+#[test]
+fn a_loan_that_arrives_again_after_it_was_closed_is_not_spent_again() {
+    let mut pool = Pool::default();
+    let lent = Lent { tenant: tenant(), created: Offset(1), loan: 1, tokens: 100, wait: 0 };
+    pool.receive(&vm("home", 1), &lent, at(0), at(0));
+    let held = pool.reserve(&tenant(), Tokens(100), at(10)).unwrap();
+    pool.settle(held, Tokens(100), at(20));
+    let homes = |_: &TenantName| vec![(vm("home", 1), 8)];
+    for i in 0..4 {
+        let now = at(100 * (i + 1));
+        for (home, ask) in pool.tick(homes, |_| Some(Offset(1)), at(100), now) {
+            pool.confirm(&home, &ask.reports);
+        }
+    }
+    pool.receive(&vm("home", 1), &lent, at(0), at(600));
+    assert_eq!(pool.reserve(&tenant(), Tokens(1), at(610)).unwrap_err(), Tokens(1));
+}
