--- /dev/null
+++ b/benches/carob-bench/src/demo.rs
@@ -0,0 +1,110 @@
+//! The demo: a small fleet that shows the main job, prints what it saw and ends.
+
+use std::time::Duration;
+
+use carobglade::KeyDigest;
+use eyre::{Result, bail};
+
+use crate::config::{key_of, model, tenant};
+use crate::{Answer, Client, Fleet, FleetOptions};
+
+const PLAN_TOKENS: u64 = 12;
+
+fn options() -> FleetOptions {
+    let models = vec![model("stand-planner", "30GiB"), model("explainer", "20GiB")];
+    FleetOptions {
+        tenants: vec![
+            tenant("apron-desk", 20_000, 80_000, &models),
+            tenant("handlers", 20_000, 80_000, &models),
+        ],
+        models,
+        pace: 20,
+        ..FleetOptions::default()
+    }
+}
+
+fn expect(what: &str, holds: bool, seen: &str) -> Result<()> {
+    println!("  {} {what}: {}", if holds { "ok  " } else { "FAIL" }, seen.trim());
+    if !holds {
+        bail!("{what}");
+    }
+    Ok(())
+}
+
+fn short(answer: &Answer) -> String {
+    format!("{} in {} ms {}", answer.status, answer.total.as_millis(), answer.code())
+}
+
+/// Runs the demo.
+///
+/// # Errors
+///
+/// When a step does not show what it should.
+pub async fn run() -> Result<()> {
+    println!("starting: log, store, two engines, a gate service, three entry processes");
+    let mut fleet = Fleet::start(options()).await?;
+    println!("configuration in force on {} vms", fleet.vms.len());
+    let apron = Client::fresh(&key_of("apron-desk"));
+
+    println!("a stand plan, streamed from a cold model");
+    let plan =
+        apron.complete(fleet.at(0), "stand-planner", "plan the night", PLAN_TOKENS, true).await;
+    let words = plan.body.matches("\"delta\"").count();
+    let whole = plan.status == 200 && plan.body.contains("[DONE]") && words as u64 == PLAN_TOKENS;
+    let seen = format!("{words} tokens, the first after {} ms", plan.first.as_millis());
+    expect("the whole plan came", whole, &seen)?;
+
+    println!("a gate command, sent twice through two vms");
+    let first = apron.once(fleet.at(0), "/gates/12/open", "turn-1", "{}").await;
+    let again = apron.once(fleet.at(1), "/gates/12/open", "turn-1", "{}").await;
+    let ran = fleet.ran().await?.len();
+    let same = first.status == 200 && again.replayed && first.body == again.body && ran == 1;
+    expect("it ran once", same, &format!("{}; {}; {ran} run", short(&first), short(&again)))?;
+
+    println!("a killed vm");
+    fleet.vms[2].process.kill();
+    let other = apron.complete(fleet.at(1), "stand-planner", "plan the night", 3, false).await;
+    expect("another serves", other.status == 200, &short(&other))?;
+    fleet.restart_vm(2)?;
+    fleet.wait_ready(2).await?;
+
+    println!("a withdrawn key");
+    let mut wire = fleet.config.clone();
+    let withdrawn = KeyDigest::of(&key_of("handlers")).to_string();
+    wire.tenants[1].keys.retain(|key| *key != withdrawn);
+    fleet.apply(&wire).await?;
+    let refused = Client::fresh(&key_of("handlers"))
+        .complete(fleet.at(0), "explainer", "why", 3, false)
+        .await;
+    expect("it is refused", refused.code() == "invalid_key", &short(&refused))?;
+
+    println!("a rolling replacement under load");
+    for i in 0..fleet.vms.len() {
+        let address = fleet.at(i);
+        let streams: Vec<_> = (0..4)
+            .map(|_| {
+                let apron = apron.clone();
+                tokio::spawn(async move {
+                    apron.complete(address, "stand-planner", "revise", 40, true).await
+                })
+            })
+            .collect();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        fleet.vms[i].process.signal("TERM");
+        let mut whole = 0;
+        for stream in streams {
+            whole += usize::from(stream.await?.body.contains("[DONE]"));
+        }
+        let code = fleet.vms[i].process.wait(Duration::from_secs(60)).await;
+        let seen = format!("{whole} of 4 streams whole, exit code {code:?}");
+        expect(&format!("{} drained", fleet.vms[i].name), whole == 4 && code == Some(0), &seen)?;
+        fleet.restart_vm(i)?;
+        fleet.wait_ready(i).await?;
+    }
+    let last = apron.complete(fleet.at(0), "stand-planner", "plan the night", 3, false).await;
+    expect("the fleet serves on", last.status == 200, &short(&last))?;
+    let broken = fleet.broken();
+    expect("no accelerator was overcommitted", broken.is_empty(), &broken.join(" "))?;
+    println!("done");
+    Ok(())
+}
--- a/benches/carob-bench/src/lib.rs
+++ b/benches/carob-bench/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod client;
 pub mod config;
+pub mod demo;
 pub mod fleet;
 pub mod history;
 pub mod policies;
--- a/benches/carob-bench/src/main.rs
+++ b/benches/carob-bench/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use carob_bench::report::{Bounds, Report};
-use carob_bench::{policies, scenario, slopes};
+use carob_bench::{demo, policies, scenario, slopes};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::{Context, Result};
 
@@ -31,6 +31,7 @@
                     .help("Only the parts without I/O"),
             ),
         )
+        .subcommand(Command::new("demo").about("Show the main job on a small fleet"))
         .subcommand(Command::new("policies").about("Decisions against their baselines"))
         .subcommand(
             Command::new("users").about("Both users' workloads at their sizes, with a fault").arg(
@@ -48,6 +49,7 @@
     let mut report = Report::default();
     match args.subcommand() {
         Some(("slopes", sub)) => slopes::run(&mut report, !sub.get_flag("parts")).await?,
+        Some(("demo", _)) => demo::run().await?,
         Some(("policies", _)) => policies::run(&mut report),
         Some(("users", sub)) => {
             let seconds = sub.get_one::<u64>("seconds").copied().unwrap_or(20);
--- a/benches/carob-bench/src/slopes/parts.rs
+++ b/benches/carob-bench/src/slopes/parts.rs
@@ -99,6 +99,10 @@
     }
 }
 
+fn packed<T: serde::Serialize>(message: &T) -> usize {
+    postcard::to_stdvec(message).unwrap_or_default().len()
+}
+
 fn heartbeats(report: &mut Report) {
     let (mut hear, mut bytes) = (Vec::new(), Vec::new());
     let mut memory = 0.0;
@@ -107,14 +111,14 @@
         let mut fleet = Fleet::default();
         let members: Vec<VmRef> = (1..vms).map(|i| beat(i, 0).vm).collect();
         (1..vms).for_each(|i| {
-            fleet.hear(beat(i, 1), Duration::ZERO);
+            fleet.hear(beat(i, 1), false, Duration::ZERO);
         });
         memory = (resident() - before) / 1e6;
         let mut count = 1;
         let time = micros(vms - 1, || {
             count += 1;
             (1..vms).for_each(|i| {
-                fleet.hear(beat(i, count), Duration::from_millis(10));
+                fleet.hear(beat(i, count), false, Duration::from_millis(10));
             });
         });
         hear.push((vms as f64, time));
@@ -123,8 +127,7 @@
             turn += 7;
             turn % n
         });
-        let message = serde_json::to_vec(&relayed).unwrap_or_default().len()
-            + serde_json::to_vec(&beat(0, 1)).unwrap_or_default().len();
+        let message = packed(&relayed) + packed(&beat(0, 1));
         bytes.push((vms as f64, (targets.len() * message) as f64 / BEAT_EVERY));
     }
     report.add("fleet.hear_time", hear[2].1, "us", "one heartbeat, 1100 vms, made and taken in");
@@ -186,7 +189,7 @@
         want: 5000,
         reports,
     };
-    let bytes = serde_json::to_vec(&ask).unwrap_or_default().len() as f64;
+    let bytes = packed(&ask) as f64;
     report.add("pool.ask_bytes", bytes, "B", "an ask with five reports");
     let each_second = bytes * TICKS_EACH_SECOND * 7.0 / 1000.0;
     report.add("pool.asks_sent", each_second, "KB/s", "one busy tenant, seven lenders");
--- a/crates/carob-entry/src/orders.rs
+++ b/crates/carob-entry/src/orders.rs
@@ -78,10 +78,10 @@
         return Vec::new();
     }
     let config = Arc::clone(inner.control.state().config());
-    let (mine, others): (Vec<_>, Vec<_>) = config.engines().partition(|upstream| {
-        let duty = format!("upstream:{}", upstream.name);
-        inner.fleet.in_charge(&duty, &core.me, now) == core.me
-    });
+    let ring = inner.fleet.ring(&core.me, now);
+    let (mine, others): (Vec<_>, Vec<_>) = config
+        .engines()
+        .partition(|upstream| ring.owner(&format!("upstream:{}", upstream.name)) == Some(&core.me));
     others.into_iter().for_each(|upstream| inner.upstream(&upstream.name).missed = 0);
     let state = inner.control.state();
     let accounts = mine.into_iter().filter_map(|upstream| {
@@ -260,8 +260,8 @@
 
 fn propose(core: &Core, settings: &PlacementSettings) -> Vec<Intent> {
     let now = core.now();
-    let inner = core.lock();
-    if inner.confirmed.is_none() || inner.fleet.in_charge("planner", &core.me, now) != core.me {
+    let mut inner = core.lock();
+    if inner.confirmed.is_none() || !inner.fleet.in_charge("planner", &core.me, now) {
         return Vec::new();
     }
     let state = inner.control.state();
--- a/crates/carob-entry/src/peers.rs
+++ b/crates/carob-entry/src/peers.rs
@@ -30,7 +30,7 @@
 
 /// A message to another vm.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
+#[serde(rename_all = "snake_case")]
 pub enum PeerRequest {
     /// Heartbeats, the sender's own first.
     Beats(Vec<Heartbeat>),
@@ -54,7 +54,7 @@
 
 /// An answer of another vm.
 #[derive(Debug, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case", deny_unknown_fields)]
+#[serde(rename_all = "snake_case")]
 pub enum PeerReply {
     /// The message was taken.
     Taken,
@@ -85,6 +85,34 @@
     Refused(String),
 }
 
+impl PeerRequest {
+    /// Whether the message is sent so often that its size counts.
+    fn is_frequent(&self) -> bool {
+        matches!(self, PeerRequest::Beats(_) | PeerRequest::Ask { .. })
+    }
+}
+
+/// The first byte of a message tells its encoding.
+const JSON: u8 = 0;
+const POSTCARD: u8 = 1;
+
+fn encode<T: Serialize>(message: &T, frequent: bool) -> Result<Vec<u8>> {
+    if frequent {
+        return Ok(postcard::to_extend(message, vec![POSTCARD])?);
+    }
+    let mut bytes = vec![JSON];
+    serde_json::to_writer(&mut bytes, message)?;
+    Ok(bytes)
+}
+
+fn decode<T: for<'de> Deserialize<'de>>(bytes: &[u8]) -> Result<T> {
+    match bytes.split_first() {
+        Some((&JSON, rest)) => Ok(serde_json::from_slice(rest)?),
+        Some((&POSTCARD, rest)) => Ok(postcard::from_bytes(rest)?),
+        _ => Err(eyre!("the message has no known encoding")),
+    }
+}
+
 /// The endpoint and the connections that are open.
 #[derive(Default)]
 pub struct Links {
@@ -193,7 +221,7 @@
     address: SocketAddr,
     request: &PeerRequest,
 ) -> Result<PeerReply> {
-    let bytes = serde_json::to_vec(request)?;
+    let bytes = encode(request, request.is_frequent())?;
     core.metrics.peer_sent(bytes.len() as u64);
     let exchange = async {
         let connection = core.links.connection(address).await?;
@@ -205,7 +233,7 @@
     match tokio::time::timeout(CALL_TIMEOUT, exchange).await {
         Ok(Ok(reply)) => {
             core.metrics.peer_received(reply.len() as u64);
-            Ok(serde_json::from_slice(&reply)?)
+            decode(&reply)
         }
         Ok(Err(err)) => {
             core.links.forget(address).await;
@@ -241,11 +269,12 @@
             let Ok(bytes) = receive.read_to_end(MESSAGE_MAX).await else {
                 return;
             };
-            let reply = match serde_json::from_slice::<PeerRequest>(&bytes) {
+            let reply = match decode::<PeerRequest>(&bytes) {
                 Ok(request) => answer(&core, request).await,
                 Err(err) => PeerReply::Refused(err.to_string()),
             };
-            if let Ok(reply) = serde_json::to_vec(&reply) {
+            let frequent = matches!(reply, PeerReply::Taken | PeerReply::Lent { .. });
+            if let Ok(reply) = encode(&reply, frequent) {
                 let _ = send.write_all(&reply).await;
                 let _ = send.finish();
             }
@@ -258,9 +287,9 @@
     match request {
         PeerRequest::Beats(beats) => {
             let mut inner = core.lock();
-            for beat in beats.into_iter().filter(|beat| beat.vm != core.me) {
+            for (i, beat) in beats.into_iter().enumerate().filter(|(_, beat)| beat.vm != core.me) {
                 let cold = beat.demand.iter().any(|(_, demand)| demand.waiting > 0);
-                if inner.fleet.hear(beat, now) && cold {
+                if inner.fleet.hear(beat, i > 0, now) && cold {
                     core.planning.notify_one();
                 }
             }
--- a/crates/carob-entry/src/queue.rs
+++ b/crates/carob-entry/src/queue.rs
@@ -137,6 +137,9 @@
         let _ = tokio::time::timeout(TICK, core.room.notified()).await;
         let now = core.now();
         let mut inner = core.lock();
+        if inner.queue.is_empty() {
+            continue;
+        }
         let mut queue = std::mem::take(&mut inner.queue);
         drop(queue.expire(now));
         let loads = inner.fleet.loads(now);
--- a/crates/carob-entry/src/shares.rs
+++ b/crates/carob-entry/src/shares.rs
@@ -113,7 +113,8 @@
         return;
     }
     let free = inner.control.state().slots().free_for(&core.me, inner.log_time(now));
-    let mine = |slot: &u16| in_charge(core, inner, *slot, now);
+    let ring = inner.fleet.ring(&core.me, now);
+    let mine = |slot: &u16| ring.owner(&duty(*slot)) == Some(&core.me);
     let slots: Vec<u16> = free.into_iter().filter(mine).collect();
     if slots.is_empty() {
         return;
@@ -123,8 +124,8 @@
     drop(core.control_log.add(Record::SlotTake(take)));
 }
 
-fn in_charge(core: &Core, inner: &Inner, slot: u16, now: Duration) -> bool {
-    inner.fleet.in_charge(&format!("slot:{slot}"), &core.me, now) == core.me
+fn duty(slot: u16) -> String {
+    format!("slot:{slot}")
 }
 
 fn renew(core: &Core, inner: &mut Inner, now: Duration) {
@@ -142,7 +143,9 @@
     }
     let fair = usize::from(SLOTS) / (inner.fleet.living(now).count() + 1);
     let spare = inner.slots.len().saturating_sub(fair).min(GIVE_MOST);
-    let slots = inner.slots.keys().copied().filter(|slot| !in_charge(core, inner, *slot, now));
+    let ring = inner.fleet.ring(&core.me, now);
+    let others = |slot: &u16| ring.owner(&duty(*slot)) != Some(&core.me);
+    let slots = inner.slots.keys().copied().filter(others);
     let slots: Vec<u16> = slots.take(spare).collect();
     let slots = without_lent(inner, slots);
     inner.hold.given = now;
--- a/crates/carob-entry/src/tail.rs
+++ b/crates/carob-entry/src/tail.rs
@@ -142,7 +142,7 @@
     };
     let mut inner = core.lock();
     for beat in beats {
-        inner.fleet.hear(beat, started);
+        inner.fleet.hear(beat, true, started);
     }
     if install(&mut inner, control, claims) {
         inner.confirmed = Some(started.saturating_sub(Duration::from_millis(age)));
@@ -174,7 +174,7 @@
         return;
     }
     let due = inner.snapshots.get(&duty).is_none_or(|at| now > *at);
-    if !due || inner.fleet.in_charge(&duty, &core.me, now) != core.me {
+    if !due || !inner.fleet.in_charge(&duty, &core.me, now) {
         return;
     }
     inner.snapshots.insert(duty, now + SNAPSHOT_PAUSE);
--- a/crates/carobctl/src/apply.rs
+++ b/crates/carobctl/src/apply.rs
@@ -88,7 +88,7 @@
 pub async fn show(args: &ArgMatches) -> Result<Ended> {
     let follower = Follower::open(log_of(args)?).await?;
     eprintln!("version {}", follower.state().version());
-    println!("{}", serde_json::to_string_pretty(follower.state().wire())?);
+    println!("{}", serde_json::to_string_pretty(&follower.state().wire())?);
     Ok(Ended::Done)
 }
 
@@ -99,7 +99,7 @@
         return Ok(Ended::Invalid);
     }
     let follower = Follower::open(log_of(args)?).await?;
-    let changes = Change::diff(follower.state().wire(), &wire);
+    let changes = Change::diff(&follower.state().wire(), &wire);
     println!("against version {}: {} changes", follower.state().version(), changes.len());
     changes.iter().for_each(|change| println!("{}", describe(change)));
     Ok(Ended::Done)
@@ -120,7 +120,7 @@
     };
     let state = follower.state();
     let base = args.get_one::<u64>("base").copied().map_or(state.version(), Offset);
-    let changes = Change::diff(state.wire(), &wire);
+    let changes = Change::diff(&state.wire(), &wire);
     if changes.is_empty() && base == state.version() {
         println!("version {base} is in force already");
         return Ok(Ended::Done);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,7 +41,7 @@
 
 pub use connection::{Health, HealthSettings, Progress, ProgressSettings};
 pub use error::{Answer, Error, ErrorKind, Result, RunState};
-pub use process::fleet::{DEAD_AFTER, FRESH_FOR, Fleet, Heartbeat, Standing, UpstreamLoad};
+pub use process::fleet::{DEAD_AFTER, FRESH_FOR, Fleet, Heartbeat, Ring, Standing, UpstreamLoad};
 pub use process::ledger::{Account, Charge, Ledger, ORDER_LIFETIME_MS, Phase};
 pub use process::placement::{Demand, PlacementPolicy, PlacementSettings, PlanInput, plan};
 pub use process::quota::{
--- a/src/process/control.rs
+++ b/src/process/control.rs
@@ -8,8 +8,8 @@
 
 use crate::process::ledger::Ledger;
 use crate::process::{ConfigChange, Entry, Fold, Join, Record, SlotTable, Suspects, VmRef};
-use crate::version::{Config, ConfigWire, KeyIndex, check};
-use crate::{DataCentre, Offset, TenantName, VmName};
+use crate::version::{Change, Config, ConfigWire, KeyIndex, check};
+use crate::{DataCentre, Error, ErrorKind, Offset, Result, TenantName, UpstreamName, VmName};
 
 const VERDICTS_KEPT: usize = 512; // verdicts that are kept for those who appended
 const MEMBER_EXPIRY_MS: u64 = 24 * 3600 * 1000; // after which a silent member is dropped
@@ -39,18 +39,72 @@
     pub time: u64,
 }
 
-#[derive(Clone, Debug, Default)]
-struct Derived {
-    config: Arc<Config>,
-    keys: Arc<KeyIndex>,
+/// The state as a snapshot holds it: the configuration as operators write it.
+#[derive(Serialize, Deserialize)]
+struct StateWire {
+    version: Offset,
+    config: ConfigWire,
+    created: BTreeMap<TenantName, Offset>,
+    removed: BTreeMap<TenantName, Offset>,
+    members: BTreeMap<VmName, Member>,
+    slots: SlotTable,
+    ledger: Ledger,
+    suspects: Suspects,
+    verdicts: VecDeque<(String, Verdict)>,
+    time: u64,
+}
+
+impl From<ControlState> for StateWire {
+    fn from(state: ControlState) -> Self {
+        let tenants = state.config.tenants.values();
+        StateWire {
+            version: state.version,
+            config: ConfigWire::from(&*state.config),
+            created: tenants.map(|t| (t.name.clone(), t.grant.created)).collect(),
+            removed: state.removed,
+            members: state.members,
+            slots: state.slots,
+            ledger: state.ledger,
+            suspects: state.suspects,
+            verdicts: state.verdicts,
+            time: state.time,
+        }
+    }
+}
+
+impl TryFrom<StateWire> for ControlState {
+    type Error = Error;
+
+    fn try_from(wire: StateWire) -> Result<Self> {
+        let config = check(&wire.config, wire.version).map_err(|problems| {
+            let problem = problems.first().map(ToString::to_string).unwrap_or_default();
+            Error::new(ErrorKind::InvalidRequest, format!("snapshot: {problem}"))
+        })?;
+        let config = config.with_created(&wire.created);
+        let mut ledger = wire.ledger;
+        ledger.restore();
+        Ok(ControlState {
+            version: wire.version,
+            keys: Arc::new(KeyIndex::new(&config)),
+            config: Arc::new(config),
+            removed: wire.removed,
+            members: wire.members,
+            slots: wire.slots,
+            ledger,
+            suspects: wire.suspects,
+            verdicts: wire.verdicts,
+            time: wire.time,
+        })
+    }
 }
 
 /// The replayed state of the control stream.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[serde(into = "StateWire", try_from = "StateWire")]
 pub struct ControlState {
     version: Offset,
-    wire: ConfigWire,
-    created: BTreeMap<TenantName, Offset>,
+    config: Arc<Config>,
+    keys: Arc<KeyIndex>,
     removed: BTreeMap<TenantName, Offset>,
     members: BTreeMap<VmName, Member>,
     slots: SlotTable,
@@ -58,8 +112,6 @@
     suspects: Suspects,
     verdicts: VecDeque<(String, Verdict)>,
     time: u64,
-    #[serde(skip)]
-    derived: Derived,
 }
 
 impl ControlState {
@@ -70,17 +122,17 @@
 
     /// The configuration in force.
     pub fn config(&self) -> &Arc<Config> {
-        &self.derived.config
+        &self.config
     }
 
     /// The configuration in force as operators write it.
-    pub fn wire(&self) -> &ConfigWire {
-        &self.wire
+    pub fn wire(&self) -> ConfigWire {
+        ConfigWire::from(&*self.config)
     }
 
     /// The keys in force.
     pub fn keys(&self) -> &Arc<KeyIndex> {
-        &self.derived.keys
+        &self.keys
     }
 
     /// The processes that joined.
@@ -130,41 +182,31 @@
             let message = format!("based on {}, but {} is in force", change.base, self.version);
             return Verdict::Void(message);
         }
-        let mut wire = self.wire.clone();
-        change.changes.iter().for_each(|change| change.make(&mut wire));
-        let config = match check(&wire, offset) {
+        let config = match self.config.updated(&change.changes, offset) {
             Ok(config) => config,
             Err(problems) => {
-                return Verdict::Void(
-                    problems.first().map(ToString::to_string).unwrap_or_default(),
-                );
+                let problem = problems.first().map(ToString::to_string);
+                return Verdict::Void(problem.unwrap_or_default());
             }
         };
-        for tenant in self.created.keys().filter(|name| !config.tenants.contains_key(*name)) {
-            self.removed.insert(tenant.clone(), offset);
+        let gone = self.config.tenants.keys().filter(|name| !config.tenants.contains_key(*name));
+        self.removed.extend(gone.map(|name| (name.clone(), offset)));
+        for change in &change.changes {
+            let Change::Upstream(wire) = change else { continue };
+            let Ok(name) = wire.name.parse::<UpstreamName>() else { continue };
+            let Some(upstream) = config.upstreams.get(&name) else { continue };
+            if let Some(memory) = upstream.memory {
+                self.ledger.configure(&name, memory, upstream.fencing);
+            }
         }
-        self.created.retain(|name, _| config.tenants.contains_key(name));
-        for tenant in config.tenants.keys() {
-            self.created.entry(tenant.clone()).or_insert(offset);
+        if !Arc::ptr_eq(&config.tenants, &self.config.tenants) {
+            self.keys = Arc::new(KeyIndex::new(&config));
         }
         self.version = offset;
-        self.wire = wire;
-        self.derive(config);
+        self.config = Arc::new(config);
         Verdict::Accepted(offset)
     }
 
-    fn derive(&mut self, mut config: Config) {
-        for tenant in config.tenants.values_mut() {
-            tenant.grant.created = self.created.get(&tenant.name).copied().unwrap_or_default();
-        }
-        for upstream in config.upstreams.values() {
-            if let Some(memory) = upstream.memory {
-                self.ledger.configure(&upstream.name, memory, upstream.fencing);
-            }
-        }
-        self.derived = Derived { keys: Arc::new(KeyIndex::new(&config)), config: Arc::new(config) };
-    }
-
     fn join(&mut self, join: &Join, time: u64) {
         let known = self.members.get(&join.vm.vm);
         if known.is_some_and(|member| member.vm.incarnation > join.vm.incarnation) {
@@ -232,11 +274,4 @@
         let oldest = self.time.saturating_sub(MEMBER_EXPIRY_MS);
         self.members.retain(|_, member| member.time >= oldest);
     }
-
-    fn restore(&mut self) {
-        self.ledger.restore();
-        if let Ok(config) = check(&self.wire, self.version) {
-            self.derive(config);
-        }
-    }
 }
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -1,6 +1,7 @@
 //! What a process knows of the others: heartbeats, and what they allow it to do.
 
 use std::collections::BTreeMap;
+use std::sync::Arc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -10,15 +11,18 @@
 use crate::process::placement::Demand;
 use crate::{ModelName, Offset, UpstreamName};
 
-/// Silence after which a process counts as dead for duties, never for safety.
+/// Silence after which a process of a small fleet counts as dead for duties, never for safety.
 pub const DEAD_AFTER: Duration = Duration::from_millis(2500);
 
+const DEAD_AFTER_EACH: Duration = Duration::from_millis(35); // more, for each process of a large one
+
 /// Age of the last confirmed tail of the log up to which a configuration counts as in force.
 pub const FRESH_FOR: Duration = Duration::from_secs(4);
 
+const RING_POINTS: usize = 16; // of each process
 const GOSSIP_ALL: usize = 16; // fleets up to this size send heartbeats to all
-const GOSSIP_TARGETS: usize = 4;
-const GOSSIP_RELAYED: usize = 8; // heartbeats of others in each message
+const GOSSIP_TARGETS: usize = 2;
+const GOSSIP_RELAYED: usize = 32; // heartbeats of others in each message, without their details
 
 /// Requests of one process that an upstream runs.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -56,6 +60,14 @@
     pub down: Vec<UpstreamName>,
 }
 
+impl Heartbeat {
+    /// The heartbeat as others pass it on.
+    fn without_details(&self) -> Heartbeat {
+        let (demand, loads, down) = (Vec::new(), Vec::new(), Vec::new());
+        Heartbeat { vm: self.vm.clone(), demand, loads, down, ..*self }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     beat: Heartbeat,
@@ -73,19 +85,58 @@
     Isolated,
 }
 
+/// Spreads duties over processes, by consistent hashing.
+///
+/// Two processes may take themselves for the one in charge at once; what it does must be safe all
+/// the same.
+#[derive(Clone, Debug)]
+pub struct Ring {
+    points: Vec<(u64, VmRef)>,
+}
+
+impl Ring {
+    /// A ring of `vms`, of which there is at least one.
+    pub fn new(vms: Vec<VmRef>) -> Self {
+        let mut points: Vec<(u64, VmRef)> = vms
+            .iter()
+            .flat_map(|vm| {
+                let name = vm.to_string();
+                (0..RING_POINTS)
+                    .map(move |i| (xxh3_64(format!("{name}/{i}").as_bytes()), vm.clone()))
+            })
+            .collect();
+        points.sort();
+        Ring { points }
+    }
+
+    /// The process in charge of `duty`.
+    pub fn owner(&self, duty: &str) -> Option<&VmRef> {
+        let hash = xxh3_64(duty.as_bytes());
+        let at = self.points.partition_point(|(point, _)| *point < hash);
+        self.points.get(at).or(self.points.first()).map(|(_, vm)| vm)
+    }
+}
+
 /// The other processes as heard of.
 #[derive(Debug, Default)]
 pub struct Fleet {
     peers: BTreeMap<VmRef, Peer>,
+    ring: Option<(Vec<VmRef>, Arc<Ring>)>,
 }
 
 impl Fleet {
-    /// Takes in a heartbeat; older and doubled ones are ignored.
-    pub fn hear(&mut self, beat: Heartbeat, now: Duration) -> bool {
+    /// Takes in a heartbeat; older and doubled ones are ignored. One that another process
+    /// `relayed` comes without details, and the last known ones stay.
+    pub fn hear(&mut self, beat: Heartbeat, relayed: bool, now: Duration) -> bool {
         let known = self.peers.get(&beat.vm);
         if known.is_some_and(|peer| peer.beat.count >= beat.count) {
             return false;
         }
+        let details = known.filter(|_| relayed).map(|peer| peer.beat.clone());
+        let mut beat = beat;
+        if let Some(old) = details {
+            (beat.demand, beat.loads, beat.down) = (old.demand, old.loads, old.down);
+        }
         self.peers.insert(beat.vm.clone(), Peer { beat, heard: now });
         true
     }
@@ -95,24 +146,46 @@
         self.peers.retain(|vm, _| keep(vm));
     }
 
+    /// Silence after which a process counts as dead. In a large fleet news of a process takes
+    /// longer to come round.
+    pub fn dead_after(&self) -> Duration {
+        let more = if self.peers.len() > GOSSIP_ALL { self.peers.len() as u32 } else { 0 };
+        DEAD_AFTER + DEAD_AFTER_EACH * more
+    }
+
+    fn lately(&self, peer: &Peer, now: Duration) -> bool {
+        now.saturating_sub(peer.heard) < self.dead_after()
+    }
+
     /// Whether `vm` was heard of lately.
     pub fn alive(&self, vm: &VmRef, now: Duration) -> bool {
-        self.peers.get(vm).is_some_and(|peer| now.saturating_sub(peer.heard) < DEAD_AFTER)
+        self.peers.get(vm).is_some_and(|peer| self.lately(peer, now))
     }
 
     /// The heartbeats of all processes that were heard of lately.
     pub fn living(&self, now: Duration) -> impl Iterator<Item = &Heartbeat> {
-        let lately = move |peer: &&Peer| now.saturating_sub(peer.heard) < DEAD_AFTER;
-        self.peers.values().filter(lately).map(|peer| &peer.beat)
+        let lately = self.peers.values().filter(move |peer| self.lately(peer, now));
+        lately.map(|peer| &peer.beat)
     }
 
-    /// The process in charge of `duty`, among `me` and those that are heard of and not leaving.
-    /// Two processes may take themselves for it at once; what it does must be safe all the same.
-    pub fn in_charge(&self, duty: &str, me: &VmRef, now: Duration) -> VmRef {
+    /// The ring of `me` and the processes that are heard of and not leaving.
+    pub fn ring(&mut self, me: &VmRef, now: Duration) -> Arc<Ring> {
         let others = self.living(now).filter(|beat| !beat.draining).map(|beat| &beat.vm);
-        let all = others.chain([me]);
-        let weight = |vm: &&VmRef| xxh3_64(format!("{duty}\0{vm}").as_bytes());
-        all.max_by_key(weight).unwrap_or(me).clone()
+        let vms: Vec<&VmRef> = others.chain([me]).collect();
+        match &self.ring {
+            Some((known, ring)) if known.iter().eq(vms.iter().copied()) => Arc::clone(ring),
+            _ => {
+                let vms: Vec<VmRef> = vms.into_iter().cloned().collect();
+                let ring = Arc::new(Ring::new(vms.clone()));
+                self.ring = Some((vms, Arc::clone(&ring)));
+                ring
+            }
+        }
+    }
+
+    /// Whether `me` is in charge of `duty`.
+    pub fn in_charge(&mut self, duty: &str, me: &VmRef, now: Duration) -> bool {
+        self.ring(me, now).owner(duty) == Some(me)
     }
 
     /// Load that the others put on each upstream.
@@ -167,10 +240,12 @@
             return (members.to_vec(), Vec::new());
         }
         let targets = (0..GOSSIP_TARGETS).map(|_| members[random(members.len())].clone());
-        let mut living: Vec<&Peer> = self.peers.values().collect();
-        living.retain(|peer| now.saturating_sub(peer.heard) < DEAD_AFTER);
-        living.sort_by_key(|peer| std::cmp::Reverse(peer.heard));
-        let relayed = living.into_iter().take(GOSSIP_RELAYED).map(|peer| peer.beat.clone());
-        (targets.collect(), relayed.collect())
+        let targets = targets.collect();
+        let living: Vec<&Heartbeat> = self.living(now).collect();
+        if living.is_empty() {
+            return (targets, Vec::new());
+        }
+        let relayed = (0..GOSSIP_RELAYED).map(|_| living[random(living.len())].without_details());
+        (targets, relayed.collect())
     }
 }
--- a/src/process/ledger.rs
+++ b/src/process/ledger.rs
@@ -87,6 +87,8 @@
     accounts: BTreeMap<UpstreamName, Account>,
     #[serde(skip)]
     holders: BTreeMap<ModelName, BTreeSet<UpstreamName>>,
+    #[serde(skip)]
+    unsettled: BTreeSet<UpstreamName>,
 }
 
 impl Ledger {
@@ -109,9 +111,25 @@
         names.filter_map(|name| self.accounts.get_key_value(name))
     }
 
-    /// Derives the index of holders from the accounts.
+    /// The accounts with a charge that is not simply loaded.
+    pub fn unsettled(&self) -> impl Iterator<Item = (&UpstreamName, &Account)> {
+        self.unsettled.iter().filter_map(|name| self.accounts.get_key_value(name))
+    }
+
+    fn note_settled(&mut self, upstream: &UpstreamName) {
+        let charges = self.accounts.get(upstream).map(|account| account.charges.values());
+        let settled = charges.into_iter().flatten().all(|c| c.phase == Phase::Loaded);
+        match settled {
+            true => self.unsettled.remove(upstream),
+            false => self.unsettled.insert(upstream.clone()),
+        };
+    }
+
+    /// Derives the indexes from the accounts.
     pub(crate) fn restore(&mut self) {
         self.holders.clear();
+        let names: Vec<UpstreamName> = self.accounts.keys().cloned().collect();
+        names.iter().for_each(|name| self.note_settled(name));
         for (upstream, account) in &self.accounts {
             for model in account.charges.keys() {
                 self.holders.entry(model.clone()).or_default().insert(upstream.clone());
@@ -143,6 +161,7 @@
         }
         let holders = self.holders.entry(intent.model.clone()).or_default();
         holders.insert(intent.upstream.clone());
+        self.note_settled(&intent.upstream);
         Ok(())
     }
 
@@ -177,6 +196,7 @@
                 holders.remove(&resolve.upstream);
             }
         }
+        self.note_settled(&resolve.upstream);
     }
 
     /// An upstream restarted empty. Where it does not check fencing numbers, orders for the former
@@ -195,11 +215,13 @@
                     holders.remove(&restarted.upstream);
                 }
             }
+            self.unsettled.remove(&restarted.upstream);
             return;
         }
         for charge in account.charges.values_mut() {
             charge.phase = Phase::Ghost;
         }
+        self.note_settled(&restarted.upstream);
     }
 }
 
--- a/src/process/placement.rs
+++ b/src/process/placement.rs
@@ -15,6 +15,8 @@
 /// Cost of an eviction that frees its memory only after the lifetime of an order.
 const UNFENCED_COST: f32 = 1e6;
 
+const COPIES_COUNTED: usize = 64; // for the worth of one copy
+
 /// Demand for a model.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Demand {
@@ -168,7 +170,7 @@
     }
 
     fn count_loads(&mut self) {
-        for (_, account) in self.input.ledger.accounts() {
+        for (_, account) in self.input.ledger.unsettled() {
             for (model, charge) in &account.charges {
                 if charge.phase == Phase::Loading {
                     self.note_load(model);
@@ -183,7 +185,7 @@
         let due: Vec<(UpstreamName, ModelName)> = self
             .input
             .ledger
-            .accounts()
+            .unsettled()
             .filter(|(name, account)| !account.fencing && (self.input.reachable)(name))
             .flat_map(|(name, account)| {
                 let old = account.charges.iter().filter(move |(_, charge)| {
@@ -231,7 +233,8 @@
             y.oldest.cmp(&x.oldest).then(y.total().total_cmp(&x.total())).then(a.cmp(b))
         });
         for (model, demand) in wanted {
-            if self.copies(&model) < self.wanted_copies(&demand) {
+            let wanted = self.wanted_copies(&demand);
+            if self.copies(&model, wanted) < wanted {
                 self.bring(&model, &demand);
             }
         }
@@ -244,14 +247,16 @@
         (demand.total() / self.settings.batch).ceil().max(1.0) as usize
     }
 
-    fn copies(&self, model: &ModelName) -> usize {
+    /// Copies of `model`, counted up to `most`.
+    fn copies(&self, model: &ModelName, most: usize) -> usize {
         let holding = self.input.ledger.holding(model);
         let loaded = holding.filter(|(name, account)| {
             let phase = account.charges.get(model).map(|charge| charge.phase);
             matches!(phase, Some(Phase::Loading | Phase::Loaded)) && self.takes_new(name)
         });
         let ordered = self.orders.iter();
-        loaded.count() + ordered.filter(|o| o.model == *model && o.kind == IntentKind::Load).count()
+        loaded.take(most).count()
+            + ordered.filter(|o| o.model == *model && o.kind == IntentKind::Load).count()
     }
 
     fn takes_new(&self, upstream: &UpstreamName) -> bool {
@@ -261,7 +266,7 @@
 
     fn bring(&mut self, model: &ModelName, demand: &Demand) {
         let base = self.input.config.base_of(model).clone();
-        if base != *model && self.copies(&base) == 0 {
+        if base != *model && self.copies(&base, 1) == 0 {
             return self.bring(&base, demand);
         }
         if self.store_busy(model) {
@@ -383,7 +388,7 @@
         if self.settings.policy == PlacementPolicy::LeastRecent {
             return self.input.used.get(model).copied().unwrap_or(0) as f32;
         }
-        let copies = self.copies(model).max(1) as f32;
+        let copies = self.copies(model, COPIES_COUNTED).max(1) as f32;
         self.whole_demand(model) / copies
     }
 
--- a/src/process/replay.rs
+++ b/src/process/replay.rs
@@ -15,9 +15,6 @@
 pub trait Fold: Default + Serialize + DeserializeOwned {
     /// Applies an entry.
     fn apply(&mut self, entry: &Entry);
-
-    /// Restores what is derived after a snapshot was read.
-    fn restore(&mut self) {}
 }
 
 /// A page of a stream as it was read.
@@ -178,9 +175,8 @@
             let message = format!("snapshot up to {} is older than the state", snapshot.upto);
             return Err(Error::new(ErrorKind::InvalidRequest, message));
         }
-        let mut folded: Folded<S> = serde_json::from_value(snapshot.state.clone())
+        let folded: Folded<S> = serde_json::from_value(snapshot.state.clone())
             .map_err(|err| Error::new(ErrorKind::InvalidRequest, format!("snapshot: {err}")))?;
-        folded.state.restore();
         self.folded = folded;
         self.next = snapshot.upto.next();
         self.status = ReplayStatus::Current;
--- a/src/version/check.rs
+++ b/src/version/check.rs
@@ -1,11 +1,12 @@
 //! Checks of the operators' file: every problem at once, with its path and value.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Display};
 use std::str::FromStr;
+use std::sync::Arc;
 
-use crate::version::{Config, ConfigWire, Grant, Model, Route, Service, Tenant, Upstream};
-use crate::{Offset, Tokens};
+use crate::version::{Change, Config, ConfigWire, parse};
+use crate::{Offset, TenantName};
 
 const METHODS: [&str; 6] = ["GET", "HEAD", "POST", "PUT", "PATCH", "DELETE"];
 
@@ -24,32 +25,50 @@
     }
 }
 
+/// Collects problems.
 #[derive(Default)]
-struct Checker {
+pub(crate) struct Checker {
     problems: Vec<Problem>,
+    /// Places of items in the file, where there is one.
+    places: BTreeMap<(&'static str, String), usize>,
 }
 
 impl Checker {
-    fn report(&mut self, path: impl Into<String>, message: impl Into<String>) {
+    pub(crate) fn report(&mut self, path: impl Into<String>, message: impl Into<String>) {
         self.problems.push(Problem { path: path.into(), message: message.into() });
     }
 
-    fn parse<T: FromStr<Err: Display>>(&mut self, path: &str, text: &str) -> Option<T> {
+    pub(crate) fn parse<T: FromStr<Err: Display>>(&mut self, path: &str, text: &str) -> Option<T> {
         text.parse().map_err(|err: T::Err| self.report(path, err.to_string())).ok()
     }
 
-    fn parse_all<T: FromStr<Err: Display>>(&mut self, path: &str, texts: &[String]) -> Vec<T> {
+    pub(crate) fn parse_all<T: FromStr<Err: Display>>(
+        &mut self,
+        path: &str,
+        texts: &[String],
+    ) -> Vec<T> {
         let parsed = texts.iter().enumerate();
         parsed.filter_map(|(i, text)| self.parse(&format!("{path}[{i}]"), text)).collect()
     }
 
-    fn unique(&mut self, path: &str, seen: &mut BTreeSet<String>, value: &str) {
-        if !seen.insert(value.to_owned()) {
-            self.report(path, format!("{value:?} stands twice"));
+    /// Notes where an item of a section stands, and returns its path.
+    fn place(&mut self, section: &'static str, name: &str, at: usize) -> String {
+        let path = format!("$.{section}[{at}]");
+        if self.places.insert((section, name.to_owned()), at).is_some() {
+            self.report(format!("{path}.name"), format!("{name:?} stands twice"));
         }
+        path
     }
 
-    fn methods(&mut self, path: &str, texts: &[String]) -> BTreeSet<String> {
+    /// The path of an item: by its place in the file, or by its name.
+    fn path(&self, section: &'static str, name: &str) -> String {
+        match self.places.get(&(section, name.to_owned())) {
+            Some(at) => format!("$.{section}[{at}]"),
+            None => format!("$.{section}[{name:?}]"),
+        }
+    }
+
+    pub(crate) fn methods(&mut self, path: &str, texts: &[String]) -> BTreeSet<String> {
         for (i, text) in texts.iter().enumerate() {
             if !METHODS.contains(&text.as_str()) {
                 self.report(format!("{path}[{i}]"), format!("{text:?} is not one of {METHODS:?}"));
@@ -75,169 +94,159 @@
 pub fn check(wire: &ConfigWire, created: Offset) -> Result<Config, Vec<Problem>> {
     let mut checker = Checker::default();
     let mut config = Config::default();
-    check_models(&mut checker, wire, &mut config);
-    check_tenants(&mut checker, wire, created, &mut config);
-    check_upstreams(&mut checker, wire, &mut config);
-    check_services(&mut checker, wire, &mut config);
-    check_routes(&mut checker, wire, &mut config);
-    check_placeable(&mut checker, &config);
+    for (i, model) in wire.models.iter().enumerate() {
+        let path = checker.place("models", &model.name, i);
+        let model = parse::model(&mut checker, &path, model);
+        config.insert_model(model);
+    }
+    for (i, tenant) in wire.tenants.iter().enumerate() {
+        let path = checker.place("tenants", &tenant.name, i);
+        let tenant = parse::tenant(&mut checker, &path, tenant, created);
+        config.insert_tenant(tenant);
+    }
+    for (i, upstream) in wire.upstreams.iter().enumerate() {
+        let path = checker.place("upstreams", &upstream.name, i);
+        let upstream = parse::upstream(&mut checker, &path, upstream);
+        config.insert_upstream(upstream);
+    }
+    for (i, service) in wire.services.iter().enumerate() {
+        let path = checker.place("services", &service.name, i);
+        let service = parse::service(&mut checker, &path, service);
+        config.insert_service(service);
+    }
+    for (i, route) in wire.routes.iter().enumerate() {
+        let path = checker.place("routes", &route.prefix, i);
+        let route = parse::route(&mut checker, &path, route);
+        config.insert_route(route);
+    }
+    verify(&mut checker, &config);
     if checker.problems.is_empty() { Ok(config) } else { Err(checker.problems) }
 }
 
-fn check_models(checker: &mut Checker, wire: &ConfigWire, config: &mut Config) {
-    let mut seen = BTreeSet::new();
-    for (i, model) in wire.models.iter().enumerate() {
-        let path = format!("$.models[{i}]");
-        checker.unique(&format!("{path}.name"), &mut seen, &model.name);
-        let name = checker.parse(&format!("{path}.name"), &model.name);
-        let size = checker.parse(&format!("{path}.size"), &model.size);
-        let base = match &model.base {
-            Some(base) => {
-                let root = wire.models.iter().find(|m| m.name == *base);
-                if root.is_none_or(|m| m.base.is_some()) {
-                    checker.report(format!("{path}.base"), format!("{base:?} is not a model"));
-                }
-                checker.parse(&format!("{path}.base"), base)
-            }
-            None => None,
-        };
-        if let (Some(name), Some(size)) = (name, size) {
-            let model = Model { name, size, base };
-            config.models.insert(model.name.clone(), model);
+impl Config {
+    /// The configuration with `changes` made, at a cost that depends on the changes and on the
+    /// references between items, but not on the items that stay as they are. Tenants that are new
+    /// count as created at `offset`.
+    ///
+    /// # Errors
+    ///
+    /// All problems of the result; nothing was changed.
+    pub fn updated(&self, changes: &[Change], offset: Offset) -> Result<Config, Vec<Problem>> {
+        let mut checker = Checker::default();
+        let mut config = self.clone();
+        for change in changes {
+            config.make(&mut checker, change, offset);
         }
+        verify(&mut checker, &config);
+        if checker.problems.is_empty() { Ok(config) } else { Err(checker.problems) }
     }
-}
 
-fn check_tenants(checker: &mut Checker, wire: &ConfigWire, created: Offset, config: &mut Config) {
-    let mut seen = BTreeSet::new();
-    let mut keys = BTreeSet::new();
-    for (i, tenant) in wire.tenants.iter().enumerate() {
-        let path = format!("$.tenants[{i}]");
-        checker.unique(&format!("{path}.name"), &mut seen, &tenant.name);
-        let name = checker.parse(&format!("{path}.name"), &tenant.name);
-        let class = checker.parse(&format!("{path}.class"), &tenant.class);
-        let rate = checker.parse(&format!("{path}.rate"), &tenant.rate);
-        for (k, key) in tenant.keys.iter().enumerate() {
-            checker.unique(&format!("{path}.keys[{k}]"), &mut keys, key);
-        }
-        let digests = checker.parse_all(&format!("{path}.keys"), &tenant.keys);
-        let models: Vec<crate::ModelName> =
-            checker.parse_all(&format!("{path}.models"), &tenant.models);
-        for (m, model) in models.iter().enumerate() {
-            if !config.models.contains_key(model) {
-                let message = format!("model {:?} does not exist", model.as_str());
-                checker.report(format!("{path}.models[{m}]"), message);
+    fn make(&mut self, checker: &mut Checker, change: &Change, offset: Offset) {
+        match change {
+            Change::Tenant(wire) => {
+                let path = checker.path("tenants", &wire.name);
+                let known = wire.name.parse::<TenantName>().ok();
+                let known = known.and_then(|name| self.tenants.get(&name));
+                let created = known.map_or(offset, |tenant| tenant.grant.created);
+                self.insert_tenant(parse::tenant(checker, &path, wire, created));
+            }
+            Change::Model(wire) => {
+                let path = checker.path("models", &wire.name);
+                self.insert_model(parse::model(checker, &path, wire));
+            }
+            Change::Upstream(wire) => {
+                let path = checker.path("upstreams", &wire.name);
+                self.insert_upstream(parse::upstream(checker, &path, wire));
+            }
+            Change::Service(wire) => {
+                let path = checker.path("services", &wire.name);
+                self.insert_service(parse::service(checker, &path, wire));
+            }
+            Change::Route(wire) => {
+                let path = checker.path("routes", &wire.prefix);
+                self.insert_route(parse::route(checker, &path, wire));
+            }
+            Change::RemoveTenant(name) => {
+                Arc::make_mut(&mut self.tenants).retain(|known, _| known.as_str() != name);
+            }
+            Change::RemoveModel(name) => {
+                Arc::make_mut(&mut self.models).retain(|known, _| known.as_str() != name);
+            }
+            Change::RemoveUpstream(name) => {
+                Arc::make_mut(&mut self.upstreams).retain(|known, _| known.as_str() != name);
+            }
+            Change::RemoveService(name) => {
+                Arc::make_mut(&mut self.services).remove(name);
+            }
+            Change::RemoveRoute(prefix) => {
+                Arc::make_mut(&mut self.routes).remove(prefix);
             }
-        }
-        if tenant.burst == 0 {
-            checker.report(format!("{path}.burst"), "0 must be at least 1");
-        }
-        if let (Some(name), Some(class), Some(rate)) = (name, class, rate) {
-            let grant = Grant { rate, burst: Tokens(tenant.burst), created };
-            let keys = digests.into_iter().collect();
-            let models = models.into_iter().collect();
-            let tenant = Tenant { name, class, keys, grant, models };
-            config.tenants.insert(tenant.name.clone(), tenant);
         }
     }
 }
 
-fn check_upstreams(checker: &mut Checker, wire: &ConfigWire, config: &mut Config) {
-    let mut seen = BTreeSet::new();
-    for (i, upstream) in wire.upstreams.iter().enumerate() {
-        let path = format!("$.upstreams[{i}]");
-        checker.unique(&format!("{path}.name"), &mut seen, &upstream.name);
-        let name = checker.parse(&format!("{path}.name"), &upstream.name);
-        let address = checker.parse(&format!("{path}.address"), &upstream.address);
-        let place = checker.parse(&format!("{path}.data_centre"), &upstream.data_centre);
-        let memory = upstream.memory.as_ref();
-        let memory = memory.and_then(|text| checker.parse(&format!("{path}.memory"), text));
-        if let (Some(name), Some(address), Some(data_centre)) = (name, address, place) {
-            let upstream = Upstream {
-                name,
-                address,
-                data_centre,
-                memory,
-                accelerators: upstream.accelerators,
-                fencing: upstream.fencing,
-                leaving: upstream.leaving,
-            };
-            config.upstreams.insert(upstream.name.clone(), upstream);
+/// Checks the references between items.
+fn verify(checker: &mut Checker, config: &Config) {
+    verify_models(checker, config);
+    verify_tenants(checker, config);
+    verify_services(checker, config);
+    verify_routes(checker, config);
+}
+
+/// A base must be a model, and each model must fit an upstream, or it could never be reached.
+fn verify_models(checker: &mut Checker, config: &Config) {
+    let largest = config.engines().filter_map(|upstream| upstream.memory).max();
+    for model in config.models.values() {
+        let path = checker.path("models", model.name.as_str());
+        let base = model.base.as_ref().map(|base| (base, config.models.get(base)));
+        if let Some((name, known)) = base
+            && known.is_none_or(|base| base.base.is_some())
+        {
+            checker.report(format!("{path}.base"), format!("{:?} is not a model", name.as_str()));
+        }
+        let needed = model.size.0 + base.and_then(|(_, base)| base).map_or(0, |base| base.size.0);
+        if largest.is_some_and(|largest| needed > largest.0) {
+            checker.report(format!("{path}.size"), format!("{} fits no upstream", model.size));
         }
     }
 }
 
-fn check_services(checker: &mut Checker, wire: &ConfigWire, config: &mut Config) {
-    let mut seen = BTreeSet::new();
-    for (i, service) in wire.services.iter().enumerate() {
-        let path = format!("$.services[{i}]");
-        checker.unique(&format!("{path}.name"), &mut seen, &service.name);
-        let upstreams: Vec<crate::UpstreamName> =
-            checker.parse_all(&format!("{path}.upstreams"), &service.upstreams);
-        for (u, upstream) in upstreams.iter().enumerate() {
-            if !config.upstreams.contains_key(upstream) {
-                let message = format!("upstream {:?} does not exist", upstream.as_str());
-                checker.report(format!("{path}.upstreams[{u}]"), message);
+fn verify_tenants(checker: &mut Checker, config: &Config) {
+    let mut keys = BTreeSet::new();
+    for tenant in config.tenants.values() {
+        let path = checker.path("tenants", tenant.name.as_str());
+        for key in &tenant.keys {
+            if !keys.insert(*key) {
+                checker.report(format!("{path}.keys"), format!("\"{key}\" stands twice"));
             }
         }
-        let service = Service { name: service.name.clone(), upstreams };
-        config.services.insert(service.name.clone(), service);
+        for model in tenant.models.iter().filter(|model| !config.models.contains_key(*model)) {
+            let message = format!("model {:?} does not exist", model.as_str());
+            checker.report(format!("{path}.models"), message);
+        }
     }
 }
 
-fn check_routes(checker: &mut Checker, wire: &ConfigWire, config: &mut Config) {
-    let mut seen = BTreeSet::new();
-    for (i, route) in wire.routes.iter().enumerate() {
-        let path = format!("$.routes[{i}]");
-        checker.unique(&format!("{path}.prefix"), &mut seen, &route.prefix);
-        if !route.prefix.starts_with('/') || !route.prefix.ends_with('/') {
-            let message = format!("{:?} must start and end with a slash", route.prefix);
-            checker.report(format!("{path}.prefix"), message);
-        }
-        if route.prefix.starts_with("/v1/") {
-            let message = format!("{:?} belongs to the model interface", route.prefix);
-            checker.report(format!("{path}.prefix"), message);
+fn verify_services(checker: &mut Checker, config: &Config) {
+    for service in config.services.values() {
+        let path = checker.path("services", &service.name);
+        for name in service.upstreams.iter().filter(|name| !config.upstreams.contains_key(*name)) {
+            let message = format!("upstream {:?} does not exist", name.as_str());
+            checker.report(format!("{path}.upstreams"), message);
         }
+    }
+}
+
+fn verify_routes(checker: &mut Checker, config: &Config) {
+    for route in config.routes.values() {
+        let path = checker.path("routes", &route.prefix);
         if !config.services.contains_key(&route.service) {
             let message = format!("service {:?} does not exist", route.service);
             checker.report(format!("{path}.service"), message);
         }
-        let methods = checker.methods(&format!("{path}.methods"), &route.methods);
-        let once = checker.methods(&format!("{path}.once"), &route.once);
-        for method in once.difference(&methods) {
-            checker.report(format!("{path}.once"), format!("{method:?} is not in methods"));
-        }
-        let tenants: Vec<crate::TenantName> =
-            checker.parse_all(&format!("{path}.tenants"), &route.tenants);
-        for (t, tenant) in tenants.iter().enumerate() {
-            if !config.tenants.contains_key(tenant) {
-                let message = format!("tenant {:?} does not exist", tenant.as_str());
-                checker.report(format!("{path}.tenants[{t}]"), message);
-            }
-        }
-        let route = Route {
-            prefix: route.prefix.clone(),
-            service: route.service.clone(),
-            open: route.open,
-            methods,
-            once,
-            key_required: route.key_required,
-            tenants: tenants.into_iter().collect(),
-        };
-        config.routes.insert(route.prefix.clone(), route);
-    }
-}
-
-/// A model that fits no upstream could never be reached.
-fn check_placeable(checker: &mut Checker, config: &Config) {
-    let largest = config.engines().filter_map(|upstream| upstream.memory).max();
-    let Some(largest) = largest else { return };
-    for model in config.models.values() {
-        let base = model.base.as_ref().and_then(|base| config.models.get(base));
-        let needed = model.size.0 + base.map_or(0, |base| base.size.0);
-        if needed > largest.0 {
-            let message = format!("model {:?} fits no upstream", model.name.as_str());
-            checker.report("$.models", message);
+        for name in route.tenants.iter().filter(|name| !config.tenants.contains_key(*name)) {
+            let message = format!("tenant {:?} does not exist", name.as_str());
+            checker.report(format!("{path}.tenants"), message);
         }
     }
 }
--- a/src/version/config.rs
+++ b/src/version/config.rs
@@ -2,6 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use crate::request::Class;
 use crate::version::{
@@ -93,19 +94,19 @@
     pub tenants: BTreeSet<TenantName>,
 }
 
-/// A configuration that passed its checks.
+/// A configuration that passed its checks. A copy is cheap: copies share their sections.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub struct Config {
     /// Tenants by name.
-    pub tenants: BTreeMap<TenantName, Tenant>,
+    pub tenants: Arc<BTreeMap<TenantName, Tenant>>,
     /// Models and adapters by name.
-    pub models: BTreeMap<ModelName, Model>,
+    pub models: Arc<BTreeMap<ModelName, Model>>,
     /// Upstreams by name.
-    pub upstreams: BTreeMap<UpstreamName, Upstream>,
+    pub upstreams: Arc<BTreeMap<UpstreamName, Upstream>>,
     /// Services by name.
-    pub services: BTreeMap<String, Service>,
+    pub services: Arc<BTreeMap<String, Service>>,
     /// Routes by prefix.
-    pub routes: BTreeMap<String, Route>,
+    pub routes: Arc<BTreeMap<String, Route>>,
 }
 
 impl Config {
@@ -124,6 +125,44 @@
     pub fn base_of<'a>(&'a self, model: &'a ModelName) -> &'a ModelName {
         self.models.get(model).and_then(|m| m.base.as_ref()).unwrap_or(model)
     }
+
+    /// The configuration with the offsets at which its tenants were created.
+    pub(crate) fn with_created(mut self, created: &BTreeMap<TenantName, Offset>) -> Self {
+        for tenant in Arc::make_mut(&mut self.tenants).values_mut() {
+            tenant.grant.created = created.get(&tenant.name).copied().unwrap_or_default();
+        }
+        self
+    }
+
+    pub(crate) fn insert_tenant(&mut self, item: Option<Tenant>) {
+        if let Some(item) = item {
+            Arc::make_mut(&mut self.tenants).insert(item.name.clone(), item);
+        }
+    }
+
+    pub(crate) fn insert_model(&mut self, item: Option<Model>) {
+        if let Some(item) = item {
+            Arc::make_mut(&mut self.models).insert(item.name.clone(), item);
+        }
+    }
+
+    pub(crate) fn insert_upstream(&mut self, item: Option<Upstream>) {
+        if let Some(item) = item {
+            Arc::make_mut(&mut self.upstreams).insert(item.name.clone(), item);
+        }
+    }
+
+    pub(crate) fn insert_service(&mut self, item: Option<Service>) {
+        if let Some(item) = item {
+            Arc::make_mut(&mut self.services).insert(item.name.clone(), item);
+        }
+    }
+
+    pub(crate) fn insert_route(&mut self, item: Option<Route>) {
+        if let Some(item) = item {
+            Arc::make_mut(&mut self.routes).insert(item.prefix.clone(), item);
+        }
+    }
 }
 
 fn texts<T: ToString>(items: impl IntoIterator<Item = T>) -> Vec<String> {
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -4,6 +4,7 @@
 mod check;
 mod config;
 mod key;
+mod parse;
 mod wire;
 
 pub use change::Change;
--- /dev/null
+++ b/tests/config.rs
@@ -0,0 +1,223 @@
+//! Configuration: whole or not at all, the same verdict by every path, never back.
+
+#[macro_use]
+mod support;
+
+use carobglade::{
+    Change, ConfigChange, ConfigWire, ControlState, Fold, KeyDigest, KeyIndex, ModelWire, Offset,
+    Record, RouteWire, ServiceWire, TenantWire, UpstreamWire, Verdict, check,
+};
+use proptest::collection::vec;
+use proptest::prelude::*;
+use support::Log;
+
+fn sound() -> ConfigWire {
+    let key = KeyDigest::of("ck-a").to_string();
+    ConfigWire {
+        tenants: vec![TenantWire {
+            name: "apron".into(),
+            class: "interactive".into(),
+            keys: vec![key],
+            rate: "100/s".into(),
+            burst: 10,
+            models: vec!["m".into(), "a".into()],
+        }],
+        models: vec![
+            ModelWire { name: "m".into(), size: "14GiB".into(), base: None },
+            ModelWire { name: "a".into(), size: "1GiB".into(), base: Some("m".into()) },
+        ],
+        upstreams: vec![UpstreamWire {
+            name: "e".into(),
+            address: "10.0.0.1:80".into(),
+            data_centre: "rennes".into(),
+            memory: Some("64GiB".into()),
+            accelerators: 8,
+            ..UpstreamWire::default()
+        }],
+        services: vec![ServiceWire { name: "gates".into(), upstreams: vec!["e".into()] }],
+        routes: vec![RouteWire {
+            prefix: "/gates/".into(),
+            service: "gates".into(),
+            methods: vec!["POST".into()],
+            once: vec!["POST".into()],
+            tenants: vec!["apron".into()],
+            ..RouteWire::default()
+        }],
+    }
+}
+
+/// Breaks one thing and expects one problem, with its path and value.
+fn reports(spoil: fn(&mut ConfigWire), path: &str, says: &str) {
+    let mut wire = sound();
+    spoil(&mut wire);
+    let problems = check(&wire, Offset(1)).unwrap_err();
+    let found = problems.iter().any(|p| p.path == path && p.message.contains(says));
+    assert!(found, "{problems:?}");
+}
+
+cases! { reports:
+    a_bad_rate => (|w| w.tenants[0].rate = "fast".into(), "$.tenants[0].rate", "\"fast\"");
+    a_bad_class => (|w| w.tenants[0].class = "vip".into(), "$.tenants[0].class", "\"vip\"");
+    no_burst => (|w| w.tenants[0].burst = 0, "$.tenants[0].burst", "0");
+    a_bad_digest => (|w| w.tenants[0].keys[0] = "ck-a".into(), "$.tenants[0].keys[0]", "ck-a");
+    a_model_that_is_missing => (
+        |w| w.tenants[0].models.push("x".into()), "$.tenants[0].models", "\"x\"",
+    );
+    a_bad_size => (|w| w.models[0].size = "14GB".into(), "$.models[0].size", "14GB");
+    a_base_that_is_an_adapter => (
+        |w| w.models.push(ModelWire {
+            name: "b".into(), size: "1GiB".into(), base: Some("a".into()),
+        }),
+        "$.models[2].base", "\"a\"",
+    );
+    a_model_that_fits_nowhere => (
+        |w| w.models[0].size = "65GiB".into(), "$.models[0].size", "65GiB fits no upstream",
+    );
+    a_name_that_stands_twice => (
+        |w| w.models.push(w.models[0].clone()), "$.models[2].name", "twice",
+    );
+    a_bad_address => (
+        |w| w.upstreams[0].address = "host".into(), "$.upstreams[0].address", "invalid",
+    );
+    an_upstream_that_is_missing => (
+        |w| w.services[0].upstreams[0] = "x".into(), "$.services[0].upstreams", "\"x\"",
+    );
+    a_prefix_without_a_slash => (
+        |w| w.routes[0].prefix = "gates".into(), "$.routes[0].prefix", "\"gates\"",
+    );
+    a_prefix_of_the_model_interface => (
+        |w| w.routes[0].prefix = "/v1/x/".into(), "$.routes[0].prefix", "/v1/x/",
+    );
+    a_method_that_does_not_exist => (
+        |w| w.routes[0].methods.push("FETCH".into()), "$.routes[0].methods[1]", "FETCH",
+    );
+    a_once_that_is_no_method => (
+        |w| w.routes[0].once.push("PUT".into()), "$.routes[0].once", "PUT",
+    );
+}
+
+#[test]
+fn unknown_fields_are_refused() {
+    let err = serde_json::from_str::<ConfigWire>(r#"{ "tennants": [] }"#).unwrap_err();
+    assert!(err.to_string().contains("tennants"));
+}
+
+#[test]
+fn only_the_tenants_own_key_finds_it() {
+    let index = KeyIndex::new(&check(&sound(), Offset(1)).unwrap());
+    assert_eq!(index.find("ck-a").unwrap().as_str(), "apron");
+    assert_eq!(index.find("ck-b"), None);
+    assert_eq!(index.find(""), None);
+}
+
+fn apply(log: &mut Log, state: &mut ControlState, base: u64, changes: Vec<Change>) -> bool {
+    let id = format!("e{}", log.entries.len());
+    let change = ConfigChange { base: Offset(base), changes };
+    log.append(&id, 1, vec![Record::Config(change)]);
+    state.apply(log.entries.last().unwrap());
+    matches!(state.verdict(&id), Some(Verdict::Accepted(_)))
+}
+
+#[test]
+fn of_two_changes_on_one_version_the_second_is_void() {
+    let (mut log, mut state) = (Log::default(), ControlState::default());
+    let changes = Change::diff(&ConfigWire::default(), &sound());
+    assert!(apply(&mut log, &mut state, 0, changes));
+    let remove = || vec![Change::RemoveRoute("/gates/".into())];
+    assert!(!apply(&mut log, &mut state, 0, remove()));
+    assert_eq!(state.config().routes.len(), 1);
+    assert!(apply(&mut log, &mut state, 1, remove()));
+    assert_eq!(state.version(), Offset(3));
+}
+
+#[test]
+fn a_tenant_that_is_created_again_is_known_as_such() {
+    let (mut log, mut state) = (Log::default(), ControlState::default());
+    let mut wire = sound();
+    wire.routes.clear();
+    assert!(apply(&mut log, &mut state, 0, Change::diff(&ConfigWire::default(), &wire)));
+    let name = "apron".parse().unwrap();
+    let created = state.config().tenants[&name].grant.created;
+    assert!(apply(&mut log, &mut state, 1, vec![Change::RemoveTenant("apron".into())]));
+    assert!(apply(&mut log, &mut state, 2, vec![Change::Tenant(wire.tenants[0].clone())]));
+    assert!(state.recreated(&name));
+    assert!(state.config().tenants[&name].grant.created > created);
+}
+
+fn wire() -> impl Strategy<Value = ConfigWire> {
+    let name = || prop_oneof![Just("a"), Just("b"), Just("c"), Just("bad name")];
+    let text = |name: &str| name.to_owned();
+    let model =
+        (name(), prop_oneof![Just("8GiB"), Just("90GiB"), Just("x")], proptest::option::of(name()))
+            .prop_map(move |(n, size, base)| ModelWire {
+                name: text(n),
+                size: size.into(),
+                base: base.map(str::to_owned),
+            });
+    let tenant = (name(), proptest::collection::vec(name(), 0..3), 0..3u64).prop_map(
+        move |(n, models, burst)| TenantWire {
+            name: n.into(),
+            class: "batch".into(),
+            rate: "5/s".into(),
+            burst,
+            keys: vec![KeyDigest::of(n).to_string()],
+            models: models.into_iter().map(str::to_owned).collect(),
+        },
+    );
+    let upstream = (name(), any::<bool>()).prop_map(|(n, memory)| UpstreamWire {
+        name: n.into(),
+        address: "10.0.0.1:80".into(),
+        data_centre: "x".into(),
+        memory: memory.then(|| "64GiB".to_owned()),
+        ..UpstreamWire::default()
+    });
+    let service = (name(), name())
+        .prop_map(|(n, u)| ServiceWire { name: n.into(), upstreams: vec![u.into()] });
+    let route = (name(), name(), name()).prop_map(|(p, s, t)| RouteWire {
+        prefix: format!("/{p}/"),
+        service: s.into(),
+        tenants: vec![t.into()],
+        ..RouteWire::default()
+    });
+    (vec(tenant, 0..3), vec(model, 0..4), vec(upstream, 0..3), vec(service, 0..3), vec(route, 0..3))
+        .prop_map(|(tenants, models, upstreams, services, routes)| {
+            let mut wire = ConfigWire { tenants, models, upstreams, services, routes };
+            wire.tenants.dedup_by(|a, b| a.name == b.name);
+            wire
+        })
+}
+
+/// Keeps the last item of each name.
+fn unique(wire: ConfigWire) -> ConfigWire {
+    let mut out = ConfigWire::default();
+    for change in Change::diff(&ConfigWire::default(), &wire) {
+        change.make(&mut out);
+    }
+    out
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 1500,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(5),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Making changes to a checked configuration and checking the whole file agree.
+    #[test]
+    fn a_change_is_judged_like_the_whole_file(wires in proptest::collection::vec(wire(), 1..5)) {
+        let (mut known, mut config) = (ConfigWire::default(), check(&ConfigWire::default(), Offset(0)).unwrap());
+        for wire in wires.into_iter().map(unique) {
+            let changes = Change::diff(&known, &wire);
+            let whole = check(&wire, Offset(0));
+            let updated = config.updated(&changes, Offset(0));
+            prop_assert_eq!(whole.is_ok(), updated.is_ok());
+            if let (Ok(whole), Ok(updated)) = (whole, updated) {
+                prop_assert_eq!(&whole, &updated);
+                prop_assert_eq!(unique(ConfigWire::from(&whole)), unique(ConfigWire::from(&updated)));
+                (known, config) = (ConfigWire::from(&updated), updated);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/tests/replay.rs
@@ -0,0 +1,153 @@
+//! Replay: the same state for every reader, through duplicates, snapshots and gaps.
+
+mod support;
+
+use carobglade::{
+    Change, ConfigChange, ConfigWire, ControlState, Entry, KeyDigest, Offset, Page, Record, Replay,
+    ReplayStatus, TenantWire,
+};
+use proptest::prelude::*;
+use support::{Log, vm};
+
+fn tenant(i: u64) -> Change {
+    Change::Tenant(TenantWire {
+        name: format!("t{i}"),
+        class: "batch".into(),
+        rate: "5/s".into(),
+        burst: 1,
+        keys: vec![KeyDigest::of(&format!("k{i}")).to_string()],
+        models: vec![],
+    })
+}
+
+fn page(log: &Log, first: u64, from: u64, most: usize) -> Page {
+    let entries: Vec<Entry> =
+        log.entries.iter().filter(|e| e.offset.0 >= first.max(from)).take(most).cloned().collect();
+    Page { first: Offset(first), next: Offset(log.entries.len() as u64 + 1), entries }
+}
+
+fn grow(log: &mut Log, writer: &mut Replay<ControlState>, i: u64) {
+    let base = writer.state().version();
+    let changes = vec![tenant(i)];
+    log.append(&format!("e{i}"), i, vec![Record::Config(ConfigChange { base, changes })]);
+    let all = page(log, 1, writer.next().0, 1000);
+    writer.page(&all);
+}
+
+fn snapshot(log: &mut Log, writer: &mut Replay<ControlState>, name: &str) {
+    let snapshot = writer.snapshot().unwrap();
+    log.append(name, 1, vec![Record::Snapshot(snapshot)]);
+    let all = page(log, 1, writer.next().0, 1000);
+    writer.page(&all);
+}
+
+#[test]
+fn a_second_copy_of_an_entry_is_ignored() {
+    let mut log = Log::default();
+    let join = |i: u64| Record::Renew(vm("a", i));
+    log.append("same", 1, vec![join(1)]);
+    log.append("same", 1, vec![join(1)]);
+    let mut replay = Replay::<ControlState>::default();
+    assert_eq!(replay.page(&page(&log, 1, 1, 10)).len(), 1);
+    assert_eq!(replay.next(), Offset(3));
+}
+
+#[test]
+fn a_reader_behind_retention_finds_a_snapshot() {
+    let (mut log, mut writer) = (Log::default(), Replay::default());
+    (1..=10).for_each(|i| grow(&mut log, &mut writer, i));
+    snapshot(&mut log, &mut writer, "s1");
+    (11..=14).for_each(|i| grow(&mut log, &mut writer, i));
+    let mut late = Replay::<ControlState>::default();
+    late.page(&page(&log, 9, 1, 100));
+    assert_eq!(late.status(), ReplayStatus::Current);
+    assert_eq!(late.state().wire(), writer.state().wire());
+    assert_eq!(late.state().version(), writer.state().version());
+}
+
+#[test]
+fn a_reader_without_a_covering_snapshot_says_so() {
+    let (mut log, mut writer) = (Log::default(), Replay::default());
+    (1..=4).for_each(|i| grow(&mut log, &mut writer, i));
+    snapshot(&mut log, &mut writer, "s1");
+    (5..=20).for_each(|i| grow(&mut log, &mut writer, i));
+    let mut late = Replay::<ControlState>::default();
+    late.page(&page(&log, 10, 1, 100));
+    assert_eq!(late.status(), ReplayStatus::Searching);
+    assert!(late.state().config().tenants.is_empty());
+}
+
+#[test]
+fn a_reader_that_fell_behind_goes_on_from_a_snapshot() {
+    let (mut log, mut writer) = (Log::default(), Replay::default());
+    (1..=4).for_each(|i| grow(&mut log, &mut writer, i));
+    let mut slow = Replay::<ControlState>::default();
+    slow.page(&page(&log, 1, 1, 2));
+    (5..=9).for_each(|i| grow(&mut log, &mut writer, i));
+    snapshot(&mut log, &mut writer, "s1");
+    slow.page(&page(&log, 8, slow.next().0, 100));
+    assert_eq!(slow.status(), ReplayStatus::Current);
+    assert_eq!(slow.state().version(), writer.state().version());
+}
+
+#[test]
+fn an_old_snapshot_reverts_nothing() {
+    let (mut log, mut writer) = (Log::default(), Replay::default());
+    (1..=3).for_each(|i| grow(&mut log, &mut writer, i));
+    let old = writer.snapshot().unwrap();
+    (4..=6).for_each(|i| grow(&mut log, &mut writer, i));
+    log.append("old", 1, vec![Record::Snapshot(old.clone())]);
+    let rest = page(&log, 1, writer.next().0, 100);
+    writer.page(&rest);
+    assert_eq!(writer.state().config().tenants.len(), 6);
+    assert!(writer.install(&old).is_err());
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 300,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(3),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Readers that read in pages of any size, skip behind retention and start late agree with
+    /// one that reads all, and no reader's version ever falls.
+    #[test]
+    fn readers_agree(
+        steps in proptest::collection::vec((0..6u8, 1..5usize), 1..80),
+    ) {
+        let (mut log, mut writer) = (Log::default(), Replay::default());
+        let mut reader = Replay::<ControlState>::default();
+        let (mut first, mut count, mut covered) = (1, 0, 0);
+        for (kind, size) in steps {
+            let before = reader.state().version();
+            match kind {
+                0 | 1 => {
+                    count += 1;
+                    grow(&mut log, &mut writer, count);
+                }
+                2 => {
+                    count += 1;
+                    if let Some(taken) = writer.snapshot() {
+                        covered = taken.upto.0;
+                        snapshot(&mut log, &mut writer, &format!("s{count}"));
+                    }
+                }
+                3 => first = first.max((covered + 1).saturating_sub(size as u64)).max(1),
+                4 => drop(reader.page(&page(&log, first, reader.next().0, size))),
+                _ => reader = Replay::default(),
+            }
+            if kind != 5 {
+                prop_assert!(reader.state().version() >= before, "the version fell");
+            }
+        }
+        reader.page(&page(&log, first, reader.next().0, 10_000));
+        if reader.status() == ReplayStatus::Current {
+            prop_assert_eq!(reader.state().wire(), writer.state().wire());
+            prop_assert_eq!(reader.state().version(), writer.state().version());
+        } else {
+            prop_assert_eq!(reader.state().wire(), ConfigWire::default());
+        }
+    }
+}
