--- a/benches/carob-bench/src/lib.rs
+++ b/benches/carob-bench/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod client;
 pub mod config;
 pub mod demo;
+pub mod duties;
 pub mod fleet;
 pub mod history;
 pub mod policies;
--- a/benches/carob-bench/src/main.rs
+++ b/benches/carob-bench/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use carob_bench::report::{Bounds, Report};
-use carob_bench::{demo, policies, scenario, slopes};
+use carob_bench::{demo, duties, policies, scenario, slopes};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use eyre::{Context, Result};
 
@@ -32,6 +32,7 @@
             ),
         )
         .subcommand(Command::new("demo").about("Show the main job on a small fleet"))
+        .subcommand(Command::new("duties").about("What claims and changes cost on the log"))
         .subcommand(Command::new("policies").about("Decisions against their baselines"))
         .subcommand(
             Command::new("users").about("Both users' workloads at their sizes, with a fault").arg(
@@ -50,6 +51,7 @@
     match args.subcommand() {
         Some(("slopes", sub)) => slopes::run(&mut report, !sub.get_flag("parts")).await?,
         Some(("demo", _)) => demo::run().await?,
+        Some(("duties", _)) => duties::run(&mut report).await?,
         Some(("policies", _)) => policies::run(&mut report),
         Some(("users", sub)) => {
             let seconds = sub.get_one::<u64>("seconds").copied().unwrap_or(20);
--- a/benches/carob-bench/src/scenario.rs
+++ b/benches/carob-bench/src/scenario.rs
@@ -1,4 +1,5 @@
-//! Both users' workloads at the brief's sizes, on real processes, with a fault half-way.
+//! Both users' workloads at the brief's sizes, on real processes: first warm, then with a fault,
+//! then a rolling replacement of all vms under load.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -50,6 +51,8 @@
     attained: [u64; 5],
     refused_inside: u64,
     broken: u64,
+    failed: u64,
+    elsewhere: u64,
 }
 
 impl Outcome {
@@ -64,8 +67,23 @@
             self.refused_inside += 1;
         } else if answer.status == 200 {
             self.broken += 1;
+        } else if answer.status != 429 {
+            self.failed += 1;
         }
     }
+
+    fn add(&mut self, other: Outcome) {
+        self.first.extend(other.first);
+        self.gaps.extend(other.gaps);
+        for i in 0..5 {
+            self.calls[i] += other.calls[i];
+            self.attained[i] += other.attained[i];
+        }
+        self.refused_inside += other.refused_inside;
+        self.broken += other.broken;
+        self.failed += other.failed;
+        self.elsewhere += other.elsewhere;
+    }
 }
 
 async fn caller(
@@ -84,7 +102,9 @@
         let address = addresses[random.random_range(0..addresses.len())];
         let prompt = format!("prompt {}", random.random_range(0..20));
         let answer = clients[tenant].complete(address, &name, &prompt, 25, true).await;
-        if answer.status == 0 {
+        // As behind a balancer: a vm that is down or stopping costs another try elsewhere.
+        if answer.status == 0 || answer.code() == "draining" {
+            outcome.elsewhere += 1;
             continue;
         }
         outcome.take(tenant, &answer);
@@ -119,53 +139,67 @@
         ..FleetOptions::default()
     };
     let mut fleet = Fleet::start(options).await?;
-    let clock = Arc::new(SystemClock::default());
-    let addresses: Arc<Vec<_>> = Arc::new(fleet.vms.iter().map(|vm| vm.callers).collect());
-    let until = Duration::from_secs(seconds);
-    let callers: Vec<_> = (0..CALLERS)
-        .map(|i| tokio::spawn(caller(Arc::clone(&addresses), i as u64, until, Arc::clone(&clock))))
-        .collect();
-    tokio::time::sleep(until / 2).await;
+    let length = Duration::from_secs(seconds);
+    let warm = start_load(&fleet, length, 1);
+    summarise(report, user, "warming", &mut join(warm).await?);
+
+    let faulty = start_load(&fleet, length, 2);
+    tokio::time::sleep(length / 2).await;
     fleet.vms[0].process.kill();
     fleet.faults(fleet.engines[1], json!({ "slow": 3 })).await?;
+    summarise(report, user, "faulty", &mut join(faulty).await?);
+
+    fleet.faults(fleet.engines[1], json!({})).await?;
+    fleet.restart_vm(0)?;
+    fleet.wait_ready(0).await?;
+    let rolling = start_load(&fleet, length * 2, 3);
+    let clock = SystemClock::default();
+    let mut cut = 0;
+    for i in 0..fleet.vms.len() {
+        fleet.vms[i].process.signal("TERM");
+        let code = fleet.vms[i].process.wait(Duration::from_secs(60)).await;
+        cut += u32::from(code != Some(0));
+        fleet.restart_vm(i)?;
+        fleet.wait_ready(i).await?;
+    }
+    let note = format!("{} vms replaced in {:?}", fleet.vms.len(), clock.now());
+    report.add(&format!("{}.cut_drains", user.name), f64::from(cut), "drains", &note);
+    summarise(report, user, "rolling", &mut join(rolling).await?);
+    let broken = fleet.broken();
+    report.add(&format!("{}.broken", user.name), broken.len() as f64, "engines", &broken.join(" "));
+    Ok(())
+}
+
+fn start_load(fleet: &Fleet, length: Duration, seed: u64) -> Vec<tokio::task::JoinHandle<Outcome>> {
+    let clock = Arc::new(SystemClock::default());
+    let addresses: Arc<Vec<_>> = Arc::new(fleet.vms.iter().map(|vm| vm.callers).collect());
+    let each = (0..CALLERS as u64).map(|i| {
+        tokio::spawn(caller(Arc::clone(&addresses), seed * 1000 + i, length, Arc::clone(&clock)))
+    });
+    each.collect()
+}
+
+async fn join(callers: Vec<tokio::task::JoinHandle<Outcome>>) -> Result<Outcome> {
     let mut total = Outcome::default();
     for caller in callers {
-        let outcome = caller.await?;
-        total.first.extend(outcome.first);
-        total.gaps.extend(outcome.gaps);
-        for i in 0..5 {
-            total.calls[i] += outcome.calls[i];
-            total.attained[i] += outcome.attained[i];
-        }
-        total.refused_inside += outcome.refused_inside;
-        total.broken += outcome.broken;
-    }
-    summarise(report, user, &mut total);
-    for broken in fleet.broken() {
-        println!("broken: {broken}");
+        total.add(caller.await?);
     }
-    Ok(())
+    Ok(total)
 }
 
-fn summarise(report: &mut Report, user: &User, total: &mut Outcome) {
-    let name = |part: &str| format!("{}.{part}", user.name);
+fn summarise(report: &mut Report, user: &User, phase: &str, total: &mut Outcome) {
+    let name = |part: &str| format!("{}.{phase}.{part}", user.name);
     let calls: u64 = total.calls.iter().sum();
     let share = |i: usize| total.attained[i] as f64 / total.calls[i].max(1) as f64 * 100.0;
-    let note = format!("{calls} calls; one vm killed and one engine slowed at half time");
-    let attained: u64 = total.attained.iter().sum();
-    let per_engine = attained as f64 / calls.max(1) as f64 * 100.0;
-    report.add(
-        &name("attained"),
-        per_engine,
-        "%",
-        &format!("{note}; {} accelerators", user.engines),
-    );
+    let note = format!("{calls} calls, {} tried elsewhere", total.elsewhere);
+    let attained = total.attained.iter().sum::<u64>() as f64 / calls.max(1) as f64 * 100.0;
+    report.add(&name("attained"), attained, "%", &format!("{note}; {} accelerators", user.engines));
     let worst = (0..4).map(share).fold(100.0, f64::min);
     report.add(&name("worst_tenant"), worst, "%", "of the four tenants inside their rates");
     let refused = total.refused_inside as f64 / calls.max(1) as f64 * 1000.0;
     report.add(&name("wrongful"), refused, "per 1000", "429 to a tenant inside its rate");
-    let broken = total.broken as f64;
-    report.add(&name("incomplete"), broken, "answers", "cut off by the killed vm or a crash");
+    report.add(&name("incomplete"), total.broken as f64, "answers", "begun and not whole");
+    report.add(&name("failed"), total.failed as f64, "answers", "other errors but 429");
     report.add(&name("first_p95"), quantile(&mut total.first, 0.95), "ms", "first token");
     report.add(
         &name("gap_p95"),
--- a/benches/carob-bench/src/slopes/control.rs
+++ b/benches/carob-bench/src/slopes/control.rs
@@ -1,5 +1,7 @@
 //! The control and claims streams: replay time, state and record sizes.
 
+use carob_net::{Clock, SystemClock};
+
 use super::{micros, resident};
 use crate::config;
 use crate::report::Report;
@@ -102,11 +104,19 @@
 
 /// Measures.
 pub fn run(report: &mut Report) {
-    let (mut change_time, mut state_bytes, mut memory) = (Vec::new(), Vec::new(), Vec::new());
+    let before = resident();
+    let mut large = Build::new(1100, 10_000);
+    let memory = (resident() - before) / 1e6;
+    report.add(
+        "control.memory",
+        memory,
+        "MB",
+        "10000 upstreams, 740 models, 200 tenants, 1100 vms",
+    );
+    entries(report, &mut large);
+    let (mut change_time, mut state_bytes) = (Vec::new(), Vec::new());
     for upstreams in [100, 1000, 10_000] {
-        let before = resident();
         let mut build = Build::new(1100, upstreams);
-        memory.push((upstreams as f64, (resident() - before) / 1e6));
         let mut count = 0;
         let time = micros(10, || {
             for _ in 0..10 {
@@ -118,25 +128,26 @@
         change_time.push((upstreams as f64, time));
         let bytes = serde_json::to_vec(&build.state).unwrap_or_default().len();
         state_bytes.push((upstreams as f64, bytes as f64));
-        if upstreams == 10_000 {
-            let renew = build.entry(Record::Renew(vm(7)));
-            let time = micros(1000, || (0..1000).for_each(|_| build.state.apply(&renew)));
-            report.add("control.renew_time", time, "us", "at 10000 upstreams, 1100 vms");
-            let entry = build.change(1);
-            let bytes = serde_json::to_vec(&entry).unwrap_or_default().len();
-            report.add("control.change_bytes", bytes as f64, "B", "a tenant with 40 models");
-            let renew_bytes = serde_json::to_vec(&renew).unwrap_or_default().len();
-            report.add("control.renew_bytes", renew_bytes as f64, "B", "one entry");
-            report.add("control.change_time", last(&change_time), "us", "at 10000 upstreams");
-            report.add("control.memory", last(&memory), "MB", "at 10000 upstreams, 1100 vms");
-            report.add("control.snapshot_bytes", last(&state_bytes), "B", "at 10000 upstreams");
-        }
     }
+    report.add("control.change_time", last(&change_time), "us", "at 10000 upstreams");
     report.fit("control.change_time_per_upstream", &change_time, "us");
+    report.add("control.snapshot_bytes", last(&state_bytes), "B", "at 10000 upstreams");
     report.fit("control.snapshot_per_upstream", &state_bytes, "B");
     claims(report);
 }
 
+/// Sizes and times of single entries.
+fn entries(report: &mut Report, build: &mut Build) {
+    let renew = build.entry(Record::Renew(vm(7)));
+    let time = micros(1000, || (0..1000).for_each(|_| build.state.apply(&renew)));
+    report.add("control.renew_time", time, "us", "at 10000 upstreams, 1100 vms");
+    let change = build.change(1);
+    for (name, entry) in [("control.change_bytes", &change), ("control.renew_bytes", &renew)] {
+        let bytes = serde_json::to_vec(entry).unwrap_or_default().len();
+        report.add(name, bytes as f64, "B", "one entry; the tenant has 40 models");
+    }
+}
+
 fn last(points: &[(f64, f64)]) -> f64 {
     points.last().map_or(0.0, |(_, y)| *y)
 }
@@ -153,20 +164,24 @@
 }
 
 fn claims(report: &mut Report) {
-    let (mut time, mut memory) = (Vec::new(), Vec::new());
-    for count in [10_000, 50_000, 200_000] {
+    let mut time = Vec::new();
+    let mut kept = Vec::new();
+    for count in [200_000, 50_000, 10_000] {
         let entries: Vec<Entry> = (0..count).map(claim).collect();
         let before = resident();
         let mut state = ClaimState::default();
-        let clock = carob_net::SystemClock::default();
-        let start = carob_net::Clock::now(&clock);
+        let clock = SystemClock::default();
+        let start = clock.now();
         entries.iter().for_each(|entry| state.apply(entry));
-        let took = carob_net::Clock::now(&clock) - start;
-        memory.push((count as f64, (resident() - before).max(0.0)));
+        let took = clock.now() - start;
+        if kept.is_empty() {
+            let each = (resident() - before) / count as f64;
+            report.add("claims.memory_each", each, "B", "of 200000 claims");
+        }
         time.push((count as f64, took.as_secs_f64() * 1e6));
+        kept.push(state);
     }
     report.fit("claims.time_each", &time, "us");
-    report.fit("claims.memory_each", &memory, "B");
     let bytes = serde_json::to_vec(&claim(1)).unwrap_or_default().len();
     report.add("claims.record_bytes", bytes as f64, "B", "one claim in an entry of its own");
 }
--- a/benches/carob-bench/src/slopes/mod.rs
+++ b/benches/carob-bench/src/slopes/mod.rs
@@ -20,6 +20,7 @@
 ///
 /// When a fleet does not start.
 pub async fn run(report: &mut Report, fleets: bool) -> Result<()> {
+    parts::memory(report);
     control::run(report);
     parts::run(report);
     if fleets {
--- a/benches/carob-bench/src/slopes/parts.rs
+++ b/benches/carob-bench/src/slopes/parts.rs
@@ -5,17 +5,28 @@
 
 use carobglade::{
     Ask, Candidate, Demand, Fleet, Heartbeat, Incarnation, LoanReport, ModelName, Offset,
-    PlacementSettings, PlanInput, Policy, Pool, Share, TenantName, TokenRate, Tokens, UpstreamLoad,
-    VmRef, choose, plan,
+    PlacementSettings, PlanInput, Policy, Pool, Ring, Share, TenantName, TokenRate, Tokens,
+    UpstreamLoad, VmRef, choose, is_large, plan,
 };
 
 use super::control::Build;
 use super::{micros, resident};
 use crate::report::Report;
 
-const BEAT_EVERY: f64 = 0.5; // seconds, the default of the settings
+const BEAT_EVERY: f64 = 0.5; // seconds, the default of the settings; twice that in large fleets
 const TICKS_EACH_SECOND: f64 = 10.0; // of the token pool
 
+/// Measures what the heartbeats of a fleet take; to be run before memory was freed.
+pub fn memory(report: &mut Report) {
+    let before = resident();
+    let mut fleet = Fleet::default();
+    (1..1100).for_each(|i| {
+        fleet.hear(beat(i, 1), false, Duration::ZERO);
+    });
+    let taken = (resident() - before) / 1e6;
+    report.add("fleet.memory", taken, "MB", "1100 vms with details of each");
+}
+
 /// Measures.
 pub fn run(report: &mut Report) {
     planner(report);
@@ -105,15 +116,12 @@
 
 fn heartbeats(report: &mut Report) {
     let (mut hear, mut bytes) = (Vec::new(), Vec::new());
-    let mut memory = 0.0;
     for vms in [9, 100, 1100] {
-        let before = resident();
         let mut fleet = Fleet::default();
         let members: Vec<VmRef> = (1..vms).map(|i| beat(i, 0).vm).collect();
         (1..vms).for_each(|i| {
             fleet.hear(beat(i, 1), false, Duration::ZERO);
         });
-        memory = (resident() - before) / 1e6;
         let mut count = 1;
         let time = micros(vms - 1, || {
             count += 1;
@@ -128,10 +136,11 @@
             turn % n
         });
         let message = packed(&relayed) + packed(&beat(0, 1));
-        bytes.push((vms as f64, (targets.len() * message) as f64 / BEAT_EVERY));
+        let every = if is_large(vms) { 2.0 * BEAT_EVERY } else { BEAT_EVERY };
+        bytes.push((vms as f64, (targets.len() * message) as f64 / every));
     }
+    ring(report);
     report.add("fleet.hear_time", hear[2].1, "us", "one heartbeat, 1100 vms, made and taken in");
-    report.add("fleet.memory", memory, "MB", "1100 vms");
     let kilobytes = bytes[2].1 / 1000.0;
     report.add(
         "fleet.gossip_sent",
@@ -142,6 +151,25 @@
     report.add("fleet.gossip_sent_small", bytes[0].1 / 1000.0, "KB/s", "9 vms, the same use");
 }
 
+fn ring(report: &mut Report) {
+    let mut fleet = Fleet::default();
+    (1..1100).for_each(|i| {
+        fleet.hear(beat(i, 1), false, Duration::ZERO);
+    });
+    let (me, now) = (beat(0, 1).vm, Duration::from_millis(20));
+    let built = micros(1, || drop(Ring::new((0..1100).map(|i| beat(i, 1).vm).collect())));
+    report.add("fleet.ring_time", built, "us", "made once for each change of 1100 vms");
+    let ring = fleet.ring(&me, now);
+    let kept = micros(100, || (0..100).for_each(|_| drop(fleet.ring(&me, now))));
+    report.add("fleet.ring_check_time", kept, "us", "found unchanged, 1100 vms");
+    let owners = micros(10_000, || {
+        (0..10_000).for_each(|i| {
+            std::hint::black_box(ring.owner(&format!("upstream:engine-{i}")));
+        });
+    });
+    report.add("fleet.owner_time", owners, "us", "one duty");
+}
+
 fn pools(report: &mut Report) {
     let mut points = Vec::new();
     for tenants in [5, 50, 200] {
--- /dev/null
+++ b/benches/carob-bench/tests/peers.rs
@@ -0,0 +1,89 @@
+//! A stranger that dials a peer port gets nothing and changes nothing; bad messages do no harm.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carob_bench::config::key_of;
+use carob_bench::{Client, Fleet, FleetOptions};
+use proptest::strategy::{Strategy, ValueTree};
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+use quinn::crypto::rustls::QuicClientConfig;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+
+const NAME: &str = "carobglade-peer";
+const WAIT: Duration = Duration::from_secs(5);
+
+/// An endpoint that trusts the fleet's authority and shows the certificate in `own`, if any.
+fn endpoint(fleet: &Path, own: Option<&Path>) -> quinn::Endpoint {
+    let _ = rustls::crypto::ring::default_provider().install_default();
+    let mut roots = rustls::RootCertStore::empty();
+    roots.add(CertificateDer::from_pem_file(fleet.join("ca.pem")).unwrap()).unwrap();
+    let builder = rustls::ClientConfig::builder_with_protocol_versions(&[&rustls::version::TLS13])
+        .with_root_certificates(roots);
+    let config = match own {
+        Some(own) => {
+            let cert = CertificateDer::from_pem_file(own.join("vm.pem")).unwrap();
+            let key = PrivateKeyDer::from_pem_file(own.join("vm.key")).unwrap();
+            builder.with_client_auth_cert(vec![cert], key).unwrap()
+        }
+        None => builder.with_no_client_auth(),
+    };
+    let mut endpoint = quinn::Endpoint::client(SocketAddr::from(([127, 0, 0, 1], 0))).unwrap();
+    let client = QuicClientConfig::try_from(config).unwrap();
+    endpoint.set_default_client_config(quinn::ClientConfig::new(Arc::new(client)));
+    endpoint
+}
+
+async fn exchange(connection: &quinn::Connection, bytes: &[u8]) -> Option<Vec<u8>> {
+    let (mut send, mut receive) = connection.open_bi().await.ok()?;
+    send.write_all(bytes).await.ok()?;
+    send.finish().ok()?;
+    receive.read_to_end(1 << 20).await.ok()
+}
+
+/// Whether any answer comes back.
+async fn answered(endpoint: &quinn::Endpoint, address: SocketAddr, bytes: &[u8]) -> bool {
+    let talk = async {
+        let connection = endpoint.connect(address, NAME).ok()?.await.ok()?;
+        exchange(&connection, bytes).await
+    };
+    tokio::time::timeout(WAIT, talk).await.ok().flatten().is_some()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn strangers_get_nothing() {
+    let fleet = Fleet::start(FleetOptions { vms: 1, ..FleetOptions::default() }).await.unwrap();
+    let other = fleet.dir.path().join("other");
+    let made = fleet.run("carobctl", &["cert", &other.display().to_string()]).await.unwrap();
+    assert_eq!(made.0, 0);
+    let (tls, peer) = (fleet.dir.path().join("tls"), fleet.vms[0].peers);
+    let state = b"\x00\"state\"";
+    assert!(answered(&endpoint(&tls, Some(&tls)), peer, state).await, "a vm is answered");
+    assert!(!answered(&endpoint(&tls, None), peer, state).await, "no certificate");
+    assert!(!answered(&endpoint(&tls, Some(&other)), peer, state).await, "another authority's");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_messages_do_no_harm() {
+    let fleet = Fleet::start(FleetOptions { vms: 1, ..FleetOptions::default() }).await.unwrap();
+    let tls = fleet.dir.path().join("tls");
+    let endpoint = endpoint(&tls, Some(&tls));
+    let connection = endpoint.connect(fleet.vms[0].peers, NAME).unwrap().await.unwrap();
+    let before = fleet.status(0).await.unwrap();
+    let rng = TestRng::from_seed(RngAlgorithm::ChaCha, &[7; 32]);
+    let mut runner = TestRunner::new_with_rng(Config::default(), rng);
+    let bytes = proptest::collection::vec(proptest::num::u8::ANY, 0..200);
+    for i in 0..400u32 {
+        let mut message = bytes.new_tree(&mut runner).unwrap().current();
+        message.insert(0, (i % 3) as u8);
+        let reply = tokio::time::timeout(WAIT, exchange(&connection, &message)).await;
+        assert!(reply.is_ok(), "message {i} was left without an answer");
+    }
+    let after = fleet.status(0).await.unwrap();
+    assert_eq!((&before["version"], &before["slots"]), (&after["version"], &after["slots"]));
+    let client = Client::fresh(&key_of("crew"));
+    assert_eq!(client.complete(fleet.at(0), "planner", "on", 2, false).await.status, 200);
+}
--- a/crates/carob-entry/src/admin.rs
+++ b/crates/carob-entry/src/admin.rs
@@ -31,6 +31,7 @@
     match (inner.draining || inner.leaving_soon, standing) {
         (true, _) => Reply::text(503, "draining"),
         (false, Standing::Isolated) => Reply::text(503, "isolated"),
+        (false, _) if !inner.has_heard(&core.me, now) => Reply::text(503, "starting"),
         (false, _) => Reply::text(200, "ready"),
     }
 }
--- a/crates/carob-entry/src/core.rs
+++ b/crates/carob-entry/src/core.rs
@@ -19,6 +19,7 @@
 use crate::settings::Settings;
 use crate::shares::Hold;
 
+const HEAR_TIME: Duration = Duration::from_secs(3); // from the start of the process
 const DOWN_AFTER: u32 = 3; // polls without an answer
 
 /// Use of one model by this process.
@@ -221,18 +222,28 @@
         self.fleet.standing(age, &self.others(me), now)
     }
 
-    /// The other processes that hold slots of `tenant` and are heard of, and how many each holds.
+    /// The other processes that hold slots of `tenant`, and how many each holds: those that are
+    /// heard of, or all of them as long as none is.
     pub fn homes(&self, tenant: &TenantName, me: &VmRef, now: Duration) -> Vec<(VmRef, u16)> {
         let mut homes: BTreeMap<VmRef, u16> = BTreeMap::new();
         let slots = self.control.state().slots();
         for holder in slots_of(tenant).filter_map(|slot| slots.holder(slot)) {
-            if holder.vm != *me && self.fleet.alive(&holder.vm, now) {
+            if holder.vm != *me {
                 *homes.entry(holder.vm.clone()).or_insert(0) += 1;
             }
         }
+        if homes.keys().any(|vm| self.fleet.alive(vm, now)) {
+            homes.retain(|vm, _| self.fleet.alive(vm, now));
+        }
         homes.into_iter().collect()
     }
 
+    /// Whether the process has heard of another, or has waited long enough for one.
+    pub fn has_heard(&self, me: &VmRef, now: Duration) -> bool {
+        let heard = self.fleet.living(now).next().is_some();
+        heard || self.others(me).is_empty() || now > HEAR_TIME
+    }
+
     /// Now on the log's clock, in milliseconds.
     pub fn log_time(&self, now: Duration) -> u64 {
         (now.as_millis() as i64 + self.log_offset).max(0) as u64
--- a/crates/carob-entry/src/orders.rs
+++ b/crates/carob-entry/src/orders.rs
@@ -9,14 +9,18 @@
 use carobglade::{
     Account, Charge, Incarnation, Intent, IntentKind, ModelName, ORDER_LIFETIME_MS, Offset, Phase,
     PlacementSettings, PlanInput, Record, Resolve, Restarted, Upstream, UpstreamName, Verdict,
-    plan,
+    is_large, plan,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::core::Core;
 
 const TICK: Duration = Duration::from_millis(100);
+/// The duty of planning placement.
+pub const PLANNER: &str = "planner";
+
 const POLL_IDLE: Duration = Duration::from_millis(500); // polls without orders under way
+const POLL_IDLE_EACH: Duration = Duration::from_millis(5); // more, for each vm of a large fleet
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 const RESEND: Duration = Duration::from_secs(2); // of an order that was not reported as done
 const PLAN_EVERY: Duration = Duration::from_millis(250);
@@ -84,10 +88,13 @@
         .partition(|upstream| ring.owner(&format!("upstream:{}", upstream.name)) == Some(&core.me));
     others.into_iter().for_each(|upstream| inner.upstream(&upstream.name).missed = 0);
     let state = inner.control.state();
+    let members = inner.control.state().members().len();
+    let idle = POLL_IDLE
+        + if is_large(members) { POLL_IDLE_EACH * members as u32 } else { Duration::ZERO };
     let accounts = mine.into_iter().filter_map(|upstream| {
         let account = state.ledger().account(&upstream.name)?;
         let busy = account.charges.values().any(under_way);
-        let pause = if busy { TICK } else { POLL_IDLE };
+        let pause = if busy { TICK } else { idle };
         let last = polled.get(&upstream.name);
         let due = last.is_none_or(|at| now.saturating_sub(*at) >= pause);
         due.then(|| (upstream.clone(), account.clone()))
@@ -261,7 +268,7 @@
 fn propose(core: &Core, settings: &PlacementSettings) -> Vec<Intent> {
     let now = core.now();
     let mut inner = core.lock();
-    if inner.confirmed.is_none() || !inner.fleet.in_charge("planner", &core.me, now) {
+    if inner.confirmed.is_none() || !inner.fleet.in_charge(PLANNER, &core.me, now) {
         return Vec::new();
     }
     let state = inner.control.state();
--- a/crates/carob-entry/src/peers.rs
+++ b/crates/carob-entry/src/peers.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use carob_net::LogPage;
-use carobglade::{Ask, Heartbeat, Lent, Offset, Snapshot, VmRef};
+use carobglade::{Ask, Heartbeat, Lent, Offset, Snapshot, VmRef, is_large};
 use eyre::{Context, Result, eyre};
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use rand::Rng;
@@ -16,6 +16,7 @@
 
 use crate::append::Stream;
 use crate::core::Core;
+use crate::orders::PLANNER;
 use crate::settings::{Tls, millis};
 
 /// The name that every vm's certificate carries.
@@ -332,9 +333,10 @@
 
 /// Sends heartbeats until the process ends.
 pub async fn beat(core: Arc<Core>) {
-    let pause = millis(core.settings.times.heartbeat);
     loop {
-        let _ = tokio::time::timeout(pause, core.urgent.notified()).await;
+        let large = is_large(core.lock().control.state().members().len());
+        let pause = millis(core.settings.times.heartbeat) * if large { 2 } else { 1 };
+        let urgent = tokio::time::timeout(pause, core.urgent.notified()).await.is_ok();
         let now = core.now();
         let (addresses, beats) = {
             let mut inner = core.lock();
@@ -342,8 +344,13 @@
             let members = inner.others(&core.me);
             inner.fleet.retain(|vm| members.contains(vm));
             let mut random = |n: usize| rand::rng().random_range(0..n);
-            let (targets, mut beats) = inner.fleet.gossip(&members, now, &mut random);
+            let (mut targets, mut beats) = inner.fleet.gossip(&members, now, &mut random);
             let own = inner.heartbeat(&core.me, now);
+            // In a large fleet the planner hears of demand in turn, and at once when one waits.
+            let turn = members.len().div_ceil(PLANNER_EACH) as u64;
+            if large && (urgent || own.count.is_multiple_of(turn)) {
+                targets.extend(inner.fleet.ring(&core.me, now).owner(PLANNER).cloned());
+            }
             beats.insert(0, own);
             let targets = targets.iter().filter_map(|vm| inner.member(vm));
             (targets.map(|member| member.peer).collect::<Vec<_>>(), beats)
@@ -359,6 +366,7 @@
     }
 }
 
+const PLANNER_EACH: usize = 16; // heartbeats to the planner in each round of a large fleet
 const MEAN_WEIGHT: f32 = 0.3; // of the present in the mean of running requests
 
 fn update_means(inner: &mut crate::core::Inner) {
--- /dev/null
+++ b/crates/carob-lab/src/engine/generate.rs
@@ -0,0 +1,165 @@
+//! Generation of tokens.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use carob_net::{ChunkSender, Reply, Request};
+use serde_json::{Value, json};
+
+use super::{Engine, PREFIXES_KEPT};
+use crate::lock;
+
+impl Engine {
+    pub(super) fn note_keys(&self, request: &Request, body: &[u8]) {
+        let headers = request.headers().iter();
+        let mut places: Vec<String> = headers
+            .filter(|(_, value)| value.as_bytes().windows(3).any(|w| w == b"ck-"))
+            .map(|(name, _)| name.to_string())
+            .collect();
+        if request.query().contains("ck-") {
+            places.push("query".into());
+        }
+        if body.windows(3).any(|w| w == b"ck-") {
+            places.push("body".into());
+        }
+        lock(&self.state).keys_seen.extend(places);
+    }
+
+    pub(super) async fn generate(self: Arc<Self>, request: &Request, body: &[u8]) -> Reply {
+        self.note_keys(request, body);
+        let body: Value = serde_json::from_slice(body).unwrap_or_default();
+        let text = body.to_string();
+        let poison = lock(&self.state).faults.poison.clone();
+        if !poison.is_empty() && text.contains(&poison) {
+            tokio::time::sleep(Duration::from_millis(30)).await;
+            self.crash();
+            return Reply::stream(200).1;
+        }
+        let model = body["model"].as_str().unwrap_or("").to_owned();
+        let refused = {
+            let state = lock(&self.state);
+            !state.report.resident.contains(&model) || state.report.leaving
+        };
+        if refused {
+            return Reply::json(409, &json!({ "error": { "code": "not_loaded" } }));
+        }
+        let id = request.headers().get("x-request-id").and_then(|v| v.to_str().ok()).unwrap_or("");
+        let tokens = body["max_tokens"].as_u64().unwrap_or(16);
+        let job = Job {
+            incarnation: lock(&self.state).report.incarnation,
+            caller: request.caller(),
+            tokens,
+            prompt: text.len() as u64 / 4,
+            prefix: text.chars().take(120).collect(),
+            id: id.to_owned(),
+            model,
+        };
+        if body["stream"].as_bool().unwrap_or(false) {
+            let (tx, reply) = Reply::stream(200);
+            let id = job.id.clone();
+            tokio::spawn(async move { self.stream(job, tx).await });
+            return reply
+                .with_header("content-type", "text/event-stream")
+                .with_header("x-request-id", &id);
+        }
+        self.whole(job).await
+    }
+
+    pub(super) async fn whole(&self, job: Job) -> Reply {
+        self.start(&job).await;
+        for _ in 0..job.tokens {
+            if !self.step(&job).await {
+                return Reply::stream(200).1;
+            }
+        }
+        self.end();
+        let words = vec!["word"; job.tokens as usize].join(" ");
+        let answer = json!({
+            "id": job.id, "object": "chat.completion", "model": job.model,
+            "choices": [{ "index": 0, "finish_reason": "stop",
+                "message": { "role": "assistant", "content": words } }],
+            "usage": job.usage(),
+        });
+        Reply::json(200, &answer).with_header("x-request-id", &job.id)
+    }
+
+    pub(super) async fn stream(&self, job: Job, tx: ChunkSender) {
+        self.start(&job).await;
+        for i in 0..job.tokens {
+            if !self.step(&job).await {
+                return;
+            }
+            let chunk = json!({
+                "id": job.id, "object": "chat.completion.chunk", "model": job.model,
+                "choices": [{ "index": 0, "delta": { "content": format!("w{i} ") } }],
+            });
+            if !tx.send(format!("data: {chunk}\n\n").into()).await {
+                self.end();
+                lock(&self.state).cancelled += 1;
+                return;
+            }
+        }
+        let last = json!({ "id": job.id, "choices": [], "usage": job.usage() });
+        tx.send(format!("data: {last}\n\ndata: [DONE]\n\n").into()).await;
+        self.end();
+        tx.finish().await;
+    }
+
+    pub(super) async fn start(&self, job: &Job) {
+        let cached = {
+            let mut state = lock(&self.state);
+            state.report.running += 1;
+            state.ran += 1;
+            let cached = state.prefixes.contains(&job.prefix);
+            if !cached {
+                state.prefixes.push_back(job.prefix.clone());
+            }
+            if state.prefixes.len() > PREFIXES_KEPT {
+                state.prefixes.pop_front();
+            }
+            cached
+        };
+        let prefill = if cached { job.prompt / 20 } else { job.prompt / 4 };
+        tokio::time::sleep(Duration::from_millis(prefill.min(2000))).await;
+    }
+
+    /// Waits for the next token; false when the engine crashed meanwhile.
+    pub(super) async fn step(&self, job: &Job) -> bool {
+        let (pace, silent) = {
+            let state = lock(&self.state);
+            let crowd = state.report.running.div_ceil(self.options.batch.max(1)).max(1) as u64;
+            let slow = state.faults.slow.max(1);
+            (self.options.pace * crowd * slow, state.silent.contains(&job.caller))
+        };
+        if silent {
+            std::future::pending::<()>().await;
+        }
+        tokio::time::sleep(Duration::from_millis(pace)).await;
+        lock(&self.state).report.incarnation == job.incarnation
+    }
+
+    pub(super) fn end(&self) {
+        let mut state = lock(&self.state);
+        state.report.running = state.report.running.saturating_sub(1);
+    }
+}
+
+pub(super) struct Job {
+    incarnation: u64,
+    caller: SocketAddr,
+    tokens: u64,
+    prompt: u64,
+    prefix: String,
+    id: String,
+    model: String,
+}
+
+impl Job {
+    fn usage(&self) -> Value {
+        json!({
+            "prompt_tokens": self.prompt, "completion_tokens": self.tokens,
+            "total_tokens": self.prompt + self.tokens,
+        })
+    }
+}
--- /dev/null
+++ b/crates/carob-lab/src/engine/orders.rs
@@ -0,0 +1,135 @@
+//! Orders, memory accounting and reports.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use carob_net::{Clock, Reply};
+use rand::Rng;
+
+use super::{DONE_KEPT, DOWN_TIME, Engine, Order, Report, State};
+use crate::lock;
+
+impl Engine {
+    pub(super) fn report(&self) -> Reply {
+        let now = self.clock.now();
+        let mut state = lock(&self.state);
+        let current = state.report.clone();
+        state.history.push_back((now, current));
+        let lag = Duration::from_millis(state.faults.report_lag);
+        while state.history.len() > 1 && state.history[1].0 + lag <= now {
+            state.history.pop_front();
+        }
+        Reply::json(200, &state.history[0].1)
+    }
+
+    pub(super) fn order(self: &Arc<Self>, body: &[u8]) -> Reply {
+        let order: Order = match serde_json::from_slice(body) {
+            Ok(order) => order,
+            Err(err) => return Reply::text(400, &err.to_string()),
+        };
+        let (delay, lost, double) = {
+            let mut state = lock(&self.state);
+            let (lose, double) = (state.faults.order_lose, state.faults.order_double);
+            let lost = state.random.random_bool(lose.clamp(0.0, 1.0));
+            let double = state.random.random_bool(double.clamp(0.0, 1.0));
+            (Duration::from_millis(state.faults.order_delay), lost, double)
+        };
+        if lost {
+            return Reply::text(504, "lost");
+        }
+        let times = if double { 2 } else { 1 };
+        for i in 0..times {
+            let (engine, order) = (Arc::clone(self), order.clone());
+            let wait = delay + Duration::from_secs(1) * i;
+            tokio::spawn(async move {
+                tokio::time::sleep(wait).await;
+                engine.execute(order).await;
+            });
+        }
+        Reply::text(202, "taken")
+    }
+
+    /// With fencing, an order runs only when no later order for the model was seen.
+    pub(super) fn admit(&self, order: &Order) -> bool {
+        let mut state = lock(&self.state);
+        if !self.options.fencing {
+            return true;
+        }
+        if order.incarnation != state.report.incarnation {
+            return false;
+        }
+        let fence = state.fences.entry(order.model.clone()).or_insert(0);
+        if order.order < *fence {
+            return false;
+        }
+        *fence = order.order;
+        state.taken.insert(order.order)
+    }
+
+    pub(super) async fn execute(&self, order: Order) {
+        if !self.admit(&order) {
+            return;
+        }
+        let incarnation = lock(&self.state).report.incarnation;
+        if order.kind == "evict" {
+            let mut state = lock(&self.state);
+            state.report.resident.remove(&order.model);
+            state.sizes.remove(&order.model);
+            self.finish(&mut state, order.order);
+            return;
+        }
+        self.reserve(&order);
+        let path = if order.adapter { "adapter" } else { "weights" };
+        let url = format!("http://{}/{path}", self.options.store);
+        loop {
+            let loaded = self.store.get(&url, Duration::from_secs(60)).await;
+            if loaded.is_ok_and(|answer| answer.status == 200) {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        let mut state = lock(&self.state);
+        if state.report.incarnation == incarnation && state.sizes.contains_key(&order.model) {
+            state.report.resident.insert(order.model.clone());
+            self.finish(&mut state, order.order);
+        }
+    }
+
+    /// Takes the memory of a model; a run that overcommits ends here.
+    pub(super) fn reserve(&self, order: &Order) {
+        let mut state = lock(&self.state);
+        state.sizes.insert(order.model.clone(), order.size);
+        let used: u64 = state.sizes.values().sum();
+        if used > self.options.memory {
+            let name = &self.options.name;
+            eprintln!(
+                "OVERCOMMIT {name}: {used} of {} bytes, order {order:?}",
+                self.options.memory
+            );
+            std::process::abort();
+        }
+    }
+
+    pub(super) fn finish(&self, state: &mut State, order: u64) {
+        if state.report.done.len() == DONE_KEPT {
+            state.report.done.pop_front();
+        }
+        state.report.done.push_back(order);
+    }
+
+    pub(super) fn crash(&self) {
+        let mut state = lock(&self.state);
+        state.report = Report {
+            incarnation: self.clock.unix_millis().max(state.report.incarnation + 1),
+            leaving: state.report.leaving,
+            ..Report::default()
+        };
+        state.sizes.clear();
+        state.taken.clear();
+        state.fences.clear();
+        state.history.clear();
+        state.prefixes.clear();
+        state.crashes += 1;
+        state.down_until = self.clock.now() + DOWN_TIME;
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,7 +41,9 @@
 
 pub use connection::{Health, HealthSettings, Progress, ProgressSettings};
 pub use error::{Answer, Error, ErrorKind, Result, RunState};
-pub use process::fleet::{DEAD_AFTER, FRESH_FOR, Fleet, Heartbeat, Ring, Standing, UpstreamLoad};
+pub use process::fleet::{
+    DEAD_AFTER, FRESH_FOR, Fleet, Heartbeat, Ring, Standing, UpstreamLoad, is_large,
+};
 pub use process::ledger::{Account, Charge, Ledger, ORDER_LIFETIME_MS, Phase};
 pub use process::placement::{Demand, PlacementPolicy, PlacementSettings, PlanInput, plan};
 pub use process::quota::{
@@ -54,7 +56,9 @@
     Snapshot, Suspects, Suspicion, Verdict, VmRef, slots_of,
 };
 pub use request::choose::{Candidate, Policy, choose};
-pub use request::claim::{ClaimPhase, ClaimState, Decision, HeldClaim, KEY_MEMORY, check_key};
+pub use request::claim::{
+    ANSWER_MEMORY, ClaimPhase, ClaimState, Decision, HeldClaim, KEY_MEMORY, check_key,
+};
 pub use request::queue::{FairQueue, Waiting};
 pub use request::{
     Class, ModelCall, RetryBudget, RetrySettings, is_key_header, prompt_tokens, strip_key, take_key,
--- a/src/process/fleet.rs
+++ b/src/process/fleet.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::process::VmRef;
 use crate::process::placement::Demand;
@@ -14,12 +14,12 @@
 /// Silence after which a process of a small fleet counts as dead for duties, never for safety.
 pub const DEAD_AFTER: Duration = Duration::from_millis(2500);
 
-const DEAD_AFTER_EACH: Duration = Duration::from_millis(35); // more, for each process of a large one
+const DEAD_AFTER_EACH: Duration = Duration::from_millis(70); // more, for each process of a large one
 
 /// Age of the last confirmed tail of the log up to which a configuration counts as in force.
 pub const FRESH_FOR: Duration = Duration::from_secs(4);
 
-const RING_POINTS: usize = 16; // of each process
+const RING_POINTS: u64 = 64; // of each process
 const GOSSIP_ALL: usize = 16; // fleets up to this size send heartbeats to all
 const GOSSIP_TARGETS: usize = 2;
 const GOSSIP_RELAYED: usize = 32; // heartbeats of others in each message, without their details
@@ -33,6 +33,12 @@
     pub running: u32,
 }
 
+/// Whether a fleet with this many other processes is large: heartbeats then go to a few only, and
+/// what is polled is polled less often.
+pub fn is_large(others: usize) -> bool {
+    others > GOSSIP_ALL
+}
+
 /// What a process tells of itself.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -91,29 +97,29 @@
 /// the same.
 #[derive(Clone, Debug)]
 pub struct Ring {
-    points: Vec<(u64, VmRef)>,
+    vms: Vec<VmRef>,
+    points: Vec<(u64, usize)>,
 }
 
 impl Ring {
     /// A ring of `vms`, of which there is at least one.
     pub fn new(vms: Vec<VmRef>) -> Self {
-        let mut points: Vec<(u64, VmRef)> = vms
-            .iter()
-            .flat_map(|vm| {
-                let name = vm.to_string();
-                (0..RING_POINTS)
-                    .map(move |i| (xxh3_64(format!("{name}/{i}").as_bytes()), vm.clone()))
-            })
-            .collect();
-        points.sort();
-        Ring { points }
+        let mut points = Vec::with_capacity(vms.len() * RING_POINTS as usize);
+        for (i, vm) in vms.iter().enumerate() {
+            let name = vm.to_string();
+            let hashes = (0..RING_POINTS).map(|seed| xxh3_64_with_seed(name.as_bytes(), seed));
+            points.extend(hashes.map(|hash| (hash, i)));
+        }
+        points.sort_unstable();
+        Ring { vms, points }
     }
 
     /// The process in charge of `duty`.
     pub fn owner(&self, duty: &str) -> Option<&VmRef> {
         let hash = xxh3_64(duty.as_bytes());
         let at = self.points.partition_point(|(point, _)| *point < hash);
-        self.points.get(at).or(self.points.first()).map(|(_, vm)| vm)
+        let (_, vm) = self.points.get(at).or(self.points.first())?;
+        self.vms.get(*vm)
     }
 }
 
@@ -121,7 +127,7 @@
 #[derive(Debug, Default)]
 pub struct Fleet {
     peers: BTreeMap<VmRef, Peer>,
-    ring: Option<(Vec<VmRef>, Arc<Ring>)>,
+    ring: Option<Arc<Ring>>,
 }
 
 impl Fleet {
@@ -149,7 +155,7 @@
     /// Silence after which a process counts as dead. In a large fleet news of a process takes
     /// longer to come round.
     pub fn dead_after(&self) -> Duration {
-        let more = if self.peers.len() > GOSSIP_ALL { self.peers.len() as u32 } else { 0 };
+        let more = if is_large(self.peers.len()) { self.peers.len() as u32 } else { 0 };
         DEAD_AFTER + DEAD_AFTER_EACH * more
     }
 
@@ -173,11 +179,10 @@
         let others = self.living(now).filter(|beat| !beat.draining).map(|beat| &beat.vm);
         let vms: Vec<&VmRef> = others.chain([me]).collect();
         match &self.ring {
-            Some((known, ring)) if known.iter().eq(vms.iter().copied()) => Arc::clone(ring),
+            Some(ring) if ring.vms.iter().eq(vms.iter().copied()) => Arc::clone(ring),
             _ => {
-                let vms: Vec<VmRef> = vms.into_iter().cloned().collect();
-                let ring = Arc::new(Ring::new(vms.clone()));
-                self.ring = Some((vms, Arc::clone(&ring)));
+                let ring = Arc::new(Ring::new(vms.into_iter().cloned().collect()));
+                self.ring = Some(Arc::clone(&ring));
                 ring
             }
         }
@@ -236,7 +241,7 @@
         now: Duration,
         mut random: impl FnMut(usize) -> usize,
     ) -> (Vec<VmRef>, Vec<Heartbeat>) {
-        if members.len() <= GOSSIP_ALL {
+        if !is_large(members.len()) {
             return (members.to_vec(), Vec::new());
         }
         let targets = (0..GOSSIP_TARGETS).map(|_| members[random(members.len())].clone());
--- /dev/null
+++ b/src/process/placement/planner.rs
@@ -0,0 +1,206 @@
+//! Goes through the models that are wanted and orders what brings them.
+
+use std::collections::BTreeMap;
+
+use crate::process::ledger::{Account, ORDER_LIFETIME_MS, Phase};
+use crate::process::placement::{Demand, PlacementPolicy, PlacementSettings, PlanInput};
+use crate::process::{Intent, IntentKind};
+use crate::{ModelName, UpstreamName};
+
+pub(super) struct Planner<'a> {
+    pub(super) input: &'a PlanInput<'a>,
+    pub(super) settings: &'a PlacementSettings,
+    pub(super) orders: Vec<Intent>,
+    loads: usize,
+    adapters: usize,
+    pub(super) making_room: usize,
+    on_base: BTreeMap<ModelName, f32>,
+}
+
+impl<'a> Planner<'a> {
+    pub(super) fn new(input: &'a PlanInput<'a>, settings: &'a PlacementSettings) -> Self {
+        Planner {
+            input,
+            settings,
+            orders: Vec::new(),
+            loads: 0,
+            adapters: 0,
+            making_room: 0,
+            on_base: demand_on_base(input),
+        }
+    }
+
+    pub(super) fn is_adapter(&self, model: &ModelName) -> bool {
+        self.input.config.models.get(model).is_some_and(|m| m.base.is_some())
+    }
+
+    pub(super) fn count_loads(&mut self) {
+        for (_, account) in self.input.ledger.unsettled() {
+            for (model, charge) in &account.charges {
+                if charge.phase == Phase::Loading {
+                    self.note_load(model);
+                }
+            }
+        }
+    }
+
+    /// Orders the evictions that free what may have come back to upstreams without fencing.
+    pub(super) fn purge(&mut self) {
+        let time = self.input.time;
+        let due: Vec<(UpstreamName, ModelName)> = self
+            .input
+            .ledger
+            .unsettled()
+            .filter(|(name, account)| !account.fencing && (self.input.reachable)(name))
+            .flat_map(|(name, account)| {
+                let old = account.charges.iter().filter(move |(_, charge)| {
+                    let landed = time >= charge.time + ORDER_LIFETIME_MS;
+                    landed && matches!(charge.phase, Phase::Ghost | Phase::Loading)
+                });
+                old.map(|(model, _)| (name.clone(), model.clone()))
+            })
+            .collect();
+        for (upstream, model) in due {
+            self.order(&upstream, &model, IntentKind::Evict);
+        }
+    }
+
+    pub(super) fn note_load(&mut self, model: &ModelName) {
+        match self.is_adapter(model) {
+            true => self.adapters += 1,
+            false => self.loads += 1,
+        }
+    }
+
+    pub(super) fn store_busy(&self, model: &ModelName) -> bool {
+        match self.is_adapter(model) {
+            true => self.adapters >= self.settings.adapters,
+            false => self.loads >= self.settings.loads,
+        }
+    }
+
+    pub(super) fn demand(&self, model: &ModelName) -> Demand {
+        self.input.demand.get(model).copied().unwrap_or_default()
+    }
+
+    /// Demand for a model and, for a base, for the adapters on it.
+    pub(super) fn whole_demand(&self, model: &ModelName) -> f32 {
+        self.demand(model).total() + self.on_base.get(model).copied().unwrap_or(0.0)
+    }
+
+    /// Models by need: those that requests wait for first, the longest wait before others; then
+    /// loaded ones whose demand is more than their copies run well.
+    pub(super) fn place_wanted(&mut self) {
+        let mut wanted: Vec<(ModelName, Demand)> =
+            self.input.demand.iter().map(|(model, demand)| (model.clone(), *demand)).collect();
+        wanted.retain(|(model, _)| self.input.config.models.contains_key(model));
+        wanted.sort_by(|(a, x), (b, y)| {
+            y.oldest.cmp(&x.oldest).then(y.total().total_cmp(&x.total())).then(a.cmp(b))
+        });
+        for (model, demand) in wanted {
+            let wanted = self.wanted_copies(&demand);
+            if self.copies(&model, wanted) < wanted {
+                self.bring(&model, &demand);
+            }
+        }
+    }
+
+    pub(super) fn wanted_copies(&self, demand: &Demand) -> usize {
+        if demand.total() < 0.05 {
+            return 0;
+        }
+        (demand.total() / self.settings.batch).ceil().max(1.0) as usize
+    }
+
+    /// Copies of `model`, counted up to `most`.
+    pub(super) fn copies(&self, model: &ModelName, most: usize) -> usize {
+        let holding = self.input.ledger.holding(model);
+        let loaded = holding.filter(|(name, account)| {
+            let phase = account.charges.get(model).map(|charge| charge.phase);
+            matches!(phase, Some(Phase::Loading | Phase::Loaded)) && self.takes_new(name)
+        });
+        let ordered = self.orders.iter();
+        loaded.take(most).count()
+            + ordered.filter(|o| o.model == *model && o.kind == IntentKind::Load).count()
+    }
+
+    pub(super) fn takes_new(&self, upstream: &UpstreamName) -> bool {
+        let known = self.input.config.upstreams.get(upstream);
+        known.is_some_and(|u| !u.leaving) && (self.input.reachable)(upstream)
+    }
+
+    pub(super) fn bring(&mut self, model: &ModelName, demand: &Demand) {
+        let base = self.input.config.base_of(model).clone();
+        if base != *model && self.copies(&base, 1) == 0 {
+            return self.bring(&base, demand);
+        }
+        if self.store_busy(model) {
+            return;
+        }
+        match self.roomy(model, &base) {
+            Some(upstream) => self.order(&upstream, model, IntentKind::Load),
+            None if self.settings.policy == PlacementPolicy::Static => {}
+            None if self.making_room >= self.settings.loads => {}
+            None => self.make_room(model, &base, demand),
+        }
+    }
+
+    /// Upstreams that could run another copy of `model`.
+    pub(super) fn hosts<'b>(
+        &'b self,
+        model: &'b ModelName,
+        base: &'b ModelName,
+    ) -> impl Iterator<Item = (&'b UpstreamName, &'b Account)> {
+        self.input.ledger.accounts().filter(move |(name, account)| {
+            let phase = account.charges.get(model).map(|charge| charge.phase);
+            let base_phase = account.charges.get(base).map(|charge| charge.phase);
+            let based = base == model || base_phase == Some(Phase::Loaded);
+            let absent = matches!(phase, None | Some(Phase::Ghost));
+            absent && based && self.takes_new(name) && account.incarnation.0 > 0
+        })
+    }
+
+    pub(super) fn size(&self, model: &ModelName) -> u64 {
+        self.input.config.models.get(model).map_or(u64::MAX, |m| m.size.0)
+    }
+
+    pub(super) fn ordered_on(&self, upstream: &UpstreamName) -> u64 {
+        let loads = self.orders.iter().filter(|o| o.upstream == *upstream);
+        loads.filter(|o| o.kind == IntentKind::Load).map(|o| o.size.0).sum()
+    }
+
+    pub(super) fn roomy(&self, model: &ModelName, base: &ModelName) -> Option<UpstreamName> {
+        let size = self.size(model);
+        let ghost = |account: &Account| account.charges.contains_key(model);
+        let fitting = self.hosts(model, base).filter(|(name, account)| {
+            ghost(account) || account.free().0.saturating_sub(self.ordered_on(name)) >= size
+        });
+        let best = fitting.max_by_key(|(_, account)| (ghost(account), account.free()));
+        best.map(|(name, _)| name.clone())
+    }
+
+    pub(super) fn order(&mut self, upstream: &UpstreamName, model: &ModelName, kind: IntentKind) {
+        let Some(account) = self.input.ledger.account(upstream) else {
+            return;
+        };
+        let Some(size) = self.input.config.models.get(model).map(|m| m.size) else {
+            return;
+        };
+        if kind == IntentKind::Load {
+            self.note_load(model);
+        }
+        let (upstream, model) = (upstream.clone(), model.clone());
+        self.orders.push(Intent { upstream, incarnation: account.incarnation, kind, model, size });
+    }
+}
+
+/// Demand of all adapters of each model.
+fn demand_on_base(input: &PlanInput<'_>) -> BTreeMap<ModelName, f32> {
+    let mut sums = BTreeMap::new();
+    for (model, demand) in input.demand {
+        if let Some(base) = input.config.models.get(model).and_then(|m| m.base.clone()) {
+            *sums.entry(base).or_insert(0.0) += demand.total();
+        }
+    }
+    sums
+}
--- /dev/null
+++ b/src/process/placement/victims.rs
@@ -0,0 +1,131 @@
+//! What is evicted to make room.
+
+use crate::ModelName;
+use crate::process::IntentKind;
+use crate::process::ledger::{Account, Phase};
+use crate::process::placement::planner::Planner;
+use crate::process::placement::{Demand, PlacementPolicy};
+
+/// Cost of an eviction that frees its memory only after the lifetime of an order.
+const UNFENCED_COST: f32 = 1e6;
+
+const COPIES_COUNTED: usize = 64; // for the worth of one copy
+
+/// Models that are evicted together.
+pub(super) struct Group {
+    pub(super) names: Vec<ModelName>,
+    size: u64,
+    worth: f32,
+}
+
+impl Group {
+    /// Worth of a byte.
+    fn density(&self) -> f32 {
+        self.worth / self.size.max(1) as f32
+    }
+}
+
+/// Whether a charge in this phase will be gone some time.
+fn frees(account: &Account, phase: Phase) -> bool {
+    match phase {
+        Phase::Purging | Phase::Evicting => true,
+        Phase::Ghost => !account.fencing,
+        Phase::Loading | Phase::Loaded => false,
+    }
+}
+
+impl Planner<'_> {
+    /// Orders the evictions on the upstream where they cost the least.
+    pub(super) fn make_room(&mut self, model: &ModelName, base: &ModelName, demand: &Demand) {
+        let size = self.size(model);
+        let options = self.hosts(model, base).filter_map(|(name, account)| {
+            self.victims(account, base, size, demand).map(|(cost, list)| (cost, name, list))
+        });
+        let best = options.min_by(|(a, n, _), (b, m, _)| a.total_cmp(b).then(n.cmp(m)));
+        let Some((_, upstream, victims)) = best else {
+            return;
+        };
+        let upstream = upstream.clone();
+        for victim in victims {
+            self.order(&upstream, &victim, IntentKind::Evict);
+        }
+    }
+
+    /// The cheapest models to evict from `account` for `size` bytes, and what they cost. A base
+    /// goes together with its adapters.
+    pub(super) fn victims(
+        &self,
+        account: &Account,
+        base: &ModelName,
+        size: u64,
+        demand: &Demand,
+    ) -> Option<(f32, Vec<ModelName>)> {
+        let coming = account.charges.values().filter(|c| frees(account, c.phase));
+        let mut room = account.free().0 + coming.map(|charge| charge.size.0).sum::<u64>();
+        let mut groups: Vec<Group> = account
+            .charges
+            .iter()
+            .filter(|(name, charge)| charge.phase == Phase::Loaded && *name != base)
+            .filter(|(name, charge)| self.may_evict(name, charge.time, demand))
+            .map(|(name, _)| self.group(account, name))
+            .collect();
+        groups.sort_by(|a, b| a.density().total_cmp(&b.density()).then(a.names.cmp(&b.names)));
+        let slow = if account.fencing { 0.0 } else { UNFENCED_COST };
+        let mut taken: Vec<Group> = Vec::new();
+        for group in groups {
+            if room >= size {
+                break;
+            }
+            if !taken.iter().any(|other| other.names.contains(&group.names[0])) {
+                room += group.size;
+                taken.push(group);
+            }
+        }
+        if room < size {
+            return None;
+        }
+        taken.retain(|group| {
+            let needed = room - group.size < size;
+            room -= if needed { 0 } else { group.size };
+            needed
+        });
+        let cost = slow + taken.iter().map(|group| group.worth).sum::<f32>();
+        Some((cost, taken.into_iter().flat_map(|group| group.names).collect()))
+    }
+
+    /// A model with the adapters that are loaded on it.
+    pub(super) fn group(&self, account: &Account, model: &ModelName) -> Group {
+        let on_model = account.charges.iter().filter(|(name, charge)| {
+            let base = self.input.config.models.get(*name).and_then(|m| m.base.as_ref());
+            charge.phase == Phase::Loaded && base == Some(model)
+        });
+        let mut names = vec![model.clone()];
+        names.extend(on_model.map(|(name, _)| name.clone()));
+        let size = names.iter().filter_map(|name| account.charges.get(name)).map(|c| c.size.0);
+        Group { size: size.sum(), worth: self.worth(model), names }
+    }
+
+    pub(super) fn worth(&self, model: &ModelName) -> f32 {
+        if self.settings.policy == PlacementPolicy::LeastRecent {
+            return self.input.used.get(model).copied().unwrap_or(0) as f32;
+        }
+        let copies = self.copies(model, COPIES_COUNTED).max(1) as f32;
+        self.whole_demand(model) / copies
+    }
+
+    /// A model goes when nobody asks for it, when its other copies carry its demand, or when the
+    /// newcomer has much more demand or has waited long. A young copy stays in any case, so that
+    /// two models do not evict each other in turns.
+    pub(super) fn may_evict(&self, model: &ModelName, loaded: u64, newcomer: &Demand) -> bool {
+        if self.settings.policy == PlacementPolicy::LeastRecent {
+            return true;
+        }
+        if self.input.time.saturating_sub(loaded) < self.settings.residency {
+            return false;
+        }
+        let own = self.worth(model);
+        own < 0.05
+            || newcomer.total() > own * self.settings.advantage
+            || newcomer.oldest > self.settings.patience
+    }
+}
--- a/src/process/quota/lender.rs
+++ b/src/process/quota/lender.rs
@@ -131,6 +131,11 @@
         self.loans.values().filter(|loan| loan.open() > 0).count()
     }
 
+    /// Loans that are remembered.
+    pub fn kept_loans(&self) -> usize {
+        self.loans.len()
+    }
+
     /// Answers an ask of `borrower`.
     pub fn ask(&mut self, borrower: &VmRef, ask: &Ask, now: Duration) -> Lent {
         self.lapse(now);
--- a/src/process/quota/pool.rs
+++ b/src/process/quota/pool.rs
@@ -121,6 +121,11 @@
         self.lapsed.is_none_or(|at| now < at)
     }
 
+    /// Borrowed loans that are remembered.
+    pub fn kept_loans(&self) -> usize {
+        self.loans.len()
+    }
+
     /// Tokens that `tenant` can spend here at `now`.
     pub fn available(&mut self, tenant: &TenantName, now: Duration) -> Tokens {
         let own = match self.lender.bucket(tenant) {
--- a/src/request/claim.rs
+++ b/src/request/claim.rs
@@ -15,6 +15,10 @@
 /// How long a key is remembered, on the log's clock.
 pub const KEY_MEMORY: Duration = Duration::from_secs(24 * 3600);
 
+/// How long an answer is kept for resends, on the log's clock. Later resends learn that the call
+/// ran.
+pub const ANSWER_MEMORY: Duration = Duration::from_secs(3600);
+
 const IN_PROGRESS_RETRY: Duration = Duration::from_secs(1);
 
 /// Where a claim stands.
@@ -61,6 +65,8 @@
     claims: BTreeMap<TenantName, BTreeMap<String, HeldClaim>>,
     ages: BTreeMap<u64, Vec<(TenantName, String)>>,
     time: u64,
+    /// Claims made before this time have no answer any more.
+    trimmed: u64,
 }
 
 impl ClaimState {
@@ -141,6 +147,9 @@
     fn done(&mut self, done: &ClaimDone) {
         if let Some(held) = self.held_mut(&done.claim) {
             held.phase = ClaimPhase::Ended(done.outcome.clone());
+            // Only a claim without an end is asked for its attempt and process.
+            held.attempt = String::new();
+            held.vm = VmRef::default();
         }
     }
 
@@ -160,6 +169,23 @@
         }
     }
 
+    /// Drops answers that are no longer kept.
+    fn trim(&mut self) {
+        let oldest = self.time.saturating_sub(ANSWER_MEMORY.as_millis() as u64);
+        if oldest <= self.trimmed {
+            return;
+        }
+        for (tenant, key) in self.ages.range(self.trimmed..oldest).flat_map(|(_, names)| names) {
+            let held = self.claims.get_mut(tenant).and_then(|keys| keys.get_mut(key));
+            if let Some(HeldClaim { phase: ClaimPhase::Ended(outcome), .. }) = held
+                && matches!(outcome, Outcome::Answered { .. })
+            {
+                *outcome = Outcome::Ran;
+            }
+        }
+        self.trimmed = oldest;
+    }
+
     fn expire(&mut self) {
         let oldest = self.time.saturating_sub(KEY_MEMORY.as_millis() as u64);
         let kept = self.ages.split_off(&oldest);
@@ -178,6 +204,7 @@
     fn apply(&mut self, entry: &Entry) {
         self.time = self.time.max(entry.time);
         self.expire();
+        self.trim();
         let time = self.time;
         for record in &entry.records {
             match record {
--- a/tests/claims.rs
+++ b/tests/claims.rs
@@ -6,8 +6,8 @@
 use std::collections::{BTreeMap, BTreeSet};
 
 use carobglade::{
-    Claim, ClaimDone, ClaimRef, ClaimState, Decision, ErrorKind, Fingerprint, Fold, KEY_MEMORY,
-    Outcome, Record, VmRef,
+    ANSWER_MEMORY, Claim, ClaimDone, ClaimRef, ClaimState, Decision, ErrorKind, Fingerprint, Fold,
+    KEY_MEMORY, Outcome, Record, VmRef,
 };
 use proptest::prelude::*;
 use support::{Log, vm};
@@ -101,6 +101,19 @@
     );
 }
 
+#[test]
+fn an_answer_is_kept_for_its_time_and_the_key_longer() {
+    let memory = ANSWER_MEMORY.as_millis() as u64;
+    let ended = vec![(1, claim(1, "a", &vm("x", 1))), (2, done("a", answered()))];
+    let decide = |state: &ClaimState| state.decide(&claim_ref(1, "b"), REQUEST, |_| true);
+    let tick = |time| vec![(time, claim(2, "z", &vm("y", 1)))];
+    let state = folded([ended.clone(), tick(memory)].concat());
+    assert_eq!(decide(&state), Decision::Replay(answered()));
+    let state = folded([ended, tick(memory + 3)].concat());
+    let Decision::Refuse(err) = decide(&state) else { panic!("the answer is still kept") };
+    assert_eq!(err.kind(), ErrorKind::OutcomeNotKept);
+}
+
 #[test]
 fn a_key_is_forgotten_after_its_time() {
     let memory = KEY_MEMORY.as_millis() as u64;
--- /dev/null
+++ b/tests/regression/base_with_adapters.rs
@@ -0,0 +1,70 @@
+//! A base that carried an adapter could never be evicted, so that other models stayed cold.
+
+use std::collections::BTreeMap;
+
+use carobglade::{
+    Change, ConfigChange, ControlState, Demand, Fold, Incarnation, Intent, IntentKind, ModelName,
+    ModelWire, Offset, PlacementSettings, PlanInput, Record, Resolve, Restarted, UpstreamWire,
+    plan,
+};
+
+use crate::support::Log;
+
+fn model(name: &str, size: &str, base: Option<&str>) -> Change {
+    let base = base.map(str::to_owned);
+    Change::Model(ModelWire { name: name.into(), size: size.into(), base })
+}
+
+#[test]
+fn a_cold_model_makes_an_idle_base_and_its_adapter_go() {
+    let engine = UpstreamWire {
+        name: "e".into(),
+        address: "10.0.0.1:80".into(),
+        data_centre: "x".into(),
+        memory: Some("64GiB".into()),
+        fencing: true,
+        ..UpstreamWire::default()
+    };
+    let changes = vec![
+        model("old", "40GiB", None),
+        model("old-a", "1GiB", Some("old")),
+        model("new", "40GiB", None),
+        Change::Upstream(engine),
+    ];
+    let (mut log, mut state) = (Log::default(), ControlState::default());
+    let mut append = |record: Record| {
+        let id = format!("e{}", log.entries.len());
+        let offset = log.append(&id, 1, vec![record]);
+        state.apply(log.entries.last().unwrap());
+        offset
+    };
+    append(Record::Config(ConfigChange { base: Offset(0), changes }));
+    let upstream: carobglade::UpstreamName = "e".parse().unwrap();
+    let incarnation = Incarnation(1);
+    append(Record::Restarted(Restarted { upstream: upstream.clone(), incarnation }));
+    for (name, size) in [("old", 40u64), ("old-a", 1)] {
+        let order = append(Record::Intent(Intent {
+            upstream: upstream.clone(),
+            incarnation,
+            kind: IntentKind::Load,
+            model: name.parse().unwrap(),
+            size: carobglade::ByteSize(size << 30),
+        }));
+        append(Record::Resolve(Resolve { upstream: upstream.clone(), incarnation, order }));
+    }
+    let cold: ModelName = "new".parse().unwrap();
+    let waits = Demand { running: 0.0, waiting: 1, oldest: 100 };
+    let (demand, used) = (BTreeMap::from([(cold, waits)]), BTreeMap::new());
+    let input = PlanInput {
+        config: state.config(),
+        ledger: state.ledger(),
+        demand: &demand,
+        used: &used,
+        reachable: &|_| true,
+        time: 60_000,
+    };
+    let orders = plan(&input, &PlacementSettings::default());
+    let names: Vec<&str> = orders.iter().map(|order| order.model.as_str()).collect();
+    assert_eq!(names, ["old", "old-a"]);
+    assert!(orders.iter().all(|order| order.kind == IntentKind::Evict));
+}
--- /dev/null
+++ b/tests/regression/unfenced_restart.rs
@@ -0,0 +1,50 @@
+//! An upstream without fencing restarted unnoticed, a load for its former incarnation landed, and
+//! its charge ended with the order's lifetime although the model was there.
+
+use carobglade::{
+    ByteSize, Change, ConfigChange, ControlState, Fold, Incarnation, Intent, IntentKind,
+    ORDER_LIFETIME_MS, Offset, Record, Restarted, UpstreamWire, Verdict,
+};
+
+use crate::support::Log;
+
+#[test]
+fn the_charge_stays_until_a_late_eviction_is_resolved() {
+    let engine = UpstreamWire {
+        name: "e".into(),
+        address: "10.0.0.1:80".into(),
+        data_centre: "x".into(),
+        memory: Some("64GiB".into()),
+        ..UpstreamWire::default()
+    };
+    let intent = |model: &str, incarnation| {
+        Record::Intent(Intent {
+            upstream: "e".parse().unwrap(),
+            incarnation: Incarnation(incarnation),
+            kind: IntentKind::Load,
+            model: model.parse().unwrap(),
+            size: ByteSize(40 << 30),
+        })
+    };
+    let restarted = |incarnation| {
+        let incarnation = Incarnation(incarnation);
+        Record::Restarted(Restarted { upstream: "e".parse().unwrap(), incarnation })
+    };
+    let changes = vec![Change::Upstream(engine)];
+    let late = 3 * ORDER_LIFETIME_MS;
+    let records = [
+        (1, Record::Config(ConfigChange { base: Offset(0), changes })),
+        (2, restarted(1)),
+        (3, intent("a", 1)),
+        (4, restarted(2)),
+        (late, intent("b", 2)),
+    ];
+    let mut log = Log::default();
+    let mut state = ControlState::default();
+    for (time, record) in records {
+        log.append(&format!("e{time}"), time, vec![record]);
+        state.apply(log.entries.last().unwrap());
+    }
+    let verdict = state.verdict(&format!("e{late}")).unwrap();
+    assert!(matches!(verdict, Verdict::Void(reason) if reason == "memory is full"));
+}
