--- a/crates/carob-entry/src/orders.rs
+++ b/crates/carob-entry/src/orders.rs
@@ -7,13 +7,13 @@
 
 use carob_net::Caller;
 use carobglade::{
-    Account, Charge, Incarnation, Intent, IntentKind, ModelName, ORDER_LIFETIME_MS, Offset, Phase,
-    PlacementSettings, PlanInput, Record, Resolve, Restarted, Upstream, UpstreamName, Verdict,
-    is_large, plan,
+    Account, Charge, Config, Incarnation, Intent, IntentKind, ModelName, ORDER_LIFETIME_MS, Offset,
+    Phase, PlacementSettings, PlanInput, Record, Resolve, Restarted, Ring, Upstream, UpstreamName,
+    Verdict, VmRef, is_large, plan,
 };
 use serde::{Deserialize, Serialize};
 
-use crate::core::Core;
+use crate::core::{Core, Inner};
 
 const TICK: Duration = Duration::from_millis(100);
 /// The duty of planning placement.
@@ -51,11 +51,12 @@
     let caller = Caller::pooled();
     let mut polled: BTreeMap<UpstreamName, Duration> = BTreeMap::new();
     let mut sent: BTreeMap<Offset, Duration> = BTreeMap::new();
+    let mut duties = Duties::default();
     loop {
         tokio::time::sleep(TICK).await;
         let now = core.now();
         sent.retain(|_, at| now.saturating_sub(*at) < RESEND);
-        for (upstream, account) in due(&core, &polled, now) {
+        for (upstream, account) in due(&core, &mut duties, &polled, now) {
             polled.insert(upstream.name.clone(), now);
             let log_time = core.lock().log_time(now);
             let orders = unsent(&account, &mut sent, log_time, now);
@@ -71,9 +72,39 @@
     }
 }
 
+/// The upstreams that this process is in charge of, found anew only when the ring or the
+/// configuration changes.
+#[derive(Default)]
+struct Duties {
+    ring: Option<Arc<Ring>>,
+    config: Option<Arc<Config>>,
+    names: Vec<UpstreamName>,
+}
+
+impl Duties {
+    fn update(&mut self, inner: &mut Inner, me: &VmRef, now: Duration) {
+        let ring = inner.fleet.ring(me, now);
+        let config = Arc::clone(inner.control.state().config());
+        let same_ring = self.ring.as_ref().is_some_and(|known| Arc::ptr_eq(known, &ring));
+        let same_config = self.config.as_ref().is_some_and(|known| Arc::ptr_eq(known, &config));
+        if same_ring && same_config {
+            return;
+        }
+        let mine = |name: &UpstreamName| ring.owner(&format!("upstream:{name}")) == Some(me);
+        self.names = config.engines().map(|upstream| upstream.name.clone()).filter(mine).collect();
+        for (name, used) in &mut inner.upstreams {
+            if !mine(name) {
+                used.missed = 0;
+            }
+        }
+        (self.ring, self.config) = (Some(ring), Some(config));
+    }
+}
+
 /// The upstreams to poll now: this process is in charge of them.
 fn due(
     core: &Core,
+    duties: &mut Duties,
     polled: &BTreeMap<UpstreamName, Duration>,
     now: Duration,
 ) -> Vec<(Upstream, Account)> {
@@ -81,22 +112,16 @@
     if inner.confirmed.is_none() {
         return Vec::new();
     }
-    let config = Arc::clone(inner.control.state().config());
-    let ring = inner.fleet.ring(&core.me, now);
-    let (mine, others): (Vec<_>, Vec<_>) = config
-        .engines()
-        .partition(|upstream| ring.owner(&format!("upstream:{}", upstream.name)) == Some(&core.me));
-    others.into_iter().for_each(|upstream| inner.upstream(&upstream.name).missed = 0);
+    duties.update(&mut inner, &core.me, now);
     let state = inner.control.state();
-    let members = inner.control.state().members().len();
-    let idle = POLL_IDLE
-        + if is_large(members) { POLL_IDLE_EACH * members as u32 } else { Duration::ZERO };
-    let accounts = mine.into_iter().filter_map(|upstream| {
-        let account = state.ledger().account(&upstream.name)?;
+    let members = state.members().len();
+    let more = if is_large(members) { POLL_IDLE_EACH * members as u32 } else { Duration::ZERO };
+    let accounts = duties.names.iter().filter_map(|name| {
+        let upstream = state.config().upstreams.get(name)?;
+        let account = state.ledger().account(name)?;
         let busy = account.charges.values().any(under_way);
-        let pause = if busy { TICK } else { idle };
-        let last = polled.get(&upstream.name);
-        let due = last.is_none_or(|at| now.saturating_sub(*at) >= pause);
+        let pause = if busy { TICK } else { POLL_IDLE + more };
+        let due = polled.get(name).is_none_or(|at| now.saturating_sub(*at) >= pause);
         due.then(|| (upstream.clone(), account.clone()))
     });
     accounts.collect()
