Do not take slow work for silence where an answer shows no progress

An answer of 400 tokens that is not streamed, or a slow plain service, was cut off after 1.5 s; a call that may not be repeated became unknown by it.

Ruled out: a longer floor; the work may take as long as its tokens.

Change: only streamed answers are judged by the mean; others have the setting and 0.1 s for each token. A request can no longer be more urgent than its tenant's class.

--- a/benches/carob-bench/tests/faults.rs
+++ b/benches/carob-bench/tests/faults.rs
@@ -164,3 +164,20 @@
     }
     assert!(refused > 0, "a flood of 4,000 tokens passed a burst of 800");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn slow_work_without_a_byte_is_not_taken_for_silence() {
+    let fleet = Fleet::start(FleetOptions { pace: 12, ..FleetOptions::default() }).await.unwrap();
+    let client = Client::fresh(&key_of("crew"));
+    for i in 0..6 {
+        let answer = client.complete(fleet.at(i % 3), "planner", "short", 2, true).await;
+        assert_eq!(answer.status, 200, "{}", answer.body);
+    }
+    // About five seconds of work, many times the mean for a first byte.
+    let whole = client.complete(fleet.at(0), "planner", "long", 400, false).await;
+    assert_eq!(whole.status, 200, "{}", whole.body);
+    assert_eq!(stat(&fleet, "ran").await, 7, "it was sent once");
+    fleet.faults(fleet.services[0], json!({ "before": 4000 })).await.unwrap();
+    let call = client.once(fleet.at(1), "/gates/1", "slow", "{}").await;
+    assert_eq!(call.status, 200, "{}", call.body);
+}
--- a/crates/carob-entry/src/forward.rs
+++ b/crates/carob-entry/src/forward.rs
@@ -37,8 +37,17 @@
     pub id: String,
     /// Its fingerprint.
     pub request: Fingerprint,
-    /// Tokens of its prompt.
-    pub prompt: u64,
+    /// How long its upstream may be silent before the head of the answer.
+    pub patience: Patience,
+}
+
+/// How long an upstream may be silent before the head of an answer.
+#[derive(Clone, Copy, Debug)]
+pub enum Patience {
+    /// The answer is streamed: by the upstream's mean, and longer for a prompt of so many tokens.
+    Streamed(u64),
+    /// The answer comes at once when its work is done, which may take so long beyond the setting.
+    Whole(Duration),
 }
 
 /// The headers that go on: no key, nothing that belongs to the connection.
@@ -148,11 +157,16 @@
     };
     let started = core.now();
     let url = format!("http://{address}{}", outgoing.target);
-    let silence = core.progress(upstream, outgoing.prompt).silence();
+    let silence = match outgoing.patience {
+        Patience::Streamed(prompt) => core.progress(upstream, prompt).silence(),
+        Patience::Whole(work) => millis(core.settings.times.first) + work,
+    };
     let (method, headers, body) =
         (outgoing.method.clone(), outgoing.headers.clone(), outgoing.body.clone());
     let streamed = caller.open(method, &url, headers, body, silence).await?;
-    core.note_first(upstream, core.now() - started);
+    if matches!(outgoing.patience, Patience::Streamed(_)) {
+        core.note_first(upstream, core.now() - started);
+    }
     check_id(&streamed, &outgoing.id)?;
     Ok(streamed)
 }
--- a/crates/carob-entry/src/model.rs
+++ b/crates/carob-entry/src/model.rs
@@ -14,7 +14,7 @@
 use serde_json::{Value, json};
 
 use crate::core::Core;
-use crate::forward::{self, Outgoing, clean_headers};
+use crate::forward::{self, Outgoing, Patience, clean_headers};
 use crate::front::{InFlight, Incoming};
 use crate::queue::{self, Permit, Wanted};
 use crate::settings::millis;
@@ -25,6 +25,7 @@
 const COME_BACK: Duration = Duration::from_secs(1); // after a failure of upstreams
 const CLASS_HEADER: &str = "x-request-class";
 const PRIORITY_HEADER: &str = "x-priority";
+const TOKEN_TIME: Duration = Duration::from_millis(100); // at most, for each token
 const NOT_LOADED: u16 = 409; // answer of an engine that does not have the model
 
 /// The models that a tenant may use.
@@ -107,7 +108,7 @@
         body: incoming.body,
         id: incoming.id,
         request,
-        prompt: call.prompt.0,
+        patience: patience(&call),
     };
     let started = incoming.started;
     let reservation = Some(reservation);
@@ -115,6 +116,15 @@
     answer(call).await
 }
 
+/// Without streaming nothing comes before the last token is made.
+fn patience(call: &ModelCall) -> Patience {
+    if call.stream {
+        return Patience::Streamed(call.prompt.0);
+    }
+    let tokens = u32::try_from(call.reserve().0).unwrap_or(u32::MAX);
+    Patience::Whole(TOKEN_TIME * tokens)
+}
+
 fn check_model(config: &Config, tenant: &Tenant, call: &ModelCall) -> Result<()> {
     let name = call.model.as_str();
     if !config.models.contains_key(&call.model) {
@@ -138,7 +148,8 @@
 
 fn class_of(tenant: &Tenant, incoming: &Incoming) -> Result<Class> {
     match incoming.headers.get(CLASS_HEADER) {
-        Some(value) => Class::from_str(value.to_str().unwrap_or("")),
+        // A request may be less urgent than its tenant, but not more.
+        Some(value) => Ok(Class::from_str(value.to_str().unwrap_or(""))?.max(tenant.class)),
         None => Ok(tenant.class),
     }
 }
@@ -203,8 +214,10 @@
         let message = format!("upstream answered {}", streamed.status);
         return Err(Error::new(ErrorKind::UpstreamFailed, message));
     }
-    let silence = core.progress(&permit.upstream, call.call.prompt.0).silence();
-    let silence = if call.call.stream { silence } else { millis(core.settings.times.first) };
+    let silence = match call.outgoing.patience {
+        Patience::Streamed(prompt) => core.progress(&permit.upstream, prompt).silence(),
+        Patience::Whole(work) => millis(core.settings.times.first) + work,
+    };
     let first = streamed.chunk(silence).await?;
     Ok((streamed, first))
 }
--- a/crates/carob-entry/src/service.rs
+++ b/crates/carob-entry/src/service.rs
@@ -14,7 +14,7 @@
 
 use crate::append::unavailable;
 use crate::core::Core;
-use crate::forward::{self, Outgoing, clean_headers};
+use crate::forward::{self, Outgoing, Patience, clean_headers};
 use crate::front::{InFlight, Incoming};
 use crate::settings::millis;
 
@@ -46,7 +46,7 @@
         body: incoming.body.clone(),
         id: incoming.id.clone(),
         request,
-        prompt: 0,
+        patience: Patience::Whole(Duration::ZERO),
     };
     let service = config.services.get(&route.service);
     let upstreams = service.map(|service| service.upstreams.clone()).unwrap_or_default();
@@ -108,7 +108,7 @@
 ) -> Result<Received> {
     core.lock().upstream(upstream).running += 1;
     let result = match forward::open(core, caller, upstream, outgoing).await {
-        Ok(streamed) => streamed.whole(millis(core.settings.times.between)).await,
+        Ok(streamed) => streamed.whole(millis(core.settings.times.first)).await,
         Err(err) => Err(err),
     };
     core.lock().upstream(upstream).running -= 1;
