Bring a recreated tenant's tokens along with its slots; shorten long functions

Cause: read as a newcomer: a tenant that was removed and created again lost its tokens with every hand-over of a slot for good, since the check did not ask when the slot was taken. Two functions of over 40 lines hid it.

Change: the rule is Holder::tokens_for in the library, with a case for each of its five answers; refresh and status are split.

--- a/crates/carob-entry/src/admin.rs
+++ b/crates/carob-entry/src/admin.rs
@@ -2,12 +2,13 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use carob_net::{Reply, Request};
-use carobglade::{Phase, SLOTS, Standing};
+use carobglade::{Heartbeat, Phase, SLOTS, Standing};
 use serde_json::{Value, json};
 
-use crate::core::Core;
+use crate::core::{Core, Inner};
 
 /// Answers a request on the operators' address.
 pub async fn handle(core: Arc<Core>, request: Request) -> Reply {
@@ -40,47 +41,48 @@
     let now = core.now();
     let mut inner = core.lock();
     let own = inner.heartbeat(&core.me, now);
+    let standing = format!("{:?}", inner.standing(&core.me, now)).to_lowercase();
+    let tokens = inner.pool.lender.levels(now);
+    let state = inner.control.state();
+    json!({
+        "vm": core.me.to_string(), "version": state.version(), "standing": standing,
+        "log_age_ms": own.log_age, "running": own.running, "waiting": inner.queue.len(),
+        "draining": inner.draining, "claims": inner.claims.state().len(),
+        "suspects": state.suspects().len(),
+        "slots": { "held": state.slots().held(), "of": SLOTS, "own": inner.slots.len() },
+        "tokens": tokens, "members": members(&inner, &own, now), "upstreams": upstreams(&inner),
+    })
+}
+
+fn members(inner: &Inner, own: &Heartbeat, now: Duration) -> Vec<Value> {
     let state = inner.control.state();
     let members = state.members().values().map(|member| {
-        let beat = inner.fleet.living(now).find(|beat| beat.vm == member.vm);
-        let beat = if member.vm == core.me { Some(&own) } else { beat };
+        let heard = inner.fleet.living(now).chain([own]).find(|beat| beat.vm == member.vm);
         json!({
             "vm": member.vm.vm, "incarnation": member.vm.incarnation,
-            "data_centre": member.data_centre, "alive": beat.is_some(),
+            "data_centre": member.data_centre, "alive": heard.is_some(),
             "admin": member.admin, "peer": member.peer,
-            "version": beat.map(|beat| beat.version), "draining": beat.map(|b| b.draining),
-            "running": beat.map(|b| b.running), "slots": state.slots().held_by(&member.vm).count(),
+            "version": heard.map(|beat| beat.version), "draining": heard.map(|b| b.draining),
+            "running": heard.map(|b| b.running),
+            "slots": state.slots().held_by(&member.vm).count(),
         })
     });
-    let members: Vec<Value> = members.collect();
-    let upstreams: BTreeMap<_, _> = state
-        .ledger()
-        .accounts()
-        .map(|(name, account)| {
-            let charges: Vec<Value> = account
-                .charges
-                .iter()
-                .map(|(model, charge)| json!({ "model": model, "phase": phase(charge.phase) }))
-                .collect();
-            let value = json!({
-                "memory": account.capacity, "charged": account.charged(),
-                "incarnation": account.incarnation, "models": charges,
-            });
-            (name.to_string(), value)
-        })
-        .collect();
-    let (version, held) = (state.version(), state.slots().held());
-    let suspects = state.suspects().len();
-    let standing = format!("{:?}", inner.standing(&core.me, now)).to_lowercase();
-    let claims = inner.claims.state().len();
-    let levels = inner.pool.lender.levels(now);
-    json!({
-        "vm": core.me.to_string(), "version": version, "standing": standing,
-        "log_age_ms": own.log_age, "running": own.running, "waiting": inner.queue.len(),
-        "draining": inner.draining, "claims": claims, "suspects": suspects,
-        "slots": { "held": held, "of": SLOTS, "own": inner.slots.len() },
-        "tokens": levels, "members": members, "upstreams": upstreams,
-    })
+    members.collect()
+}
+
+fn upstreams(inner: &Inner) -> BTreeMap<String, Value> {
+    let accounts = inner.control.state().ledger().accounts().map(|(name, account)| {
+        let charges = account.charges.iter();
+        let models: Vec<Value> = charges
+            .map(|(model, charge)| json!({ "model": model, "phase": phase(charge.phase) }))
+            .collect();
+        let value = json!({
+            "memory": account.capacity, "charged": account.charged(),
+            "incarnation": account.incarnation, "models": models,
+        });
+        (name.to_string(), value)
+    });
+    accounts.collect()
 }
 
 fn phase(phase: Phase) -> &'static str {
--- a/crates/carob-entry/src/shares.rs
+++ b/crates/carob-entry/src/shares.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use carobglade::{
-    Ask, Holder, Record, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, Share, SlotTake, TenantName, Tokens,
-    VmRef, slots_of,
+    Ask, Holder, Record, SLOT_LEASE, SLOTS, Share, SlotTake, Tenant, TenantName, Tokens, VmRef,
+    slots_of,
 };
 
 use crate::core::{Core, Inner};
@@ -59,37 +59,30 @@
         return;
     }
     let config = Arc::clone(state.config());
-    let created = |tenant: &TenantName| config.tenants.get(tenant).map(|t| t.grant.created);
-    let mut shares = Vec::new();
-    for tenant in config.tenants.values() {
-        let known = inner.pool_tenants.get(&tenant.name) == Some(&tenant.grant.created);
-        let recreated = state.recreated(&tenant.name);
-        let mut share = Share { grant: tenant.grant, slots: 0 };
-        let mut added = 0;
-        for (slot, holder) in held.range(slots_of(&tenant.name)) {
-            share.slots += 1;
-            if !known || inner.slots.get(slot) != Some(&holder.taken) {
-                added += if recreated { 0 } else { initial(&share, &tenant.name, holder) };
-            }
-        }
-        shares.push((tenant.name.clone(), share, added));
-    }
-    inner.pool_version = state.version();
+    let shares: Vec<_> =
+        config.tenants.values().map(|tenant| (tenant, share_of(inner, tenant, &held))).collect();
+    inner.pool_version = inner.control.state().version();
     inner.pool_tenants =
         config.tenants.values().map(|t| (t.name.clone(), t.grant.created)).collect();
-    inner.slots = held.into_iter().map(|(slot, holder)| (slot, holder.taken)).collect();
-    inner.pool.retain(created);
-    for (tenant, share, added) in shares {
-        inner.pool.lender.set_share(&tenant, share, Tokens(added), now);
+    inner.slots = held.iter().map(|(slot, holder)| (*slot, holder.taken)).collect();
+    inner.pool.retain(|tenant| config.tenants.get(tenant).map(|t| t.grant.created));
+    for (tenant, (share, added)) in shares {
+        inner.pool.lender.set_share(&tenant.name, share, added, now);
     }
 }
 
-/// The tokens that a slot brings: all of its burst when nobody can have spent them.
-fn initial(share: &Share, tenant: &TenantName, holder: &Holder) -> u64 {
-    if holder.unused || share.grant.created > holder.taken {
-        return share.grant.burst.0 / u64::from(SLOTS_PER_GROUP);
+/// A tenant's share by the slots held, and the tokens that come with those that are new.
+fn share_of(inner: &Inner, tenant: &Tenant, held: &BTreeMap<u16, Holder>) -> (Share, Tokens) {
+    let known = inner.pool_tenants.get(&tenant.name) == Some(&tenant.grant.created);
+    let recreated = inner.control.state().recreated(&tenant.name);
+    let (mut share, mut added) = (Share { grant: tenant.grant, slots: 0 }, 0);
+    for (slot, holder) in held.range(slots_of(&tenant.name)) {
+        share.slots += 1;
+        if !known || inner.slots.get(slot) != Some(&holder.taken) {
+            added += holder.tokens_for(&tenant.name, &tenant.grant, recreated).0;
+        }
     }
-    holder.levels.get(tenant).copied().unwrap_or(0)
+    (share, Tokens(added))
 }
 
 /// Takes free slots, renews the lease and hands slots over to newcomers until the process ends.
--- a/src/process/slots.rs
+++ b/src/process/slots.rs
@@ -12,7 +12,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::process::{SlotTake, VmRef};
-use crate::{Offset, TenantName};
+use crate::version::Grant;
+use crate::{Offset, TenantName, Tokens};
 
 /// Slots of one group.
 pub const SLOTS_PER_GROUP: u16 = 8;
@@ -44,6 +45,24 @@
     pub unused: bool,
 }
 
+impl Holder {
+    /// The tokens of `tenant` that come with the slot: all of the slot's burst when nobody can have
+    /// spent them, or what the former holder left.
+    ///
+    /// A tenant that was `recreated` while the slot was held starts empty, since the tokens of the
+    /// former one may have been spent.
+    pub fn tokens_for(&self, tenant: &TenantName, grant: &Grant, recreated: bool) -> Tokens {
+        let all = Tokens(grant.burst.0 / u64::from(SLOTS_PER_GROUP));
+        let created_since = grant.created > self.taken;
+        match (created_since, recreated) {
+            (true, true) => Tokens(0),
+            (true, false) => all,
+            (false, _) if self.unused => all,
+            (false, _) => Tokens(self.levels.get(tenant).copied().unwrap_or(0)),
+        }
+    }
+}
+
 /// The holders of all slots.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct SlotTable {
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use carobglade::{
-    Ask, Bucket, Grant, Lent, Offset, Pool, Reservation, SLOTS_PER_GROUP, Share, TenantName,
-    TokenRate, Tokens, VmRef,
+    Ask, Bucket, Grant, Holder, Lent, Offset, Pool, Reservation, SLOTS_PER_GROUP, Share,
+    TenantName, TokenRate, Tokens, VmRef,
 };
 use proptest::prelude::*;
 use support::vm;
@@ -75,6 +75,22 @@
     assert_eq!(bucket.level(at(5000)), Tokens(0));
 }
 
+/// Checks the tokens that come with a slot taken at offset 10, of a tenant created at `created`.
+fn brings(created: u64, unused: bool, recreated: bool, expected: u64) {
+    let levels = BTreeMap::from([(tenant(), 7)]);
+    let holder = Holder { vm: vm("a", 1), taken: Offset(10), levels, unused };
+    let grant = Grant { created: Offset(created), ..grant(RATE, BURST) };
+    assert_eq!(holder.tokens_for(&tenant(), &grant, recreated), Tokens(expected));
+}
+
+cases! { brings:
+    a_slot_that_was_held_before_brings_what_was_left => (5, false, false, 7);
+    a_slot_that_nobody_held_is_full => (5, true, false, BURST / 8);
+    a_new_tenant_is_full_in_a_held_slot => (15, false, false, BURST / 8);
+    a_recreated_tenant_is_empty_in_a_held_slot => (15, false, true, 0);
+    a_recreated_tenant_keeps_what_was_left_later => (5, false, true, 7);
+}
+
 /// One step of a schedule.
 #[derive(Clone, Debug)]
 enum Step {
