--- a/benches/carob-bench/src/scenario.rs
+++ b/benches/carob-bench/src/scenario.rs
@@ -1,6 +1,7 @@
 //! Both users' workloads at the brief's sizes, on real processes: first warm, then with a fault,
 //! then a rolling replacement of all vms under load.
 
+use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -51,7 +52,7 @@
     attained: [u64; 5],
     refused_inside: u64,
     broken: u64,
-    failed: u64,
+    failed: BTreeMap<String, u64>,
     elsewhere: u64,
 }
 
@@ -68,7 +69,8 @@
         } else if answer.status == 200 {
             self.broken += 1;
         } else if answer.status != 429 {
-            self.failed += 1;
+            let kind = format!("{} {}", answer.status, answer.code());
+            *self.failed.entry(kind).or_insert(0) += 1;
         }
     }
 
@@ -81,7 +83,9 @@
         }
         self.refused_inside += other.refused_inside;
         self.broken += other.broken;
-        self.failed += other.failed;
+        for (kind, count) in other.failed {
+            *self.failed.entry(kind).or_insert(0) += count;
+        }
         self.elsewhere += other.elsewhere;
     }
 }
@@ -199,7 +203,8 @@
     let refused = total.refused_inside as f64 / calls.max(1) as f64 * 1000.0;
     report.add(&name("wrongful"), refused, "per 1000", "429 to a tenant inside its rate");
     report.add(&name("incomplete"), total.broken as f64, "answers", "begun and not whole");
-    report.add(&name("failed"), total.failed as f64, "answers", "other errors but 429");
+    let failed: u64 = total.failed.values().sum();
+    report.add(&name("failed"), failed as f64, "answers", &format!("{:?}", total.failed));
     report.add(&name("first_p95"), quantile(&mut total.first, 0.95), "ms", "first token");
     report.add(
         &name("gap_p95"),
--- a/benches/carob-bench/tests/faults.rs
+++ b/benches/carob-bench/tests/faults.rs
@@ -4,6 +4,7 @@
 
 use carob_bench::config::{key_of, tenant};
 use carob_bench::{Answer, Client, Fleet, FleetOptions};
+use http::Method;
 use serde_json::json;
 
 async fn ask(fleet: &Fleet, vm: usize, prompt: &str) -> Answer {
@@ -181,3 +182,32 @@
     let call = client.once(fleet.at(1), "/gates/1", "slow", "{}").await;
     assert_eq!(call.status, 200, "{}", call.body);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn an_answer_to_another_request_is_not_passed_on() {
+    let fleet = Fleet::start(FleetOptions { vms: 1, ..FleetOptions::default() }).await.unwrap();
+    fleet.faults(fleet.services[0], json!({ "crossed": true })).await.unwrap();
+    let client = Client::fresh(&key_of("crew"));
+    let read = client.send(Method::GET, fleet.at(0), "/gates/1", &[], "").await;
+    assert_eq!((read.status, read.code()), (502, "upstream_failed"), "{}", read.body);
+    let call = client.once(fleet.at(0), "/gates/1", "k", "{}").await;
+    assert_eq!((call.status, call.run()), (502, "unknown"), "{}", call.body);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_store_that_is_down_stops_no_loaded_model() {
+    let fleet = Fleet::start(FleetOptions::default()).await.unwrap();
+    assert_eq!(ask(&fleet, 0, "warm").await.status, 200);
+    fleet.faults(fleet.store, json!({ "down": true })).await.unwrap();
+    let client = Client::fresh(&key_of("crew"));
+    let cold = client.complete(fleet.at(1), "explainer", "cold", 2, false).await;
+    assert_eq!((cold.status, cold.code(), cold.run()), (503, "model_loading", "not_run"));
+    assert!(cold.retry.is_some());
+    for i in 0..3 {
+        assert_eq!(ask(&fleet, i, "still").await.status, 200);
+    }
+    fleet.faults(fleet.store, json!({})).await.unwrap();
+    let reached =
+        async || client.complete(fleet.at(1), "explainer", "cold", 2, false).await.status == 200;
+    fleet.until("the cold model to be reached", reached).await.unwrap();
+}
--- a/crates/carob-lab/src/service.rs
+++ b/crates/carob-lab/src/service.rs
@@ -33,6 +33,8 @@
     pub after: u64,
     /// The connection breaks after a call ran.
     pub lose: bool,
+    /// Answers carry the id of another request.
+    pub crossed: bool,
 }
 
 #[derive(Default)]
@@ -90,6 +92,7 @@
         return Reply::stream(200).1;
     }
     let id = request.headers().get("x-request-id").and_then(|v| v.to_str().ok()).unwrap_or("");
+    let id = if faults.crossed { "r-of-another" } else { id };
     let answer = serde_json::json!({ "done": true, "count": count });
     Reply::json(200, &answer).with_header("x-request-id", id)
 }
