Make the header limit a setting, show shares and drain as metrics, demo the sample file

Cause: the issue's list asks for header limits as settings, for metrics of shares and drain, and for a demo that applies the sample configuration.

Change: limits.headers with its answer 431; gauges slots, running, draining; the demo applies examples/demo.json with the addresses of its run.

--- a/benches/carob-bench/src/demo.rs
+++ b/benches/carob-bench/src/demo.rs
@@ -2,25 +2,27 @@
 
 use std::time::Duration;
 
-use carobglade::KeyDigest;
+use carobglade::{ConfigWire, KeyDigest};
 use eyre::{Result, bail};
 
-use crate::config::{key_of, model, tenant};
 use crate::{Answer, Client, Fleet, FleetOptions};
 
+const SAMPLE: &str = include_str!("../../../examples/demo.json");
+const APRON: &str = "ck-demo-apron";
+const WITHDRAWN: &str = "ck-demo-withdrawn";
 const PLAN_TOKENS: u64 = 12;
 
-fn options() -> FleetOptions {
-    let models = vec![model("stand-planner", "30GiB"), model("explainer", "20GiB")];
-    FleetOptions {
-        tenants: vec![
-            tenant("apron-desk", 20_000, 80_000, &models),
-            tenant("handlers", 20_000, 80_000, &models),
-        ],
-        models,
-        pace: 20,
-        ..FleetOptions::default()
+/// The sample configuration, with the addresses of this run.
+fn sample(fleet: &Fleet) -> Result<ConfigWire> {
+    let mut wire: ConfigWire = serde_json::from_str(SAMPLE)?;
+    let (mut engines, mut services) = (fleet.engines.iter(), fleet.services.iter());
+    for upstream in &mut wire.upstreams {
+        let addresses = if upstream.memory.is_some() { &mut engines } else { &mut services };
+        if let Some(address) = addresses.next() {
+            upstream.address = address.to_string();
+        }
     }
+    Ok(wire)
 }
 
 fn expect(what: &str, holds: bool, seen: &str) -> Result<()> {
@@ -42,9 +44,10 @@
 /// When a step does not show what it should.
 pub async fn run() -> Result<()> {
     println!("starting: log, store, two engines, a gate service, three entry processes");
-    let mut fleet = Fleet::start(options()).await?;
-    println!("configuration in force on {} vms", fleet.vms.len());
-    let apron = Client::fresh(&key_of("apron-desk"));
+    let mut fleet = Fleet::start(FleetOptions { pace: 20, ..FleetOptions::default() }).await?;
+    fleet.apply(&sample(&fleet)?).await?;
+    println!("the sample configuration is in force on {} vms", fleet.vms.len());
+    let apron = Client::fresh(APRON);
 
     println!("a stand plan, streamed from a cold model");
     let plan =
@@ -70,12 +73,11 @@
 
     println!("a withdrawn key");
     let mut wire = fleet.config.clone();
-    let withdrawn = KeyDigest::of(&key_of("handlers")).to_string();
+    let withdrawn = KeyDigest::of(WITHDRAWN).to_string();
     wire.tenants[1].keys.retain(|key| *key != withdrawn);
     fleet.apply(&wire).await?;
-    let refused = Client::fresh(&key_of("handlers"))
-        .complete(fleet.at(0), "explainer", "why", 3, false)
-        .await;
+    let refused =
+        Client::fresh(WITHDRAWN).complete(fleet.at(0), "stand-planner", "why", 3, false).await;
     expect("it is refused", refused.code() == "invalid_key", &short(&refused))?;
 
     println!("a rolling replacement under load");
--- a/benches/carob-bench/tests/callers.rs
+++ b/benches/carob-bench/tests/callers.rs
@@ -71,6 +71,10 @@
             headers: vec![("x-api-key", "ck-other".into())],
             ..bad("two keys", 400, "invalid_request", "two different keys")
         },
+        Bad {
+            headers: vec![("x-padding", "x".repeat(20_000))],
+            ..bad("long headers", 431, "headers_too_large", "16384 bytes")
+        },
         Bad {
             headers: vec![("x-request-class", "urgent".into())],
             ..bad("unknown class", 400, "invalid_request", "class \"urgent\"")
--- a/crates/carob-entry/src/front.rs
+++ b/crates/carob-entry/src/front.rs
@@ -71,7 +71,7 @@
     let started = core.now();
     let id = request_id(request.headers());
     let outcome = match InFlight::enter(&core) {
-        Ok(guard) => {
+        Ok(guard) if headers_fit(&core, request.headers()) => {
             let limits = (core.settings.limits.body, millis(core.settings.times.body));
             match request.read_body(limits.0, limits.1).await {
                 Ok(body) => {
@@ -89,6 +89,10 @@
                 Err(err) => Err(err),
             }
         }
+        Ok(_) => {
+            let message = format!("headers are longer than {} bytes", core.settings.limits.headers);
+            Err(Error::new(ErrorKind::HeadersTooLarge, message))
+        }
         Err(err) => Err(err),
     };
     let reply = outcome.unwrap_or_else(|err| {
@@ -99,6 +103,11 @@
     reply.with_header(REQUEST_ID, &id)
 }
 
+fn headers_fit(core: &Core, headers: &HeaderMap) -> bool {
+    let bytes: usize = headers.iter().map(|(name, value)| name.as_str().len() + value.len()).sum();
+    bytes <= core.settings.limits.headers
+}
+
 /// Runs a request on the process's runtime, so that it outlives the connection where it must.
 async fn run(
     core: &Arc<Core>,
--- a/crates/carob-entry/src/metrics.rs
+++ b/crates/carob-entry/src/metrics.rs
@@ -2,10 +2,10 @@
 
 use std::time::Duration;
 
-use carobglade::{Class, ErrorKind};
+use carobglade::{Class, ErrorKind, Heartbeat};
 use eyre::Result;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Encoder, Registry, TextEncoder};
 
@@ -25,6 +25,9 @@
     tokens: Counter<u64>,
     orders: Counter<u64>,
     peer_bytes: Counter<u64>,
+    slots: Gauge<u64>,
+    running: Gauge<u64>,
+    draining: Gauge<u64>,
 }
 
 fn seconds(meter: &Meter, name: &'static str, what: &'static str) -> Histogram<f64> {
@@ -51,7 +54,13 @@
         let counter = |name: &'static str, what: &'static str| {
             meter.u64_counter(name).with_description(what).build()
         };
+        let gauge = |name: &'static str, what: &'static str| {
+            meter.u64_gauge(name).with_description(what).build()
+        };
         Ok(Metrics {
+            slots: gauge("slots", "Slots that this process holds"),
+            running: gauge("running", "Requests that run or wait here"),
+            draining: gauge("draining", "Whether the process takes no new requests"),
             latency: seconds(&meter, "request_time", "Time from a request to its whole answer"),
             first_token: seconds(&meter, "first_token_time", "Time to the first token"),
             token_gap: seconds(&meter, "token_gap", "Time between two chunks of an answer"),
@@ -76,6 +85,13 @@
         }
     }
 
+    /// What the process tells of itself.
+    pub fn state(&self, beat: &Heartbeat) {
+        self.slots.record(u64::from(beat.slots), &[]);
+        self.running.record(u64::from(beat.running), &[]);
+        self.draining.record(u64::from(beat.draining), &[]);
+    }
+
     /// A request ended after `time`.
     pub fn ended(&self, tenant: &str, class: Class, time: Duration) {
         self.latency.record(time.as_secs_f64(), &labels(tenant, class));
--- a/crates/carob-entry/src/peers.rs
+++ b/crates/carob-entry/src/peers.rs
@@ -346,6 +346,7 @@
             let mut random = |n: usize| rand::rng().random_range(0..n);
             let (mut targets, mut beats) = inner.fleet.gossip(&members, now, &mut random);
             let own = inner.heartbeat(&core.me, now);
+            core.metrics.state(&own);
             // In a large fleet the planner hears of demand in turn, and at once when one waits.
             let turn = members.len().div_ceil(PLANNER_EACH) as u64;
             if large && (urgent || own.count.is_multiple_of(turn)) {
--- a/crates/carob-entry/src/settings.rs
+++ b/crates/carob-entry/src/settings.rs
@@ -67,6 +67,8 @@
 pub struct Limits {
     /// Bytes of a request's body.
     pub body: usize,
+    /// Bytes of the names and values of a request's headers.
+    pub headers: usize,
     /// Bytes of an answer to a call that may not be repeated which are kept for resends.
     pub outcome: usize,
     /// Requests of all vms that run on one upstream.
@@ -145,6 +147,7 @@
     fn default() -> Self {
         Limits {
             body: 1 << 20,
+            headers: 16 << 10,
             outcome: 4096,
             upstream: 32,
             waiting: 1000,
@@ -225,6 +228,7 @@
         let (limits, times) = (&self.limits, &self.times);
         vec![
             ("$.limits.body", limits.body as u64, 1024, 64 << 20),
+            ("$.limits.headers", limits.headers as u64, 1024, 32 << 10),
             ("$.limits.outcome", limits.outcome as u64, 0, 65_536),
             ("$.limits.upstream", u64::from(limits.upstream), 1, 4096),
             ("$.limits.waiting", limits.waiting as u64, 1, 100_000),
