--- a/crates/carob-entry/src/main.rs
+++ b/crates/carob-entry/src/main.rs
@@ -10,6 +10,7 @@
 mod model;
 mod orders;
 mod peers;
+mod planning;
 mod queue;
 mod service;
 mod settings;
@@ -203,7 +204,7 @@
     tokio::spawn(shares::borrow(Arc::clone(core)));
     tokio::spawn(queue::dispatch(Arc::clone(core)));
     tokio::spawn(orders::direct(Arc::clone(core)));
-    tokio::spawn(orders::place(Arc::clone(core)));
+    tokio::spawn(planning::place(Arc::clone(core)));
     tokio::spawn(orders::watch_list(Arc::clone(core)));
     tokio::spawn(service::release_orphans(Arc::clone(core)));
     Ok(())
--- a/crates/carob-entry/src/orders.rs
+++ b/crates/carob-entry/src/orders.rs
@@ -8,24 +8,18 @@
 use carob_net::Caller;
 use carobglade::{
     Account, Charge, Config, Incarnation, Intent, IntentKind, ModelName, ORDER_LIFETIME_MS, Offset,
-    Phase, PlacementSettings, PlanInput, Record, Resolve, Restarted, Ring, Upstream, UpstreamName,
-    Verdict, VmRef, is_large, plan,
+    Phase, Record, Resolve, Restarted, Ring, Upstream, UpstreamName, VmRef, is_large,
 };
 use serde::{Deserialize, Serialize};
 
 use crate::core::{Core, Inner};
 
 const TICK: Duration = Duration::from_millis(100);
-/// The duty of planning placement.
-pub const PLANNER: &str = "planner";
-
 const POLL_IDLE: Duration = Duration::from_millis(500); // polls without orders under way
 const POLL_IDLE_EACH: Duration = Duration::from_millis(5); // more, for each vm of a large fleet
 const CALL_TIMEOUT: Duration = Duration::from_millis(1000);
 const RESEND: Duration = Duration::from_secs(2); // of an order that was not reported as done
-const PLAN_EVERY: Duration = Duration::from_millis(250);
 const HEAL_AFTER: Duration = Duration::from_secs(10); // of reports without a loaded model
-const INTENT_WAIT: Duration = Duration::from_secs(3); // for an intent to come back from the log
 
 /// What an upstream reports of itself.
 #[derive(Clone, Debug, Deserialize)]
@@ -267,85 +261,6 @@
     }
 }
 
-/// Plans placement until the process ends; only the process in charge proposes orders.
-pub async fn place(core: Arc<Core>) {
-    let store = &core.settings.store;
-    let settings = PlacementSettings {
-        loads: store.loads,
-        adapters: store.adapters,
-        ..PlacementSettings::default()
-    };
-    loop {
-        let _ = tokio::time::timeout(PLAN_EVERY, core.planning.notified()).await;
-        let mut pending = Vec::new();
-        for intent in propose(&core, &settings) {
-            let id = core.control_log.add_solo(Record::Intent(intent.clone()));
-            pending.push((intent, id));
-        }
-        for (intent, id) in pending {
-            if let Ok(id) = id.await {
-                settle(&core, &intent, &id).await;
-            }
-        }
-    }
-}
-
-fn propose(core: &Core, settings: &PlacementSettings) -> Vec<Intent> {
-    let now = core.now();
-    let mut inner = core.lock();
-    if inner.confirmed.is_none() || !inner.fleet.in_charge(PLANNER, &core.me, now) {
-        return Vec::new();
-    }
-    let state = inner.control.state();
-    let mut demand = inner.fleet.demand(now);
-    for (model, own) in inner.own_demand(now) {
-        demand.entry(model).or_default().add(&own);
-    }
-    let log_time = inner.log_time(now);
-    let used = inner.models.iter().map(|(model, used)| {
-        let ago = now.saturating_sub(used.used).as_millis() as u64;
-        (model.clone(), log_time.saturating_sub(ago))
-    });
-    let used = used.collect();
-    let reachable = |name: &UpstreamName| inner.takes_new(name) && inner.reachable(name, now);
-    let input = PlanInput {
-        config: state.config(),
-        ledger: state.ledger(),
-        demand: &demand,
-        used: &used,
-        reachable: &reachable,
-        time: log_time,
-    };
-    plan(&input, settings)
-}
-
-/// Waits for the verdict on an intent, so that the next plan sees it.
-async fn settle(core: &Core, intent: &Intent, id: &str) {
-    let until = core.now() + INTENT_WAIT;
-    while core.now() < until {
-        let applied = core.applied.notified();
-        let verdict = core.lock().control.state().verdict(id).cloned();
-        match verdict {
-            Some(Verdict::Accepted(offset)) => {
-                let kind = if intent.kind == IntentKind::Load { "load" } else { "evict" };
-                log::info!(
-                    "orders: Intent {offset}: {kind} {} on {}.",
-                    intent.model,
-                    intent.upstream
-                );
-                return;
-            }
-            Some(Verdict::Void(reason)) => {
-                log::info!("orders: Intent for {} is void: {reason}.", intent.model);
-                return;
-            }
-            None => {
-                let _ = tokio::time::timeout(TICK, applied).await;
-            }
-        }
-    }
-}
-
 /// Reads the platform's list of leaving upstreams until the process ends.
 pub async fn watch_list(core: Arc<Core>) {
     let Some(list) = core.settings.list else {
--- a/crates/carob-entry/src/peers.rs
+++ b/crates/carob-entry/src/peers.rs
@@ -16,7 +16,7 @@
 
 use crate::append::Stream;
 use crate::core::Core;
-use crate::orders::PLANNER;
+use crate::planning::PLANNER;
 use crate::settings::{Tls, millis};
 
 /// The name that every vm's certificate carries.
