Remove a limit on evictions that was never counted; ask for silence in one place

Cause: found on reading the whole change: the planner's making_room was checked but never raised, since the line that raises it was lost in an edit. The bound on silence before an answer's head stood twice.

Change: the dead check is removed; Core::silence serves both callers. Behaviour stays.

--- a/crates/carob-entry/src/forward.rs
+++ b/crates/carob-entry/src/forward.rs
@@ -87,6 +87,14 @@
         Progress::new(settings, prompt)
     }
 
+    /// How long `upstream` may be silent before the head of an answer.
+    pub fn silence(&self, upstream: &UpstreamName, patience: Patience) -> Duration {
+        match patience {
+            Patience::Streamed(prompt) => self.progress(upstream, prompt).silence(),
+            Patience::Whole(work) => millis(self.settings.times.first) + work,
+        }
+    }
+
     /// Notes how a request to `upstream` ended.
     pub fn note_end(&self, upstream: &UpstreamName, result: std::result::Result<(), ErrorKind>) {
         let now = self.now();
@@ -157,10 +165,7 @@
     };
     let started = core.now();
     let url = format!("http://{address}{}", outgoing.target);
-    let silence = match outgoing.patience {
-        Patience::Streamed(prompt) => core.progress(upstream, prompt).silence(),
-        Patience::Whole(work) => millis(core.settings.times.first) + work,
-    };
+    let silence = core.silence(upstream, outgoing.patience);
     let (method, headers, body) =
         (outgoing.method.clone(), outgoing.headers.clone(), outgoing.body.clone());
     let streamed = caller.open(method, &url, headers, body, silence).await?;
--- a/crates/carob-entry/src/model.rs
+++ b/crates/carob-entry/src/model.rs
@@ -214,10 +214,7 @@
         let message = format!("upstream answered {}", streamed.status);
         return Err(Error::new(ErrorKind::UpstreamFailed, message));
     }
-    let silence = match call.outgoing.patience {
-        Patience::Streamed(prompt) => core.progress(&permit.upstream, prompt).silence(),
-        Patience::Whole(work) => millis(core.settings.times.first) + work,
-    };
+    let silence = core.silence(&permit.upstream, call.outgoing.patience);
     let first = streamed.chunk(silence).await?;
     Ok((streamed, first))
 }
--- a/src/process/placement/planner.rs
+++ b/src/process/placement/planner.rs
@@ -13,7 +13,6 @@
     pub(super) orders: Vec<Intent>,
     loads: usize,
     adapters: usize,
-    pub(super) making_room: usize,
     on_base: BTreeMap<ModelName, f32>,
 }
 
@@ -25,7 +24,6 @@
             orders: Vec::new(),
             loads: 0,
             adapters: 0,
-            making_room: 0,
             on_base: demand_on_base(input),
         }
     }
@@ -140,7 +138,6 @@
         match self.roomy(model, &base) {
             Some(upstream) => self.order(&upstream, model, IntentKind::Load),
             None if self.settings.policy == PlacementPolicy::Static => {}
-            None if self.making_room >= self.settings.loads => {}
             None => self.make_room(model, &base, demand),
         }
     }
