--- /dev/null
+++ b/crates/carob-edge/src/edge.rs
@@ -0,0 +1,198 @@
+//! The parts of the process, and what happens when one of them learns something.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use carob_net::Clock;
+use carobglade::{
+    Duties, DutySettings, Incarnation, Loads, Meter, MeterSettings, ModelDemand, RetryBudget,
+    RetrySettings, Site, Suspects, UpstreamName, VmName,
+};
+use tokio::sync::Notify;
+
+use crate::metrics::Metrics;
+use crate::placement::Placement;
+use crate::pool::Pool;
+use crate::settings::Settings;
+use crate::store::StoreClient;
+use crate::view::View;
+
+/// Retries that all vms together keep in reserve, of those that the deployment allows.
+const SPARE_PART: f64 = 0.45;
+/// Retries that a request earns, of those that the deployment allows.
+const RATIO_PART: f64 = 0.8;
+
+/// The parts of the process. Each has its own state; none is held across a wait.
+pub struct Edge {
+    /// Settings.
+    pub settings: Settings,
+    /// The vm's name.
+    pub vm: VmName,
+    /// This run of the process.
+    pub incarnation: Incarnation,
+    /// A clock that runs on while the vm is suspended.
+    pub clock: Rc<dyn Clock>,
+    /// What the process believes.
+    pub view: RefCell<View>,
+    /// Loads of upstreams.
+    pub loads: RefCell<Loads>,
+    /// Tokens of tenants.
+    pub meter: RefCell<Meter>,
+    /// Demand for models.
+    pub demand: RefCell<ModelDemand>,
+    /// Requests that crash upstreams.
+    pub suspects: RefCell<Suspects>,
+    /// Retries of each service.
+    pub retries: RefCell<BTreeMap<String, RetryBudget>>,
+    /// Duties of this process.
+    pub duties: RefCell<Duties>,
+    /// Adapters that are asked for, and those that were ordered.
+    pub placement: RefCell<Placement>,
+    /// Connections to upstreams.
+    pub pool: Rc<Pool>,
+    /// The platform's log.
+    pub store: StoreClient,
+    /// Metrics.
+    pub metrics: Arc<Metrics>,
+    /// Whether the process takes new callers, as the balancer is told.
+    pub ready: Arc<AtomicBool>,
+    /// Whether the process is stopping.
+    pub stopping: Cell<bool>,
+    /// Requests under way.
+    pub active: Cell<u64>,
+    /// Wakes those that wait for a model, an adapter or an upstream.
+    pub changed: Notify,
+    /// Wakes the planner.
+    pub wanted: Notify,
+    /// Wakes the messages to other vms.
+    pub news: Notify,
+}
+
+impl Edge {
+    /// The parts, knowing nothing yet.
+    pub fn new(settings: Settings, clock: Rc<dyn Clock>, metrics: Arc<Metrics>) -> Rc<Self> {
+        let now = clock.now();
+        let pool = Pool::new(Rc::clone(&clock));
+        let store = StoreClient::new(Rc::clone(&pool), Rc::clone(&clock), settings.store.address);
+        let duties = DutySettings {
+            ttl: Duration::from_millis(3000.max(settings.store.shortest)),
+            settle: Duration::from_millis(settings.bounds.lease),
+            ..DutySettings::default()
+        };
+        Rc::new(Edge {
+            vm: settings.vm.parse().unwrap_or_default(),
+            incarnation: Incarnation(clock.unix_millis()),
+            view: RefCell::new(View::new(Duration::from_millis(settings.bounds.revoke))),
+            loads: RefCell::default(),
+            meter: RefCell::new(Meter::new(MeterSettings::default(), settings.first, now)),
+            demand: RefCell::default(),
+            suspects: RefCell::default(),
+            retries: RefCell::default(),
+            duties: RefCell::new(Duties::new(duties)),
+            placement: RefCell::default(),
+            pool,
+            store,
+            metrics,
+            ready: Arc::new(AtomicBool::new(false)),
+            stopping: Cell::new(false),
+            active: Cell::new(0),
+            changed: Notify::new(),
+            wanted: Notify::new(),
+            news: Notify::new(),
+            settings,
+            clock,
+        })
+    }
+
+    /// Time since the vm started; runs on while the vm is suspended.
+    pub fn now(&self) -> Duration {
+        self.clock.now()
+    }
+
+    /// The configuration in force.
+    pub fn site(&self) -> Option<Rc<Site>> {
+        self.view.borrow().site.clone()
+    }
+
+    /// Takes a configuration into force unless a newer one is.
+    pub fn adopt(&self, site: Site, offset: u64) {
+        let version = site.version;
+        if !self.view.borrow_mut().adopt(site) {
+            return;
+        }
+        let Some(site) = self.site() else {
+            return;
+        };
+        let mut meter = self.meter.borrow_mut();
+        meter.retain(|name| site.tenants.contains_key(name));
+        for tenant in site.tenants.values() {
+            meter.set(&tenant.name, tenant.rate, tenant.burst);
+        }
+        self.metrics.version(version);
+        log::info!(target: "config", version = version, offset = offset, routes = site.routes.values().map(Vec::len).sum::<usize>(), tenants = site.tenants.len(); "A configuration is in force.");
+        self.changed.notify_waiters();
+    }
+
+    /// Tells the balancer whether to send callers here.
+    pub fn update_ready(&self) {
+        let view = self.view.borrow();
+        let ready = !self.stopping.get() && view.site.is_some() && view.freshness.ready(self.now());
+        if self.ready.swap(ready, Ordering::Relaxed) != ready {
+            let age = view.freshness.age(self.now()).map_or(0, |age| age.as_millis() as u64);
+            log::info!(target: "ready", ready = ready, age = age; "The process changed whether it takes callers.");
+        }
+    }
+
+    /// An upstream is gone.
+    pub fn upstream_gone(&self, name: &UpstreamName) {
+        log::info!(target: "upstreams", upstream:% = name; "An upstream is gone.");
+        self.upstream_restarted(name);
+        self.placement_changed();
+    }
+
+    /// An upstream started again: nothing that was known of it holds.
+    pub fn upstream_restarted(&self, name: &UpstreamName) {
+        self.pool.forget(name);
+        self.loads.borrow_mut().forget(name);
+        self.placement.borrow_mut().forget(name);
+    }
+
+    /// What upstreams hold changed.
+    pub fn placement_changed(&self) {
+        self.changed.notify_waiters();
+        self.wanted.notify_one();
+    }
+
+    /// Vms that share the work, this one included.
+    pub fn fleet(&self) -> usize {
+        self.view.borrow().neighbours.len() + 1
+    }
+
+    /// Counts a request that came for a service.
+    pub fn earn_retry(&self, service: &str) {
+        self.with_budget(service, RetryBudget::deposit);
+    }
+
+    /// Takes a retry from the budget of a service; false when it is used up.
+    pub fn take_retry(&self, service: &str) -> bool {
+        let now = self.now();
+        self.with_budget(service, |budget| budget.withdraw(now))
+    }
+
+    fn with_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let mut retries = self.retries.borrow_mut();
+        let budget = retries.entry(service.to_owned()).or_insert_with(|| {
+            let bounds = self.settings.bounds;
+            RetryBudget::new(RetrySettings {
+                ratio: bounds.retries * RATIO_PART,
+                most: (bounds.spare * SPARE_PART / self.fleet() as f64).max(1.0),
+                floor: 0.0,
+            })
+        });
+        act(budget)
+    }
+}
--- /dev/null
+++ b/crates/carob-edge/src/front.rs
@@ -0,0 +1,97 @@
+//! Connections of callers.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+use crate::edge::Edge;
+use crate::handle::handle;
+
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20); // after a failed accept
+const BACKLOG: u32 = 1024; // connections that wait to be accepted
+const USER_TIMEOUT: Duration = Duration::from_secs(6); // unacknowledged bytes on a connection
+const BUFFER_MIN: usize = 16 << 10; // bytes
+
+/// How far the process is with stopping.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// It serves.
+    Serving,
+    /// Connections are closed once they are idle.
+    Closing,
+}
+
+/// Opens the listener for callers.
+///
+/// # Errors
+///
+/// When the address cannot be bound.
+pub fn bind(edge: &Edge) -> Result<TcpListener> {
+    let address = edge.settings.listen.callers;
+    let socket = tokio::net::TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address).wrap_err_with(|| format!("listen.callers {address}"))?;
+    Ok(socket.listen(BACKLOG)?)
+}
+
+/// Accepts connections until the task is dropped.
+pub async fn accept(edge: Rc<Edge>, listener: TcpListener, phase: watch::Receiver<Phase>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(Rc::clone(&edge), stream, phase.clone()));
+            }
+            Err(err) => {
+                log::warn!(target: "front", error:% = err; "A connection could not be accepted.");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(edge: Rc<Edge>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
+    let socket = socket2::SockRef::from(&stream);
+    for result in [socket.set_tcp_nodelay(true), socket.set_tcp_user_timeout(Some(USER_TIMEOUT))] {
+        if let Err(err) = result {
+            log::debug!(target: "front", error:% = err; "A socket option was refused.");
+        }
+    }
+    let limits = edge.site().map(|site| site.limits).unwrap_or_default();
+    let service = service_fn(move |request| {
+        let edge = Rc::clone(&edge);
+        async move { Ok::<_, Infallible>(handle(edge, request).await) }
+    });
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // The time counts from the end of the request before, so it covers idle connections.
+        .header_read_timeout(limits.idle)
+        .max_buf_size(limits.header.max(BUFFER_MIN))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut served = std::pin::pin!(served);
+    loop {
+        tokio::select! {
+            ended = &mut served => {
+                if let Err(err) = ended {
+                    log::debug!(target: "front", error:% = err; "A caller's connection ended.");
+                }
+                return;
+            }
+            changed = phase.changed() => {
+                if changed.is_err() || *phase.borrow() == Phase::Closing {
+                    served.as_mut().graceful_shutdown();
+                    break;
+                }
+            }
+        }
+    }
+    if let Err(err) = served.await {
+        log::debug!(target: "front", error:% = err; "A caller's connection ended.");
+    }
+}
--- /dev/null
+++ b/crates/carob-edge/src/lib.rs
@@ -0,0 +1,25 @@
+//! The process on every entry vm of the users' platform, between callers and upstreams.
+
+mod attempt;
+mod call;
+mod choose;
+mod edge;
+mod follow;
+mod front;
+mod group;
+mod handle;
+mod logs;
+mod metrics;
+mod orders;
+mod peers;
+mod placement;
+mod pool;
+mod process;
+mod reply;
+mod settings;
+mod store;
+mod view;
+
+pub use logs::start as start_logging;
+pub use process::run;
+pub use settings::{Bounds, Listen, Ports, Settings, Store};
--- /dev/null
+++ b/crates/carob-edge/src/logs.rs
@@ -0,0 +1,104 @@
+//! Log lines as JSON on standard output, bounded and without waiting for the reader.
+
+use std::collections::HashMap;
+use std::io::IsTerminal;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use logforth::filter::env_filter::EnvFilterBuilder;
+use logforth::kv::{Key, Value, Visitor};
+use logforth::record::Record;
+use logforth::{Append, Diagnostic, Error};
+use serde_json::Map;
+
+const LINES: u32 = 400; // lines of one part in a second
+const LINE_MAX: usize = 4000; // bytes; a pipe takes as many whole or not at all
+const SECOND: Duration = Duration::from_secs(1);
+
+/// Writes lines to standard output; a line that does not fit is dropped and counted.
+#[derive(Debug, Default)]
+struct PipeAppend {
+    budgets: Mutex<HashMap<String, (Duration, u32)>>,
+    dropped: AtomicU64,
+}
+
+struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
+
+impl Visitor for Fields<'_> {
+    fn visit(&mut self, key: Key, value: Value) -> Result<(), Error> {
+        let value = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+impl PipeAppend {
+    /// Whether a part may write another line in this second.
+    fn allowed(&self, part: &str, now: Duration) -> bool {
+        let Ok(mut budgets) = self.budgets.lock() else {
+            return false;
+        };
+        if let Some((since, used)) = budgets.get_mut(part) {
+            if now.saturating_sub(*since) >= SECOND || now < *since {
+                (*since, *used) = (now, 0);
+            }
+            *used += 1;
+            return *used <= LINES;
+        }
+        budgets.insert(part.to_owned(), (now, 1));
+        true
+    }
+
+    fn write(&self, line: &[u8]) {
+        let written = rustix::io::write(std::io::stdout(), line);
+        if written != Ok(line.len()) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+impl Append for PipeAppend {
+    fn append(&self, record: &Record, _: &[Box<dyn Diagnostic>]) -> Result<(), Error> {
+        let now = record.time().duration_since(UNIX_EPOCH).unwrap_or_default();
+        if !self.allowed(record.target(), now) {
+            self.dropped.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        let mut fields = Map::new();
+        fields.insert("time".into(), (now.as_millis() as u64).into());
+        fields.insert("level".into(), record.level().name().to_ascii_lowercase().into());
+        fields.insert("part".into(), record.target().into());
+        fields.insert("text".into(), record.payload().into());
+        record.key_values().visit(&mut Fields(&mut fields))?;
+        let dropped = self.dropped.swap(0, Ordering::Relaxed);
+        if dropped > 0 {
+            fields.insert("dropped".into(), dropped.into());
+        }
+        let mut line = serde_json::to_vec(&fields).unwrap_or_default();
+        line.truncate(LINE_MAX);
+        line.push(b'\n');
+        self.write(&line);
+        Ok(())
+    }
+
+    fn flush(&self) -> Result<(), Error> {
+        Ok(())
+    }
+}
+
+/// Starts logging.
+pub fn start() {
+    if !std::io::stdout().is_terminal() {
+        let flags =
+            rustix::fs::fcntl_getfl(std::io::stdout()).unwrap_or(rustix::fs::OFlags::empty());
+        let set = rustix::fs::fcntl_setfl(std::io::stdout(), flags | rustix::fs::OFlags::NONBLOCK);
+        if let Err(err) = set {
+            eprintln!("carob-edge: standard output may block: {err}");
+        }
+    }
+    let filter = EnvFilterBuilder::from_default_env_or("info").build();
+    let builder = logforth::starter_log::builder();
+    builder.dispatch(|d| d.filter(filter).append(PipeAppend::default())).apply();
+    log::debug!(target: "main", time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64; "Logging started.");
+}
--- /dev/null
+++ b/crates/carob-edge/src/orders.rs
@@ -0,0 +1,403 @@
+//! Gives engines the orders that the plan asks for, one at a time to each.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use carob_platform::{
+    DownstreamHead, Order, OrderAnswer, OrderTarget, REPORT_PATH, decode_order, decode_report,
+    order_body, order_path,
+};
+use carobglade::{
+    Engine, EngineState, Listed, ModelName, ModelOrder, ReplicaSettings, Replicas, TryEnd,
+    UpstreamName, short_name,
+};
+use http::{HeaderValue, Method, Uri};
+
+use crate::edge::Edge;
+use crate::placement::{AdapterName, PlacementNews};
+use crate::pool::Outgoing;
+
+const INTERVAL: Duration = Duration::from_millis(250); // between two plans
+const ANSWER_TIME: Duration = Duration::from_millis(700);
+const REPORT_MAX: usize = 1 << 20; // bytes
+const LOAD_TIME: Duration = Duration::from_secs(15); // after which a load is taken for lost
+const CLEAR_TIME: Duration = Duration::from_millis(150); // from the news of an eviction to its order
+const REST: Duration = Duration::from_millis(400); // after an order that was not carried out
+const ADAPTER_TIME: Duration = Duration::from_millis(25); // until an accepted adapter is there
+
+/// What this process knows of an engine that it gives orders to.
+#[derive(Clone, Debug, Default)]
+struct Book {
+    born: u64,
+    /// Orders that the engine accepted since its start, once that is known.
+    sequence: Option<u64>,
+    /// The change that is under way, and when it is taken for lost.
+    under_way: Option<(OrderTarget, Duration)>,
+    /// No order before this time.
+    rest: Duration,
+    /// Whether an order is being sent.
+    sending: bool,
+}
+
+impl Book {
+    fn busy(&self, now: Duration) -> bool {
+        self.sending || self.under_way.is_some() || now < self.rest
+    }
+
+    /// Takes in what the list says of the engine.
+    fn note(&mut self, listed: &Listed, now: Duration) {
+        if listed.born != self.born {
+            *self = Book { born: listed.born, ..Book::default() };
+        }
+        let done = self.under_way.as_ref().is_some_and(|(target, until)| {
+            let held = listed.holds(&target.model, None);
+            now >= *until || held == target.load
+        });
+        if done {
+            self.under_way = None;
+        }
+    }
+
+    fn count(&mut self, sequence: u64) {
+        self.sequence = Some(self.sequence.unwrap_or(0).max(sequence));
+    }
+}
+
+#[derive(Default)]
+struct Desk {
+    books: BTreeMap<UpstreamName, Book>,
+    plans: BTreeMap<String, Replicas>,
+}
+
+type SharedDesk = Rc<RefCell<Desk>>;
+
+/// The duty that stands for a service.
+fn duty_of(edge: &Edge, service: &str) -> u32 {
+    short_name(service) % edge.settings.store.parts
+}
+
+/// Plans and gives orders as long as the process runs.
+pub async fn direct(edge: Rc<Edge>) {
+    let desk = SharedDesk::default();
+    loop {
+        let wait = tokio::time::timeout(INTERVAL, edge.wanted.notified());
+        if wait.await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+        round(&edge, &desk);
+    }
+}
+
+fn round(edge: &Rc<Edge>, desk: &SharedDesk) {
+    let Some(site) = edge.site() else {
+        return;
+    };
+    let engines = site.services.values().filter_map(|s| Some((&s.name, s.engine.as_ref()?)));
+    for (service, engine) in engines {
+        let part = duty_of(edge, service);
+        let Some(token) = edge.duties.borrow().token(part, edge.now()) else {
+            desk.borrow_mut().plans.remove(service);
+            continue;
+        };
+        let upstreams: Vec<Listed> = edge.view.borrow().roster.usable(service).cloned().collect();
+        let duty = Duty { part, token, service: service.clone() };
+        models(edge, desk, &duty, engine, &upstreams);
+        adapters(edge, desk, &duty, engine, &upstreams);
+    }
+}
+
+/// A duty that this process holds.
+#[derive(Clone)]
+struct Duty {
+    part: u32,
+    token: u64,
+    service: String,
+}
+
+fn models(edge: &Rc<Edge>, desk: &SharedDesk, duty: &Duty, engine: &Engine, listed: &[Listed]) {
+    let now = edge.now();
+    let mut all = desk.borrow_mut();
+    all.books.retain(|name, _| edge.view.borrow().roster.get(name).is_some());
+    for upstream in listed {
+        all.books.entry(upstream.name.clone()).or_default().note(upstream, now);
+    }
+    let states: Vec<EngineState> =
+        listed.iter().map(|upstream| state(edge, &all.books[&upstream.name], upstream)).collect();
+    let demand = edge.demand.borrow();
+    let rate = |model: &ModelName| (model.clone(), demand.total(&duty.service, model, now));
+    let rates: BTreeMap<ModelName, f64> = engine.models.keys().map(rate).collect();
+    let plan = all.plans.entry(duty.service.clone());
+    let plan = plan.or_insert_with(|| Replicas::new(ReplicaSettings::default()));
+    let orders = plan.plan(engine, &states, &rates, now);
+    for order in orders {
+        let Some(upstream) = listed.iter().find(|l| l.name == order.upstream) else {
+            continue;
+        };
+        let book = all.books.entry(upstream.name.clone()).or_default();
+        book.sending = true;
+        log::info!(target: "orders", upstream:% = order.upstream, model:% = order.model, load = order.load, demand = rates.get(&order.model).copied().unwrap_or(0.0), token = duty.token; "An order is planned.");
+        let (edge, desk, duty) = (Rc::clone(edge), Rc::clone(desk), duty.clone());
+        let upstream = upstream.clone();
+        tokio::task::spawn_local(
+            async move { give_model(&edge, &desk, &duty, &upstream, order).await },
+        );
+    }
+}
+
+fn state(edge: &Edge, book: &Book, listed: &Listed) -> EngineState {
+    let now = edge.now();
+    let mut models: BTreeMap<ModelName, usize> =
+        listed.models.iter().map(|held| (held.name.clone(), 0)).collect();
+    for (model, _) in edge.placement.borrow().adapters(listed, now) {
+        *models.entry(model).or_default() += 1;
+    }
+    EngineState {
+        name: listed.name.clone(),
+        data_centre: listed.data_centre.to_string(),
+        models,
+        copies: listed.copies.clone(),
+        busy: book.busy(now),
+        backlog: edge.loads.borrow().total(&listed.name, now).backlog,
+    }
+}
+
+/// Tells all vms whether requests for a model may go to an engine.
+fn announce(edge: &Edge, upstream: &Listed, model: &ModelName, there: bool, sequence: u64) {
+    let news = PlacementNews {
+        upstream: upstream.name.clone(),
+        model: model.clone(),
+        adapter: None,
+        there,
+        sequence,
+    };
+    edge.placement.borrow_mut().learn(news, edge.now());
+    edge.news.notify_one();
+}
+
+async fn give_model(
+    edge: &Edge,
+    desk: &SharedDesk,
+    duty: &Duty,
+    upstream: &Listed,
+    order: ModelOrder,
+) {
+    let target = OrderTarget { model: order.model.clone(), adapter: None, load: order.load };
+    if !order.load {
+        let sequence = sequence(desk, &upstream.name) + 1;
+        announce(edge, upstream, &order.model, false, sequence);
+        tokio::time::sleep(CLEAR_TIME).await;
+    }
+    let answer = give(edge, desk, duty, upstream, &target).await;
+    let accepted = matches!(answer, Some(OrderAnswer::Accepted | OrderAnswer::Holds));
+    if accepted == order.load || answer.is_none() && !order.load {
+        let sequence = sequence(desk, &upstream.name) + 1;
+        announce(edge, upstream, &order.model, true, sequence);
+    }
+    let now = edge.now();
+    let mut all = desk.borrow_mut();
+    let book = all.books.entry(upstream.name.clone()).or_default();
+    book.sending = false;
+    match answer {
+        Some(OrderAnswer::Accepted) => book.under_way = Some((target, now + LOAD_TIME)),
+        Some(OrderAnswer::Holds) => {}
+        _ => book.rest = now + REST,
+    }
+}
+
+fn known(desk: &SharedDesk, name: &UpstreamName) -> bool {
+    desk.borrow().books.get(name).is_some_and(|book| book.sequence.is_some())
+}
+
+fn sequence(desk: &SharedDesk, name: &UpstreamName) -> u64 {
+    desk.borrow().books.get(name).and_then(|book| book.sequence).unwrap_or(0)
+}
+
+/// Sends an order, if the duty is still held; reads the engine's report when the outcome leaves
+/// its state open.
+async fn give(
+    edge: &Edge,
+    desk: &SharedDesk,
+    duty: &Duty,
+    upstream: &Listed,
+    target: &OrderTarget,
+) -> Option<OrderAnswer> {
+    let held = edge.duties.borrow().token(duty.part, edge.now());
+    if held != Some(duty.token) {
+        return Some(OrderAnswer::Refused);
+    }
+    if !known(desk, &upstream.name) {
+        inspect(edge, desk, upstream).await;
+    }
+    let expect = sequence(desk, &upstream.name);
+    let order =
+        Order { target: target.clone(), expect, holder: edge.vm.to_string(), token: duty.token };
+    let sent = tokio::time::timeout(ANSWER_TIME, post(edge, upstream, &order)).await;
+    let answer = match sent {
+        Ok(Ok(status)) => Some(decode_order(status)),
+        Ok(Err(_)) | Err(_) => None,
+    };
+    edge.metrics.ordered(if target.load { "load" } else { "unload" });
+    log::info!(target: "orders", upstream:% = upstream.name, model:% = target.model, adapter = target.adapter.as_deref().unwrap_or(""), load = target.load, expect = expect, token = duty.token, answer:? = answer; "An order was given.");
+    match answer {
+        Some(OrderAnswer::Accepted | OrderAnswer::Holds) => count(desk, &upstream.name, expect + 1),
+        Some(OrderAnswer::Fenced) => edge.duties.borrow_mut().fenced(duty.part),
+        Some(OrderAnswer::Conflict) | None => {
+            // An engine's report is some hundred milliseconds old.
+            tokio::time::sleep(REST).await;
+            inspect(edge, desk, upstream).await;
+        }
+        Some(OrderAnswer::Elsewhere | OrderAnswer::Refused) => {}
+    }
+    answer
+}
+
+fn count(desk: &SharedDesk, name: &UpstreamName, sequence: u64) {
+    let mut all = desk.borrow_mut();
+    let book = all.books.entry(name.clone()).or_default();
+    book.count(sequence);
+}
+
+async fn post(edge: &Edge, upstream: &Listed, order: &Order) -> Result<u16, TryEnd> {
+    let mut headers = DownstreamHead::expect(upstream.name.as_str());
+    headers.insert("content-type", HeaderValue::from_static("application/json"));
+    let request = Outgoing {
+        method: Method::POST,
+        target: Uri::from_static(order_path()),
+        headers,
+        body: order_body(order).into(),
+    };
+    let mut answer = edge.pool.send(&upstream.name, upstream.address, request).await?;
+    answer.whole(REPORT_MAX).await?;
+    Ok(answer.status)
+}
+
+/// Reads how many orders an engine has accepted.
+async fn inspect(edge: &Edge, desk: &SharedDesk, upstream: &Listed) {
+    let request = Outgoing {
+        method: Method::GET,
+        target: Uri::from_static(REPORT_PATH),
+        headers: DownstreamHead::expect(upstream.name.as_str()),
+        body: bytes::Bytes::new(),
+    };
+    let read = async {
+        let mut answer = edge.pool.send(&upstream.name, upstream.address, request).await?;
+        let body = answer.whole(REPORT_MAX).await?;
+        Ok::<_, TryEnd>((answer.status, body))
+    };
+    let Ok(Ok((200, body))) = tokio::time::timeout(ANSWER_TIME, read).await else {
+        return;
+    };
+    match decode_report(&body) {
+        Ok(report) => {
+            log::info!(target: "orders", upstream:% = upstream.name, sequence = report.sequence, busy = report.busy; "An engine was asked for its state.");
+            count(desk, &upstream.name, report.sequence);
+        }
+        Err(err) => {
+            log::warn!(target: "orders", upstream:% = upstream.name, error:% = err; "A report cannot be read.");
+        }
+    }
+}
+
+fn adapters(edge: &Rc<Edge>, desk: &SharedDesk, duty: &Duty, engine: &Engine, listed: &[Listed]) {
+    let now = edge.now();
+    let wanted = edge.placement.borrow_mut().wanted(now);
+    for name in wanted.into_iter().filter(|name| name.service == duty.service) {
+        let hosts: Vec<&Listed> = {
+            let board = edge.placement.borrow();
+            listed.iter().filter(|l| board.holds(l, &name.model, None, now)).collect()
+        };
+        let there = hosts
+            .iter()
+            .any(|l| edge.placement.borrow().holds(l, &name.model, Some(&name.adapter), now));
+        if there {
+            edge.placement.borrow_mut().satisfied(&name);
+            continue;
+        }
+        let Some((upstream, victim)) = adapter_home(edge, desk, engine, &hosts) else {
+            continue;
+        };
+        desk.borrow_mut().books.entry(upstream.name.clone()).or_default().sending = true;
+        edge.placement.borrow_mut().satisfied(&name);
+        let (edge, desk, duty) = (Rc::clone(edge), Rc::clone(desk), duty.clone());
+        tokio::task::spawn_local(async move {
+            give_adapter(&edge, &desk, &duty, &upstream, name, victim).await;
+        });
+    }
+}
+
+/// The engine that takes an adapter with the least loss, and the adapter that makes room there.
+fn adapter_home(
+    edge: &Edge,
+    desk: &SharedDesk,
+    engine: &Engine,
+    hosts: &[&Listed],
+) -> Option<(Listed, Option<(ModelName, String)>)> {
+    let now = edge.now();
+    let all = desk.borrow();
+    let board = edge.placement.borrow();
+    let loads = edge.loads.borrow();
+    let free = hosts.iter().filter(|l| all.books.get(&l.name).is_none_or(|b| !b.busy(now)));
+    let options = free.map(|listed| {
+        let held = board.adapters(listed, now);
+        let full = held.len() >= engine.adapters;
+        let used =
+            |(model, adapter): &(ModelName, String)| board.used(&listed.name, model, adapter);
+        let victim = if full { held.into_iter().min_by_key(used) } else { None };
+        let lost = victim.as_ref().map(used);
+        (lost, loads.total(&listed.name, now).running, *listed, victim)
+    });
+    let best = options.min_by(|(a, n, _, _), (b, m, _, _)| a.cmp(b).then(n.cmp(m)));
+    best.map(|(_, _, listed, victim)| (listed.clone(), victim))
+}
+
+async fn give_adapter(
+    edge: &Edge,
+    desk: &SharedDesk,
+    duty: &Duty,
+    upstream: &Listed,
+    name: AdapterName,
+    victim: Option<(ModelName, String)>,
+) {
+    let mut free = true;
+    if let Some((model, adapter)) = victim {
+        let target = OrderTarget { model, adapter: Some(adapter), load: false };
+        free = change_adapter(edge, desk, duty, upstream, target).await;
+    }
+    if free {
+        let adapter = Some(name.adapter.clone());
+        let target = OrderTarget { model: name.model.clone(), adapter, load: true };
+        change_adapter(edge, desk, duty, upstream, target).await;
+    }
+    desk.borrow_mut().books.entry(upstream.name.clone()).or_default().sending = false;
+    edge.wanted.notify_one();
+}
+
+async fn change_adapter(
+    edge: &Edge,
+    desk: &SharedDesk,
+    duty: &Duty,
+    upstream: &Listed,
+    target: OrderTarget,
+) -> bool {
+    let answer = give(edge, desk, duty, upstream, &target).await;
+    let accepted = matches!(answer, Some(OrderAnswer::Accepted | OrderAnswer::Holds));
+    if !accepted {
+        return false;
+    }
+    if answer == Some(OrderAnswer::Accepted) {
+        tokio::time::sleep(ADAPTER_TIME).await;
+    }
+    let news = PlacementNews {
+        upstream: upstream.name.clone(),
+        model: target.model,
+        adapter: target.adapter,
+        there: target.load,
+        sequence: sequence(desk, &upstream.name),
+    };
+    edge.placement.borrow_mut().learn(news, edge.now());
+    edge.news.notify_one();
+    edge.changed.notify_waiters();
+    true
+}
--- /dev/null
+++ b/crates/carob-edge/src/placement.rs
@@ -0,0 +1,192 @@
+//! Models and adapters that requests wait for, and what is known of engines beyond the list.
+//!
+//! Engines write to the list about once a second and do not announce a change of adapters, so the
+//! process that gives orders tells the others what it changed.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carobglade::{Listed, ModelName, UpstreamName, short_name};
+use serde::{Deserialize, Serialize};
+
+/// How long news count beside the list.
+const NEWS_TIME: Duration = Duration::from_secs(4);
+
+/// How long a request for an adapter is remembered.
+const WANT_TIME: Duration = Duration::from_millis(1500);
+
+/// An adapter of a service's model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AdapterName {
+    /// The service.
+    pub service: String,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter.
+    pub adapter: String,
+}
+
+/// A change to what an engine holds.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PlacementNews {
+    /// The engine.
+    pub upstream: UpstreamName,
+    /// The model.
+    pub model: ModelName,
+    /// The adapter; none where the model itself is meant.
+    pub adapter: Option<String>,
+    /// Whether it may be used.
+    pub there: bool,
+    /// The engine's count of orders after the change.
+    pub sequence: u64,
+}
+
+impl PlacementNews {
+    fn concerns(&self, upstream: &UpstreamName, model: &ModelName, adapter: Option<&str>) -> bool {
+        self.upstream == *upstream && self.model == *model && self.adapter.as_deref() == adapter
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Known {
+    news: PlacementNews,
+    at: Duration,
+}
+
+/// What requests wait for, and news of engines.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    wanted: BTreeMap<AdapterName, Duration>,
+    used: BTreeMap<u32, Duration>,
+    news: Vec<Known>,
+}
+
+fn use_key(upstream: &UpstreamName, model: &ModelName, adapter: &str) -> u32 {
+    short_name(&format!("{upstream}\0{model}\0{adapter}"))
+}
+
+impl Placement {
+    /// A request waits for an adapter that no engine holds; returns whether that is new.
+    pub fn want(&mut self, name: AdapterName, now: Duration) -> bool {
+        self.wanted.insert(name, now).is_none()
+    }
+
+    /// The adapters that are asked for.
+    pub fn wanted(&mut self, now: Duration) -> Vec<AdapterName> {
+        self.wanted.retain(|_, at| now.saturating_sub(*at) < WANT_TIME);
+        self.wanted.keys().cloned().collect()
+    }
+
+    /// An adapter is there, or no longer asked for.
+    pub fn satisfied(&mut self, name: &AdapterName) {
+        self.wanted.remove(name);
+    }
+
+    /// Takes in news; what was known of the same is replaced.
+    pub fn learn(&mut self, news: PlacementNews, now: Duration) {
+        let adapter = news.adapter.clone();
+        self.news.retain(|known| {
+            let same = known.news.concerns(&news.upstream, &news.model, adapter.as_deref());
+            !(same && known.news.sequence <= news.sequence)
+                && now.saturating_sub(known.at) < NEWS_TIME
+        });
+        let newer = self
+            .news
+            .iter()
+            .any(|known| known.news.concerns(&news.upstream, &news.model, adapter.as_deref()));
+        if !newer {
+            self.news.push(Known { news, at: now });
+        }
+    }
+
+    /// News that other vms may not have yet.
+    pub fn recent(&self, now: Duration, within: Duration) -> Vec<PlacementNews> {
+        let fresh = self.news.iter().filter(|known| now.saturating_sub(known.at) < within);
+        fresh.map(|known| known.news.clone()).collect()
+    }
+
+    /// Forgets what was known of an engine.
+    pub fn forget(&mut self, upstream: &UpstreamName) {
+        self.news.retain(|known| known.news.upstream != *upstream);
+    }
+
+    fn news(
+        &self,
+        upstream: &UpstreamName,
+        model: &ModelName,
+        adapter: Option<&str>,
+        now: Duration,
+    ) -> Option<&PlacementNews> {
+        let known = self.news.iter().find(|known| known.news.concerns(upstream, model, adapter))?;
+        (now.saturating_sub(known.at) < NEWS_TIME).then_some(&known.news)
+    }
+
+    /// Whether requests for a model, and an adapter of it, may go to an engine, by the list and
+    /// by news.
+    pub fn holds(
+        &self,
+        listed: &Listed,
+        model: &ModelName,
+        adapter: Option<&str>,
+        now: Duration,
+    ) -> bool {
+        if !listed.holds(model, None) {
+            return false;
+        }
+        if self.news(&listed.name, model, None, now).is_some_and(|news| !news.there) {
+            return false;
+        }
+        let Some(adapter) = adapter else {
+            return true;
+        };
+        match self.news(&listed.name, model, Some(adapter), now) {
+            Some(news) => news.there,
+            None => listed.holds(model, Some(adapter)),
+        }
+    }
+
+    /// The adapters of an engine, by the list and by news.
+    pub fn adapters(&self, listed: &Listed, now: Duration) -> Vec<(ModelName, String)> {
+        let held = listed.models.iter().flat_map(|held| {
+            held.adapters.iter().map(|adapter| (held.name.clone(), adapter.clone()))
+        });
+        let mut all: Vec<(ModelName, String)> = held.collect();
+        for known in self.news.iter().filter(|known| known.news.upstream == listed.name) {
+            if let Some(adapter) = &known.news.adapter {
+                all.push((known.news.model.clone(), adapter.clone()));
+            }
+        }
+        all.sort();
+        all.dedup();
+        all.retain(|(model, adapter)| self.holds(listed, model, Some(adapter), now));
+        all
+    }
+
+    /// A request used an adapter.
+    pub fn touch(
+        &mut self,
+        upstream: &UpstreamName,
+        model: &ModelName,
+        adapter: &str,
+        now: Duration,
+    ) {
+        self.used.insert(use_key(upstream, model, adapter), now);
+    }
+
+    /// Another vm used adapters.
+    pub fn touched(&mut self, keys: Vec<u32>, now: Duration) {
+        self.used.extend(keys.into_iter().map(|key| (key, now)));
+    }
+
+    /// Adapters that were used lately, to tell other vms.
+    pub fn lately(&mut self, now: Duration, within: Duration) -> Vec<u32> {
+        self.used.retain(|_, at| now.saturating_sub(*at) < Duration::from_secs(60));
+        let fresh = self.used.iter().filter(|(_, at)| now.saturating_sub(**at) < within);
+        fresh.map(|(key, _)| *key).collect()
+    }
+
+    /// When an adapter was last used, as far as this process knows.
+    pub fn used(&self, upstream: &UpstreamName, model: &ModelName, adapter: &str) -> Duration {
+        self.used.get(&use_key(upstream, model, adapter)).copied().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/carob-edge/src/pool.rs
@@ -0,0 +1,300 @@
+//! Connections to upstreams.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::{Rc, Weak};
+use std::time::Duration;
+
+use bytes::Bytes;
+use carob_net::Clock;
+use carobglade::{TryEnd, UpstreamName};
+use http::{HeaderMap, Method, Request, Response, Uri};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+const USER_TIMEOUT: Duration = Duration::from_secs(2); // unacknowledged bytes on a connection
+const IDLE_DEFAULT: Duration = Duration::from_secs(4); // where an upstream names no time
+const IDLE_PART: f64 = 0.6; // of the time that an upstream names
+
+/// An idle connection.
+struct Idle {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+    until: Duration,
+}
+
+/// Connections to all upstreams.
+pub struct Pool {
+    clock: Rc<dyn Clock>,
+    idle: RefCell<HashMap<(UpstreamName, SocketAddr), Vec<Idle>>>,
+}
+
+/// A connection that one request uses; it is closed unless the answer was read to its end.
+struct Taken {
+    pool: Weak<Pool>,
+    key: (UpstreamName, SocketAddr),
+    sender: Option<SendRequest<Full<Bytes>>>,
+    task: AbortHandle,
+    keep: Option<Duration>,
+    kept: bool,
+}
+
+impl Drop for Taken {
+    fn drop(&mut self) {
+        if !self.kept {
+            self.task.abort();
+        }
+    }
+}
+
+/// A request to an upstream.
+pub struct Outgoing {
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: Uri,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// An answer whose body is still arriving.
+pub struct Arriving {
+    /// The status.
+    pub status: u16,
+    /// The headers.
+    pub headers: HeaderMap,
+    body: Incoming,
+    taken: Option<Taken>,
+}
+
+impl Pool {
+    /// No connections yet.
+    pub fn new(clock: Rc<dyn Clock>) -> Rc<Self> {
+        Rc::new(Pool { clock, idle: RefCell::default() })
+    }
+
+    /// Closes the idle connections to an upstream.
+    pub fn forget(&self, name: &UpstreamName) {
+        self.idle.borrow_mut().retain(|(known, _), list| {
+            let keep = known != name;
+            if !keep {
+                list.iter().for_each(|idle| idle.task.abort());
+            }
+            keep
+        });
+    }
+
+    /// Closes the connections that were idle for too long.
+    pub fn sweep(&self) {
+        let now = self.clock.now();
+        self.idle.borrow_mut().retain(|_, list| {
+            list.retain(|idle| {
+                let keep = now < idle.until && !idle.sender.is_closed();
+                if !keep {
+                    idle.task.abort();
+                }
+                keep
+            });
+            !list.is_empty()
+        });
+    }
+
+    fn take_idle(&self, key: &(UpstreamName, SocketAddr)) -> Option<Idle> {
+        let now = self.clock.now();
+        let mut idle = self.idle.borrow_mut();
+        let list = idle.get_mut(key)?;
+        while let Some(found) = list.pop() {
+            if now < found.until && found.sender.is_ready() {
+                return Some(found);
+            }
+            found.task.abort();
+        }
+        None
+    }
+
+    async fn connect(
+        &self,
+        address: SocketAddr,
+    ) -> Option<(SendRequest<Full<Bytes>>, AbortHandle)> {
+        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        let stream = stream.ok()?.ok()?;
+        set_options(&stream);
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let task = tokio::task::spawn_local(async move {
+            if let Err(err) = connection.await {
+                log::debug!(target: "pool", address:% = address, error:% = err; "A connection ended.");
+            }
+        });
+        Some((sender, task.abort_handle()))
+    }
+
+    /// Sends a request to the upstream `name` at `address` and waits for the head of the answer.
+    ///
+    /// # Errors
+    ///
+    /// `Unsent` when no byte left, `Broken` when something may have.
+    pub async fn send(
+        self: &Rc<Self>,
+        name: &UpstreamName,
+        address: SocketAddr,
+        request: Outgoing,
+    ) -> Result<Arriving, TryEnd> {
+        let key = (name.clone(), address);
+        let mut request = build(request).ok_or(TryEnd::Unsent)?;
+        while let Some(idle) = self.take_idle(&key) {
+            let taken = self.taken(&key, idle.sender, idle.task);
+            match exchange(taken, request).await {
+                Ok(arriving) => return Ok(arriving),
+                Err(Some(unsent)) => request = unsent,
+                Err(None) => return Err(TryEnd::Broken),
+            }
+        }
+        let (sender, task) = self.connect(address).await.ok_or(TryEnd::Unsent)?;
+        match exchange(self.taken(&key, sender, task), request).await {
+            Ok(arriving) => Ok(arriving),
+            Err(Some(_)) => Err(TryEnd::Unsent),
+            Err(None) => Err(TryEnd::Broken),
+        }
+    }
+
+    fn taken(
+        self: &Rc<Self>,
+        key: &(UpstreamName, SocketAddr),
+        sender: SendRequest<Full<Bytes>>,
+        task: AbortHandle,
+    ) -> Taken {
+        Taken {
+            pool: Rc::downgrade(self),
+            key: key.clone(),
+            sender: Some(sender),
+            task,
+            keep: None,
+            kept: false,
+        }
+    }
+
+    fn give_back(&self, taken: &mut Taken) {
+        let (Some(sender), Some(keep)) = (taken.sender.take(), taken.keep) else {
+            return;
+        };
+        if sender.is_closed() {
+            return;
+        }
+        taken.kept = true;
+        let idle = Idle { sender, task: taken.task.clone(), until: self.clock.now() + keep };
+        self.idle.borrow_mut().entry(taken.key.clone()).or_default().push(idle);
+    }
+}
+
+fn set_options(stream: &TcpStream) {
+    let socket = socket2::SockRef::from(stream);
+    let options = [
+        ("nodelay", socket.set_tcp_nodelay(true)),
+        ("user timeout", socket.set_tcp_user_timeout(Some(USER_TIMEOUT))),
+    ];
+    for (name, result) in options {
+        if let Err(err) = result {
+            log::debug!(target: "pool", option = name, error:% = err; "A socket option was refused.");
+        }
+    }
+}
+
+fn build(request: Outgoing) -> Option<Request<Full<Bytes>>> {
+    let mut built =
+        Request::builder().method(request.method).uri(request.target).body(Full::new(request.body));
+    if let Ok(built) = &mut built {
+        *built.headers_mut() = request.headers;
+    }
+    built.ok()
+}
+
+/// Sends a request; gives it back when no byte of it left.
+async fn exchange(
+    mut taken: Taken,
+    request: Request<Full<Bytes>>,
+) -> Result<Arriving, Option<Request<Full<Bytes>>>> {
+    let Some(sender) = taken.sender.as_mut() else {
+        return Err(Some(request));
+    };
+    if sender.ready().await.is_err() {
+        return Err(Some(request));
+    }
+    let response = sender.try_send_request(request).await;
+    let response = response.map_err(|mut err| err.take_message())?;
+    taken.keep = keep_time(&response);
+    let (parts, body) = response.into_parts();
+    let status = parts.status.as_u16();
+    Ok(Arriving { status, headers: parts.headers, body, taken: Some(taken) })
+}
+
+/// How long a connection may be idle after an answer; none when it may not be kept.
+fn keep_time(response: &Response<Incoming>) -> Option<Duration> {
+    let text = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
+    if text("connection").is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
+        return None;
+    }
+    let named = text("keep-alive").and_then(|value| {
+        let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
+        seconds.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0)
+    });
+    Some(named.map_or(IDLE_DEFAULT, |s| Duration::from_secs_f64((s * IDLE_PART).min(60.0))))
+}
+
+impl Arriving {
+    /// The next chunk; `None` at the end of a whole answer.
+    ///
+    /// # Errors
+    ///
+    /// `Broken` when the answer breaks off.
+    pub async fn chunk(&mut self) -> Result<Option<Bytes>, TryEnd> {
+        loop {
+            match self.body.frame().await {
+                None => {
+                    self.finish();
+                    return Ok(None);
+                }
+                Some(Err(_)) => return Err(TryEnd::Broken),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        return Ok(Some(data));
+                    }
+                }
+            }
+        }
+    }
+
+    /// Reads the rest of the body.
+    ///
+    /// # Errors
+    ///
+    /// `Broken` when the answer breaks off or is longer than `limit` bytes.
+    pub async fn whole(&mut self, limit: usize) -> Result<Bytes, TryEnd> {
+        let mut body = Vec::new();
+        while let Some(chunk) = self.chunk().await? {
+            if body.len() + chunk.len() > limit {
+                return Err(TryEnd::Broken);
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(body.into())
+    }
+
+    /// Keeps the connection for later requests.
+    fn finish(&mut self) {
+        let Some(mut taken) = self.taken.take() else {
+            return;
+        };
+        let Some(pool) = taken.pool.upgrade() else {
+            return;
+        };
+        pool.give_back(&mut taken);
+    }
+}
--- /dev/null
+++ b/crates/carob-edge/src/process.rs
@@ -0,0 +1,153 @@
+//! The process: starts the parts, follows signals, and stops without cutting anything off.
+
+use std::path::PathBuf;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
+
+use carob_net::{BootClock, Reply, Request, ServeOptions, Server, serve};
+use eyre::{Result, WrapErr};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::edge::Edge;
+use crate::front::{self, Phase};
+use crate::metrics::Metrics;
+use crate::settings::Settings;
+use crate::{follow, group, orders, peers};
+
+/// Time from not being ready until the balancer sends no new callers.
+const NOTICE: Duration = Duration::from_millis(2600);
+/// Time kept between the last answer and the end of the grace period.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+const LOOK_AGAIN: Duration = Duration::from_millis(50); // while requests are under way
+const UPKEEP: Duration = Duration::from_millis(500);
+
+/// Runs the process until it was told to stop; returns whether every request was finished.
+///
+/// # Errors
+///
+/// When an address cannot be bound.
+pub fn run(settings: Settings, path: PathBuf) -> Result<bool> {
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build()?;
+    let local = LocalSet::new();
+    local.block_on(&runtime, async { live(settings, path).await })
+}
+
+async fn live(settings: Settings, path: PathBuf) -> Result<bool> {
+    let metrics = Arc::new(Metrics::new()?);
+    let edge = Edge::new(settings, Rc::new(BootClock), Arc::clone(&metrics));
+    let listener = front::bind(&edge)?;
+    let socket = peers::open(&edge).await?;
+    let (phase, watching) = watch::channel(Phase::Serving);
+    let servers = [serve_ready(&edge)?, serve_metrics(&edge, metrics)?];
+    log::info!(target: "main", vm = edge.settings.vm.as_str(), data_centre = edge.settings.data_centre.as_str(), first = edge.settings.first, incarnation = edge.incarnation.0; "The process started.");
+    tokio::task::spawn_local(front::accept(Rc::clone(&edge), listener, watching));
+    tokio::task::spawn_local(follow::configuration(Rc::clone(&edge)));
+    tokio::task::spawn_local(follow::upstreams(Rc::clone(&edge)));
+    tokio::task::spawn_local(follow::announce(Rc::clone(&edge)));
+    tokio::task::spawn_local(follow::vms(Rc::clone(&edge)));
+    let duties = tokio::task::spawn_local(group::stay(Rc::clone(&edge)));
+    tokio::task::spawn_local(orders::direct(Rc::clone(&edge)));
+    tokio::task::spawn_local(peers::listen(Rc::clone(&edge), Rc::clone(&socket)));
+    tokio::task::spawn_local(peers::tell(Rc::clone(&edge), socket));
+    tokio::task::spawn_local(upkeep(Rc::clone(&edge)));
+    wait_for_stop(&edge, &path).await?;
+    duties.abort();
+    let whole = stop(&edge, &phase).await;
+    log::info!(target: "main", whole = whole, active = edge.active.get(); "The process stopped.");
+    servers.into_iter().for_each(Server::stop);
+    Ok(whole)
+}
+
+fn serve_ready(edge: &Edge) -> Result<Server> {
+    let options =
+        ServeOptions { address: edge.settings.listen.ready, threads: 1, ..ServeOptions::default() };
+    let ready = Arc::clone(&edge.ready);
+    let answer = move |_: Request| {
+        let ready = Arc::clone(&ready);
+        async move { ready_reply(&ready) }
+    };
+    serve(options, answer).wrap_err_with(|| format!("listen.ready {}", edge.settings.listen.ready))
+}
+
+fn ready_reply(ready: &AtomicBool) -> Reply {
+    match ready.load(Ordering::Relaxed) {
+        true => Reply::text(200, "ready"),
+        false => Reply::text(503, "not ready"),
+    }
+}
+
+fn serve_metrics(edge: &Edge, metrics: Arc<Metrics>) -> Result<Server> {
+    let address = edge.settings.metrics_address();
+    let options = ServeOptions { address, threads: 1, ..ServeOptions::default() };
+    let answer = move |_: Request| {
+        let metrics = Arc::clone(&metrics);
+        async move { Reply::new(200, "text/plain; version=0.0.4", metrics.text()) }
+    };
+    serve(options, answer).wrap_err_with(|| format!("address of metrics {address}"))
+}
+
+async fn upkeep(edge: Rc<Edge>) {
+    let started = edge.now();
+    loop {
+        tokio::time::sleep(UPKEEP).await;
+        edge.update_ready();
+        edge.pool.sweep();
+        edge.loads.borrow_mut().fade();
+        edge.suspects.borrow_mut().expire(edge.clock.unix_millis());
+        if edge.now().saturating_sub(started) > Duration::from_secs(1) {
+            edge.meter.borrow_mut().settle();
+        }
+    }
+}
+
+async fn wait_for_stop(edge: &Edge, path: &std::path::Path) -> Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => check_settings(edge, path),
+        }
+    }
+    Ok(())
+}
+
+/// Addresses and names do not change while a process runs; other values are those of its start.
+fn check_settings(edge: &Edge, path: &std::path::Path) {
+    match Settings::read(path) {
+        Ok(settings) if settings == edge.settings => {
+            log::info!(target: "main", same = true; "The settings were read again and are the same.");
+        }
+        Ok(_) => {
+            log::warn!(target: "main", same = false; "The settings changed; they are in force after the next start.");
+        }
+        Err(err) => {
+            log::error!(target: "main", error:% = format!("{err:#}"); "The settings cannot be read; those of the start stay in force.");
+        }
+    }
+}
+
+/// Stops taking callers, hands duties over, and finishes every request.
+async fn stop(edge: &Rc<Edge>, phase: &watch::Sender<Phase>) -> bool {
+    let started = edge.now();
+    log::info!(target: "main", active = edge.active.get(); "The process stops.");
+    edge.stopping.set(true);
+    edge.update_ready();
+    group::leave(edge).await;
+    let notice = NOTICE.min(edge.settings.grace() / 3);
+    tokio::time::sleep(notice.saturating_sub(edge.now().saturating_sub(started))).await;
+    phase.send_replace(Phase::Closing);
+    let end = started + edge.settings.grace().saturating_sub(GRACE_MARGIN);
+    while edge.active.get() > 0 && edge.now() < end {
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
+    // Connections that end now still have to write their last bytes.
+    tokio::time::sleep(LOOK_AGAIN).await;
+    edge.active.get() == 0
+}
--- /dev/null
+++ b/crates/carob-edge/src/settings.rs
@@ -0,0 +1,160 @@
+//! Settings of the process.
+
+use std::net::{IpAddr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+
+use eyre::{Result, WrapErr, bail};
+use serde::{Deserialize, Serialize};
+
+/// Addresses on which the process listens.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Listen {
+    /// For callers.
+    pub callers: SocketAddr,
+    /// For the balancer's question whether the process takes callers.
+    pub ready: SocketAddr,
+}
+
+/// Ports of the vm that are free for messages between vms.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ports {
+    /// The first.
+    pub first: u16,
+    /// The last.
+    pub last: u16,
+}
+
+/// The platform's log.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Store {
+    /// Its address.
+    pub address: SocketAddr,
+    /// Shortest time in milliseconds for which it keeps a silent member's duties.
+    #[serde(default)]
+    pub shortest: u64,
+    /// Partitions of a topic.
+    #[serde(default = "one")]
+    pub parts: u32,
+}
+
+fn one() -> u32 {
+    1
+}
+
+/// What the deployment demands, in milliseconds where nothing else is said.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Bounds {
+    /// From a withdrawn key to its last use.
+    pub revoke: u64,
+    /// From SIGTERM to SIGKILL, in seconds.
+    pub grace: f64,
+    /// From the last order of one holder to the first of another.
+    pub lease: u64,
+    /// Requests sent again, of those that came.
+    pub retries: f64,
+    /// Requests that may be sent again beside that in a window, over all vms.
+    pub spare: f64,
+}
+
+impl Default for Bounds {
+    fn default() -> Self {
+        Bounds { revoke: 5000, grace: 8.0, lease: 3000, retries: 0.2, spare: 50.0 }
+    }
+}
+
+/// Settings of the process.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Settings {
+    /// Name of the vm.
+    pub vm: String,
+    /// Its data centre.
+    pub data_centre: String,
+    /// Its address.
+    pub ip: IpAddr,
+    /// Addresses to listen on.
+    pub listen: Listen,
+    /// Ports for messages between vms.
+    pub ports: Ports,
+    /// The platform's log.
+    pub store: Store,
+    /// Whether the whole system starts for the first time.
+    #[serde(default)]
+    pub first: bool,
+    /// What the deployment demands.
+    #[serde(default)]
+    pub bounds: Bounds,
+}
+
+impl Settings {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// When the file cannot be read, or a field is missing or has a bad value; the message names
+    /// the field.
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .wrap_err_with(|| format!("settings file {} cannot be read", path.display()))?;
+        Self::parse(&text).wrap_err_with(|| format!("settings file {}", path.display()))
+    }
+
+    /// Reads and checks settings.
+    ///
+    /// # Errors
+    ///
+    /// As [`read`](Self::read).
+    pub fn parse(text: &str) -> Result<Self> {
+        let settings: Settings = serde_json::from_str(text)?;
+        settings.check()?;
+        Ok(settings)
+    }
+
+    fn check(&self) -> Result<()> {
+        if self.vm.parse::<carobglade::VmName>().is_err() {
+            bail!("vm {:?} is not a name", self.vm);
+        }
+        if self.data_centre.parse::<carobglade::DataCentre>().is_err() {
+            bail!("data_centre {:?} is not a name", self.data_centre);
+        }
+        if self.ports.last <= self.ports.first {
+            bail!("ports.last {} must be above ports.first {}", self.ports.last, self.ports.first);
+        }
+        if self.store.parts == 0 {
+            bail!("store.parts 0 must be above 0");
+        }
+        let positive = [
+            ("bounds.revoke", self.bounds.revoke as f64),
+            ("bounds.grace", self.bounds.grace),
+            ("bounds.lease", self.bounds.lease as f64),
+        ];
+        for (name, value) in positive {
+            if !value.is_finite() || value <= 0.0 {
+                bail!("{name} {value} must be above 0");
+            }
+        }
+        let shares = [("bounds.retries", self.bounds.retries), ("bounds.spare", self.bounds.spare)];
+        for (name, value) in shares {
+            if !value.is_finite() || value < 0.0 {
+                bail!("{name} {value} must be 0 or more");
+            }
+        }
+        Ok(())
+    }
+
+    /// The address for messages from other vms.
+    pub fn peer_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.ports.first)
+    }
+
+    /// The address for metrics.
+    pub fn metrics_address(&self) -> SocketAddr {
+        SocketAddr::new(self.ip, self.ports.first + 1)
+    }
+
+    /// Time from SIGTERM until the process must be gone.
+    pub fn grace(&self) -> Duration {
+        Duration::from_secs_f64(self.bounds.grace)
+    }
+}
--- /dev/null
+++ b/crates/carob-edge/src/store.rs
@@ -0,0 +1,100 @@
+//! Calls to the platform's log.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carob_net::Clock;
+use carob_platform::LogCall;
+use carobglade::{TryEnd, UpstreamName};
+use http::{HeaderMap, HeaderValue, Method};
+
+use crate::pool::{Outgoing, Pool};
+
+const ANSWER_MAX: usize = 8 << 20; // bytes
+
+/// Why a call to the log brought nothing.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum StoreError {
+    /// It answered with this status.
+    Status(u16),
+    /// It did not answer in time, or the connection broke.
+    Unreachable,
+    /// Its answer could not be read.
+    Unreadable(String),
+}
+
+impl std::fmt::Display for StoreError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            StoreError::Status(status) => write!(f, "status {status}"),
+            StoreError::Unreachable => f.write_str("no answer"),
+            StoreError::Unreadable(why) => write!(f, "unreadable: {why}"),
+        }
+    }
+}
+
+impl From<carob_platform::DecodeError> for StoreError {
+    fn from(err: carob_platform::DecodeError) -> Self {
+        StoreError::Unreadable(err.to_string())
+    }
+}
+
+/// Calls the platform's log.
+pub struct StoreClient {
+    pool: Rc<Pool>,
+    clock: Rc<dyn Clock>,
+    address: SocketAddr,
+    name: UpstreamName,
+}
+
+/// An answer of the log, and when it was asked for.
+pub struct Answered {
+    /// The body.
+    pub body: Bytes,
+    /// When the call was sent.
+    pub sent: Duration,
+}
+
+impl StoreClient {
+    /// A client of the log at `address`.
+    pub fn new(pool: Rc<Pool>, clock: Rc<dyn Clock>, address: SocketAddr) -> Self {
+        let name = address.to_string().parse().unwrap_or_default();
+        StoreClient { pool, clock, address, name }
+    }
+
+    /// Makes a call and reads the answer, within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// Any answer but 200, or none.
+    pub async fn call(&self, call: LogCall, limit: Duration) -> Result<Answered, StoreError> {
+        let sent = self.clock.now();
+        let answer = tokio::time::timeout(limit, self.exchange(call)).await;
+        match answer {
+            Ok(Ok((200, body))) => Ok(Answered { body, sent }),
+            Ok(Ok((status, _))) => Err(StoreError::Status(status)),
+            Ok(Err(_)) | Err(_) => Err(StoreError::Unreachable),
+        }
+    }
+
+    async fn exchange(&self, call: LogCall) -> Result<(u16, Bytes), TryEnd> {
+        let mut headers = HeaderMap::new();
+        if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
+            headers.insert("host", host);
+        }
+        if call.post {
+            headers.insert("content-type", HeaderValue::from_static("application/json"));
+        }
+        let request = Outgoing {
+            method: if call.post { Method::POST } else { Method::GET },
+            target: call.target.parse().map_err(|_| TryEnd::Unsent)?,
+            headers,
+            body: call.body.into(),
+        };
+        let mut answer = self.pool.send(&self.name, self.address, request).await?;
+        let body = answer.whole(ANSWER_MAX).await?;
+        Ok((answer.status, body))
+    }
+}
--- a/crates/carob-net/src/clock.rs
+++ b/crates/carob-net/src/clock.rs
@@ -33,3 +33,19 @@
         u64::try_from(since.as_millis()).unwrap_or(u64::MAX)
     }
 }
+
+/// A clock that runs on while the vm is suspended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct BootClock;
+
+impl Clock for BootClock {
+    fn now(&self) -> Duration {
+        let time = rustix::time::clock_gettime(rustix::time::ClockId::Boottime);
+        let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+        Duration::new(seconds, u32::try_from(time.tv_nsec).unwrap_or_default())
+    }
+
+    fn unix_millis(&self) -> u64 {
+        SystemClock::default().unix_millis()
+    }
+}
--- a/crates/carob-net/src/lib.rs
+++ b/crates/carob-net/src/lib.rs
@@ -13,6 +13,6 @@
 mod serve;
 
 pub use call::{Caller, Received, Streamed};
-pub use clock::{Clock, SystemClock};
+pub use clock::{BootClock, Clock, SystemClock};
 pub use platform::{LogClient, LogPage};
 pub use serve::{ChunkSender, Reply, Request, ServeOptions, Server, serve};
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,7 +39,7 @@
 mod units;
 mod version;
 
-pub use connection::{Health, HealthSettings, Progress, ProgressSettings};
+pub use connection::{EventSplitter, Health, HealthSettings, Progress, ProgressSettings};
 pub use error::{Answer, Error, ErrorKind, Result, RunState};
 pub use process::fleet::{
     DEAD_AFTER, FRESH_FOR, Fleet, Heartbeat, Ring, Standing, UpstreamLoad, is_large,
@@ -47,13 +47,16 @@
 pub use process::ledger::{Account, Charge, Ledger, ORDER_LIFETIME_MS, Phase};
 pub use process::placement::{Demand, PlacementPolicy, PlacementSettings, PlanInput, plan};
 pub use process::quota::{
-    Ask, Bucket, LOAN_TIME, Lender, Lent, LoanReport, Mark, Pool, Reservation, Share,
+    Ask, Bucket, LOAN_TIME, Lender, Lent, LoanReport, Mark, Meter, MeterSettings, Pool,
+    Reservation, Share, Usage,
 };
 pub use process::{
-    Claim, ClaimDone, ClaimRef, ConfigChange, ControlState, Entry, Fingerprint, Fold, Holder,
-    Intent, IntentKind, Join, Member, Outcome, Page, QUARANTINE_AFTER, Record, Replay,
-    ReplayStatus, Resolve, Restarted, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, SlotTable, SlotTake,
-    Snapshot, Suspects, Suspicion, Verdict, VmRef, slots_of,
+    Claim, ClaimDone, ClaimRef, ConfigChange, ControlState, Duties, DutyChange, DutySettings,
+    EngineState, Entry, Fingerprint, Fold, Freshness, FreshnessSettings, HeldModel, Holder, Intent,
+    IntentKind, Join, Joined, LOAD_MEMORY, Listed, Load, Loads, Member, ModelDemand, ModelOrder,
+    Outcome, Page, QUARANTINE_AFTER, Record, Replay, ReplayStatus, ReplicaSettings, Replicas,
+    Resolve, Restarted, Roster, RosterChange, RosterSettings, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP,
+    SlotTable, SlotTake, Snapshot, Suspects, Suspicion, Verdict, VmRef, short_name, slots_of,
 };
 pub use request::choose::{Candidate, Policy, choose};
 pub use request::claim::{
@@ -61,13 +64,15 @@
 };
 pub use request::queue::{FairQueue, Waiting};
 pub use request::{
-    Class, ModelCall, RetryBudget, RetrySettings, is_key_header, prompt_tokens, strip_key, take_key,
+    Bid, Class, DispatchSettings, Dispatched, ModelCall, Need, Next, RetryBudget, RetrySettings,
+    Tries, TryEnd, dispatch, is_key_header, prompt_tokens, strip_key, take_key,
 };
 pub use units::{
     ByteSize, DataCentre, Incarnation, ModelName, Offset, TenantName, TokenRate, Tokens,
     UpstreamName, VmName,
 };
 pub use version::{
-    Change, Config, ConfigWire, Grant, KeyDigest, KeyIndex, Model, ModelWire, Problem, Route,
-    RouteWire, Service, ServiceWire, Tenant, TenantWire, Upstream, UpstreamWire, check,
+    CallerLimits, Change, Config, ConfigWire, Engine, EngineModel, Grant, KeyDigest, KeyIndex,
+    Model, ModelWire, Problem, Route, RouteKind, RouteWire, Service, ServiceWire, Site, SiteRoute,
+    SiteService, SiteTenant, Tenant, TenantWire, Upstream, UpstreamWire, check,
 };
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,20 +1,32 @@
 //! What lives for a process: the replayed state of the platform log and the parts built on it.
 
 mod control;
+mod demand;
+mod duty;
 pub mod fleet;
+mod freshness;
 pub mod ledger;
+mod loads;
 pub mod placement;
 pub mod quota;
 mod record;
 mod replay;
+mod replicas;
+mod roster;
 mod slots;
 mod suspects;
 
 pub use control::{ControlState, Member, Verdict};
+pub use demand::ModelDemand;
+pub use duty::{Duties, DutyChange, DutySettings, Joined};
+pub use freshness::{Freshness, FreshnessSettings};
+pub use loads::{LOAD_MEMORY, Load, Loads, short_name};
 pub use record::{
     Claim, ClaimDone, ClaimRef, ConfigChange, Entry, Fingerprint, Intent, IntentKind, Join,
     Outcome, Record, Resolve, Restarted, SlotTake, Snapshot, Suspicion, VmRef,
 };
 pub use replay::{Fold, Page, Replay, ReplayStatus};
+pub use replicas::{EngineState, ModelOrder, ReplicaSettings, Replicas};
+pub use roster::{HeldModel, Listed, Roster, RosterChange, RosterSettings};
 pub use slots::{Holder, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, SlotTable, slots_of};
 pub use suspects::{QUARANTINE_AFTER, Suspects};
--- /dev/null
+++ b/src/process/quota/meter.rs
@@ -0,0 +1,196 @@
+//! One bucket for each tenant, kept alike by all processes from what they tell each other.
+//!
+//! Every process keeps the whole fleet's bucket of a tenant. It takes off its own admissions at
+//! once and those of other processes as soon as they report their totals. A process that is not
+//! heard of is assumed to use its even share of the rate, so that the parts of a split fleet
+//! together stay within the rate.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::{Incarnation, TenantName, Tokens, VmName};
+
+/// Settings of a [`Meter`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MeterSettings {
+    /// Silence from which a process is assumed to use its share.
+    pub silence: Duration,
+    /// Silence from which it is assumed to be gone.
+    pub gone: Duration,
+}
+
+impl Default for MeterSettings {
+    fn default() -> Self {
+        MeterSettings { silence: Duration::from_millis(700), gone: Duration::from_secs(8) }
+    }
+}
+
+/// What a process tells of a tenant.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Usage {
+    /// The tenant.
+    pub tenant: TenantName,
+    /// Tokens that the process admitted since it started.
+    pub total: u64,
+    /// Tokens that it takes to be left in the fleet's bucket.
+    pub level: i64,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Account {
+    rate: f64,
+    burst: f64,
+    level: f64,
+    total: u64,
+    peers: BTreeMap<VmName, Told>,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Told {
+    incarnation: Incarnation,
+    total: u64,
+    assumed: f64,
+}
+
+/// The buckets of all tenants, as this process sees them.
+#[derive(Clone, Debug)]
+pub struct Meter {
+    settings: MeterSettings,
+    accounts: BTreeMap<TenantName, Account>,
+    heard: BTreeMap<VmName, Duration>,
+    now: Duration,
+    full: bool,
+    settled: bool,
+}
+
+impl Meter {
+    /// Buckets that start full when the whole system starts for the first time, and empty when a
+    /// process starts later: it cannot know what was admitted before.
+    pub fn new(settings: MeterSettings, full: bool, now: Duration) -> Self {
+        let (accounts, heard) = (BTreeMap::new(), BTreeMap::new());
+        Meter { settings, accounts, heard, now, full, settled: full }
+    }
+
+    /// Sets a tenant's limits; a rate of 0 is no limit.
+    pub fn set(&mut self, tenant: &TenantName, rate: u64, burst: u64) {
+        let fresh = !self.accounts.contains_key(tenant);
+        let account = self.accounts.entry(tenant.clone()).or_default();
+        (account.rate, account.burst) = (rate as f64, burst as f64);
+        if fresh && (self.full || self.settled) {
+            account.level = account.burst;
+        }
+        account.level = account.level.min(account.burst);
+    }
+
+    /// Drops the tenants that are not in force.
+    pub fn retain(&mut self, keep: impl Fn(&TenantName) -> bool) {
+        self.accounts.retain(|tenant, _| keep(tenant));
+    }
+
+    /// Fills the buckets up to `now`.
+    pub fn advance(&mut self, now: Duration) {
+        let passed = now.saturating_sub(self.now).as_secs_f64();
+        self.now = self.now.max(now);
+        self.heard.retain(|_, at| now.saturating_sub(*at) < self.settings.gone);
+        let fleet = (self.heard.len() + 1) as f64;
+        for account in self.accounts.values_mut() {
+            let heard = &self.heard;
+            account.peers.retain(|vm, _| heard.contains_key(vm));
+            account.level += account.rate * passed;
+            for (vm, told) in &mut account.peers {
+                let silent = now.saturating_sub(heard[vm]) >= self.settings.silence;
+                let part = if silent { account.rate / fleet * passed } else { 0.0 };
+                told.assumed += part;
+                account.level -= part;
+            }
+            account.level = account.level.min(account.burst);
+        }
+    }
+
+    /// Takes `tokens` for a request.
+    ///
+    /// # Errors
+    ///
+    /// The time until the bucket could hold them, when nothing else is taken.
+    pub fn admit(
+        &mut self,
+        tenant: &TenantName,
+        tokens: Tokens,
+        now: Duration,
+    ) -> Result<(), Duration> {
+        self.advance(now);
+        let Some(account) = self.accounts.get_mut(tenant).filter(|a| a.rate > 0.0) else {
+            return Ok(());
+        };
+        let needed = (tokens.0 as f64).min(account.burst);
+        if account.level < needed {
+            let wait = (needed - account.level) / account.rate;
+            return Err(Duration::from_secs_f64(wait.min(60.0)));
+        }
+        account.level -= tokens.0 as f64;
+        account.total += tokens.0;
+        Ok(())
+    }
+
+    /// Gives back the tokens of a request that no upstream ran.
+    pub fn refund(&mut self, tenant: &TenantName, tokens: Tokens) {
+        if let Some(account) = self.accounts.get_mut(tenant).filter(|a| a.rate > 0.0) {
+            account.level = (account.level + tokens.0 as f64).min(account.burst);
+            account.total = account.total.saturating_sub(tokens.0);
+        }
+    }
+
+    /// Takes in what another process tells of its admissions.
+    pub fn hear(&mut self, vm: &VmName, incarnation: Incarnation, told: &[Usage], now: Duration) {
+        self.advance(now);
+        let known = self.heard.insert(vm.clone(), now).is_some();
+        let adopt = !self.settled && !told.is_empty();
+        for usage in told {
+            let Some(account) = self.accounts.get_mut(&usage.tenant) else {
+                continue;
+            };
+            let past = account
+                .peers
+                .insert(vm.clone(), Told { incarnation, total: usage.total, assumed: 0.0 });
+            if adopt {
+                account.level = (usage.level as f64).min(account.burst);
+                continue;
+            }
+            let before = match past {
+                Some(past) if past.incarnation == incarnation => past,
+                Some(past) => Told { total: 0, ..past },
+                None if known => Told::default(),
+                None => Told { total: usage.total, ..Told::default() },
+            };
+            let spent = usage.total as f64 - before.total as f64;
+            account.level = (account.level - spent + before.assumed).min(account.burst);
+        }
+        self.settled |= adopt;
+    }
+
+    /// What this process tells the others.
+    pub fn tell(&self) -> Vec<Usage> {
+        let limited = self.accounts.iter().filter(|(_, account)| account.rate > 0.0);
+        let usage = |(tenant, account): (&TenantName, &Account)| Usage {
+            tenant: tenant.clone(),
+            total: account.total,
+            level: account.level as i64,
+        };
+        limited.map(usage).collect()
+    }
+
+    /// Whether the levels rest on more than a guess, so that a new process may adopt them.
+    pub fn settled(&self) -> bool {
+        self.settled
+    }
+
+    /// Trusts the levels from now on, as nobody knew better.
+    pub fn settle(&mut self) {
+        self.settled = true;
+    }
+
+    /// Tokens left in the fleet's bucket of a tenant.
+    pub fn level(&self, tenant: &TenantName) -> Option<i64> {
+        self.accounts.get(tenant).map(|account| account.level as i64)
+    }
+}
--- a/src/process/quota/mod.rs
+++ b/src/process/quota/mod.rs
@@ -9,8 +9,10 @@
 
 mod bucket;
 mod lender;
+mod meter;
 mod pool;
 
 pub use bucket::{Bucket, Mark, Share};
 pub use lender::{Ask, LOAN_TIME, Lender, Lent, LoanReport};
+pub use meter::{Meter, MeterSettings, Usage};
 pub use pool::{Pool, Reservation};
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -1,14 +1,18 @@
 //! What lives for a request.
 
+mod attempt;
 mod budget;
 pub mod choose;
 pub mod claim;
 mod class;
+mod dispatch;
 mod estimate;
 mod key;
 pub mod queue;
 
+pub use attempt::{Next, Tries, TryEnd};
 pub use budget::{RetryBudget, RetrySettings};
 pub use class::Class;
+pub use dispatch::{Bid, DispatchSettings, Need, Verdict as Dispatched, dispatch};
 pub use estimate::{ModelCall, prompt_tokens};
 pub use key::{is_key_header, strip_key, take_key};
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -5,10 +5,14 @@
 mod config;
 mod key;
 mod parse;
+mod site;
 mod wire;
 
 pub use change::Change;
 pub use check::{Problem, check};
 pub use config::{Config, Grant, Model, Route, Service, Tenant, Upstream};
 pub use key::{KeyDigest, KeyIndex};
+pub use site::{
+    CallerLimits, Engine, EngineModel, RouteKind, Site, SiteRoute, SiteService, SiteTenant,
+};
 pub use wire::{ConfigWire, ModelWire, RouteWire, ServiceWire, TenantWire, UpstreamWire};
