--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -11,7 +11,7 @@
 
 use crate::call::Call;
 use crate::edge::Edge;
-use crate::placement::AdapterName;
+use crate::placement::{AdapterName, Source};
 
 const TOKEN_TIME: Duration = Duration::from_millis(14); // between two tokens of a busy engine
 const LOOK_AGAIN: Duration = Duration::from_millis(40); // while a model or an adapter is awaited
@@ -85,7 +85,7 @@
         model: model.clone(),
         adapter: adapter.clone(),
     };
-    if edge.placement.borrow_mut().want(name, edge.now()) {
+    if edge.placement.borrow_mut().want(name, Source::Own, edge.now()) {
         edge.wanted.notify_one();
         edge.news.notify_one();
     }
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -80,7 +80,7 @@
         let store = StoreClient::new(Rc::clone(&pool), Rc::clone(&clock), settings.store.address);
         let duties = DutySettings {
             ttl: Duration::from_millis(3000.max(settings.store.shortest)),
-            settle: Duration::from_millis(settings.bounds.lease),
+            lease: Duration::from_millis(settings.bounds.lease),
             ..DutySettings::default()
         };
         Rc::new(Edge {
--- a/crates/carob-edge/src/orders.rs
+++ b/crates/carob-edge/src/orders.rs
@@ -16,7 +16,7 @@
 use http::{HeaderValue, Method, Uri};
 
 use crate::edge::Edge;
-use crate::placement::{AdapterName, PlacementNews};
+use crate::placement::{AdapterName, PlacementNews, Source};
 use crate::pool::Outgoing;
 
 const INTERVAL: Duration = Duration::from_millis(250); // between two plans
@@ -25,6 +25,7 @@
 const LOAD_TIME: Duration = Duration::from_secs(15); // after which a load is taken for lost
 const CLEAR_TIME: Duration = Duration::from_millis(150); // from the news of an eviction to its order
 const REST: Duration = Duration::from_millis(400); // after an order that was not carried out
+const LIST_TIME: Duration = Duration::from_millis(3500); // in which all upstreams write to the list
 const ADAPTER_TIME: Duration = Duration::from_millis(25); // until an accepted adapter is there
 
 /// What this process knows of an engine that it gives orders to.
@@ -69,6 +70,8 @@
 struct Desk {
     books: BTreeMap<UpstreamName, Book>,
     plans: BTreeMap<String, Replicas>,
+    /// When the first upstream was seen.
+    since: Option<Duration>,
 }
 
 type SharedDesk = Rc<RefCell<Desk>>;
@@ -94,6 +97,9 @@
     let Some(site) = edge.site() else {
         return;
     };
+    if !listed_whole(edge, desk) {
+        return;
+    }
     let engines = site.services.values().filter_map(|s| Some((&s.name, s.engine.as_ref()?)));
     for (service, engine) in engines {
         let part = duty_of(edge, service);
@@ -108,6 +114,16 @@
     }
 }
 
+/// Whether every upstream had the time to write to the list since the first was seen.
+fn listed_whole(edge: &Edge, desk: &SharedDesk) -> bool {
+    if edge.view.borrow().roster.all().next().is_none() {
+        return false;
+    }
+    let now = edge.now();
+    let since = *desk.borrow_mut().since.get_or_insert(now);
+    now.saturating_sub(since) >= LIST_TIME
+}
+
 /// A duty that this process holds.
 #[derive(Clone)]
 struct Duty {
@@ -153,6 +169,12 @@
     for (model, _) in edge.placement.borrow().adapters(listed, now) {
         *models.entry(model).or_default() += 1;
     }
+    if let Some((target, _)) = &book.under_way {
+        match target.load {
+            true => models.entry(target.model.clone()).or_default(),
+            false => &mut models.remove(&target.model).unwrap_or_default(),
+        };
+    }
     EngineState {
         name: listed.name.clone(),
         data_centre: listed.data_centre.to_string(),
@@ -172,7 +194,7 @@
         there,
         sequence,
     };
-    edge.placement.borrow_mut().learn(news, edge.now());
+    edge.placement.borrow_mut().learn(news, Source::Own, edge.now());
     edge.news.notify_one();
 }
 
@@ -242,7 +264,7 @@
     log::info!(target: "orders", upstream:% = upstream.name, model:% = target.model, adapter = target.adapter.as_deref().unwrap_or(""), load = target.load, expect = expect, token = duty.token, answer:? = answer; "An order was given.");
     match answer {
         Some(OrderAnswer::Accepted | OrderAnswer::Holds) => count(desk, &upstream.name, expect + 1),
-        Some(OrderAnswer::Fenced) => edge.duties.borrow_mut().fenced(duty.part),
+        Some(OrderAnswer::Fenced) => edge.duties.borrow_mut().fenced(duty.part, edge.now()),
         Some(OrderAnswer::Conflict) | None => {
             // An engine's report is some hundred milliseconds old.
             tokio::time::sleep(REST).await;
@@ -396,7 +418,7 @@
         there: target.load,
         sequence: sequence(desk, &upstream.name),
     };
-    edge.placement.borrow_mut().learn(news, edge.now());
+    edge.placement.borrow_mut().learn(news, Source::Own, edge.now());
     edge.news.notify_one();
     edge.changed.notify_waiters();
     true
--- a/crates/carob-edge/src/peers.rs
+++ b/crates/carob-edge/src/peers.rs
@@ -12,13 +12,13 @@
 use tokio::net::UdpSocket;
 
 use crate::edge::Edge;
-use crate::placement::{AdapterName, PlacementNews};
+use crate::placement::{AdapterName, PlacementNews, Source};
 use crate::view::Neighbour;
 
 const INTERVAL: Duration = Duration::from_millis(200); // between two messages to a vm
 const URGENT: Duration = Duration::from_millis(20); // shortest time between two messages
 const RATE: f64 = 40.0; // messages a second that a vm sends at the most, whatever the fleet
-const NEWS_TIME: Duration = Duration::from_millis(900); // how long news are told again
+const NEWS_TIME: Duration = Duration::from_millis(450); // how long news are told again
 const MESSAGE_MAX: usize = 8 << 10; // bytes
 const VERSION: u8 = 1; // of the messages
 
@@ -128,10 +128,10 @@
     let mut board = edge.placement.borrow_mut();
     let mut asked = false;
     for name in wanted {
-        asked |= board.want(name, now);
+        asked |= board.want(name, Source::Peer, now);
     }
     let told = !news.is_empty();
-    news.into_iter().for_each(|item| board.learn(item, now));
+    news.into_iter().for_each(|item| board.learn(item, Source::Peer, now));
     drop(board);
     if asked {
         edge.wanted.notify_one();
@@ -157,9 +157,9 @@
         usage: usage.into_iter().map(|u| UsageWire(u.tenant, u.total, u.level)).collect(),
         settled,
         demand: edge.demand.borrow_mut().tell(now).into_iter().collect(),
-        wanted: board.wanted(now),
+        wanted: board.own_wanted(now),
         news: board.recent(now, NEWS_TIME),
-        used: board.lately(now, INTERVAL * 3),
+        used: board.lately(now, INTERVAL + URGENT),
         suspects: edge.suspects.borrow().recent(edge.clock.unix_millis()),
         leaving: edge.stopping.get() && edge.active.get() == 0,
     }
--- a/crates/carob-edge/src/placement.rs
+++ b/crates/carob-edge/src/placement.rs
@@ -15,6 +15,9 @@
 /// How long a request for an adapter is remembered.
 const WANT_TIME: Duration = Duration::from_millis(1500);
 
+/// How long the use of an adapter is remembered.
+const USE_TIME: Duration = Duration::from_secs(60);
+
 /// An adapter of a service's model.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct AdapterName {
@@ -51,13 +54,35 @@
 struct Known {
     news: PlacementNews,
     at: Duration,
+    source: Source,
+}
+
+/// Who told something first; only that process tells it to others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// This process.
+    Own,
+    /// Another one.
+    Peer,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Want {
+    at: Duration,
+    source: Source,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Use {
+    at: Duration,
+    source: Source,
 }
 
 /// What requests wait for, and news of engines.
 #[derive(Clone, Debug, Default)]
 pub struct Placement {
-    wanted: BTreeMap<AdapterName, Duration>,
-    used: BTreeMap<u32, Duration>,
+    wanted: BTreeMap<AdapterName, Want>,
+    used: BTreeMap<u32, Use>,
     news: Vec<Known>,
 }
 
@@ -67,23 +92,30 @@
 
 impl Placement {
     /// A request waits for an adapter that no engine holds; returns whether that is new.
-    pub fn want(&mut self, name: AdapterName, now: Duration) -> bool {
-        self.wanted.insert(name, now).is_none()
+    pub fn want(&mut self, name: AdapterName, source: Source, now: Duration) -> bool {
+        self.wanted.insert(name, Want { at: now, source }).is_none()
     }
 
     /// The adapters that are asked for.
     pub fn wanted(&mut self, now: Duration) -> Vec<AdapterName> {
-        self.wanted.retain(|_, at| now.saturating_sub(*at) < WANT_TIME);
+        self.wanted.retain(|_, want| now.saturating_sub(want.at) < WANT_TIME);
         self.wanted.keys().cloned().collect()
     }
 
+    /// The adapters that requests of this process wait for.
+    pub fn own_wanted(&mut self, now: Duration) -> Vec<AdapterName> {
+        self.wanted.retain(|_, want| now.saturating_sub(want.at) < WANT_TIME);
+        let own = self.wanted.iter().filter(|(_, want)| want.source == Source::Own);
+        own.map(|(name, _)| name.clone()).collect()
+    }
+
     /// An adapter is there, or no longer asked for.
     pub fn satisfied(&mut self, name: &AdapterName) {
         self.wanted.remove(name);
     }
 
     /// Takes in news; what was known of the same is replaced.
-    pub fn learn(&mut self, news: PlacementNews, now: Duration) {
+    pub fn learn(&mut self, news: PlacementNews, source: Source, now: Duration) {
         let adapter = news.adapter.clone();
         self.news.retain(|known| {
             let same = known.news.concerns(&news.upstream, &news.model, adapter.as_deref());
@@ -95,13 +127,14 @@
             .iter()
             .any(|known| known.news.concerns(&news.upstream, &news.model, adapter.as_deref()));
         if !newer {
-            self.news.push(Known { news, at: now });
+            self.news.push(Known { news, at: now, source });
         }
     }
 
-    /// News that other vms may not have yet.
+    /// Own news that other vms may not have yet.
     pub fn recent(&self, now: Duration, within: Duration) -> Vec<PlacementNews> {
-        let fresh = self.news.iter().filter(|known| now.saturating_sub(known.at) < within);
+        let own = self.news.iter().filter(|known| known.source == Source::Own);
+        let fresh = own.filter(|known| now.saturating_sub(known.at) < within);
         fresh.map(|known| known.news.clone()).collect()
     }
 
@@ -170,23 +203,26 @@
         adapter: &str,
         now: Duration,
     ) {
-        self.used.insert(use_key(upstream, model, adapter), now);
+        let own = Use { at: now, source: Source::Own };
+        self.used.insert(use_key(upstream, model, adapter), own);
     }
 
     /// Another vm used adapters.
     pub fn touched(&mut self, keys: Vec<u32>, now: Duration) {
-        self.used.extend(keys.into_iter().map(|key| (key, now)));
+        let told = Use { at: now, source: Source::Peer };
+        self.used.extend(keys.into_iter().map(|key| (key, told)));
     }
 
-    /// Adapters that were used lately, to tell other vms.
+    /// Adapters that this process used lately, to tell other vms.
     pub fn lately(&mut self, now: Duration, within: Duration) -> Vec<u32> {
-        self.used.retain(|_, at| now.saturating_sub(*at) < Duration::from_secs(60));
-        let fresh = self.used.iter().filter(|(_, at)| now.saturating_sub(**at) < within);
+        self.used.retain(|_, used| now.saturating_sub(used.at) < USE_TIME);
+        let own = self.used.iter().filter(|(_, used)| used.source == Source::Own);
+        let fresh = own.filter(|(_, used)| now.saturating_sub(used.at) < within);
         fresh.map(|(key, _)| *key).collect()
     }
 
     /// When an adapter was last used, as far as this process knows.
     pub fn used(&self, upstream: &UpstreamName, model: &ModelName, adapter: &str) -> Duration {
-        self.used.get(&use_key(upstream, model, adapter)).copied().unwrap_or_default()
+        self.used.get(&use_key(upstream, model, adapter)).map_or(Duration::ZERO, |used| used.at)
     }
 }
--- a/src/process/duty.rs
+++ b/src/process/duty.rs
@@ -10,8 +10,11 @@
     pub ttl: Duration,
     /// Taken off that time, for the way of an order to an upstream.
     pub margin: Duration,
-    /// Wait after a duty was gained, so that two processes do not order in turns.
+    /// Wait after a duty was gained, for orders of its former holder that are on their way.
     pub settle: Duration,
+    /// Wait until a process gives orders again on a duty that it lost, so that two processes do
+    /// not order in turns.
+    pub lease: Duration,
 }
 
 impl Default for DutySettings {
@@ -19,7 +22,8 @@
         DutySettings {
             ttl: Duration::from_millis(3000),
             margin: Duration::from_millis(400),
-            settle: Duration::from_millis(3000),
+            settle: Duration::from_millis(400),
+            lease: Duration::from_millis(3000),
         }
     }
 }
@@ -51,6 +55,7 @@
     generation: u64,
     until: Duration,
     held: BTreeMap<u32, Duration>,
+    lost: BTreeMap<u32, Duration>,
 }
 
 impl Duties {
@@ -75,12 +80,13 @@
         let lost = self.held.keys().filter(|part| !joined.parts.contains(part)).copied();
         let lost: Vec<u32> = lost.collect();
         for part in lost {
-            self.held.remove(&part);
+            self.lose(part, now);
             changes.push(DutyChange::Lost(part));
         }
         for part in &joined.parts {
             if !self.held.contains_key(part) {
-                self.held.insert(*part, now + self.settings.settle);
+                let again = self.lost.get(part).map_or(now, |at| *at + self.settings.lease);
+                self.held.insert(*part, again.max(now + self.settings.settle));
                 changes.push(DutyChange::Gained(*part));
             }
         }
@@ -92,12 +98,19 @@
         if now < self.until {
             return Vec::new();
         }
-        std::mem::take(&mut self.held).into_keys().map(DutyChange::Lost).collect()
+        let parts: Vec<u32> = self.held.keys().copied().collect();
+        parts.iter().for_each(|part| self.lose(*part, self.until));
+        parts.into_iter().map(DutyChange::Lost).collect()
     }
 
     /// An upstream refused an order because another process has a higher fencing number.
-    pub fn fenced(&mut self, part: u32) {
+    pub fn fenced(&mut self, part: u32, now: Duration) {
+        self.lose(part, now);
+    }
+
+    fn lose(&mut self, part: u32, at: Duration) {
         self.held.remove(&part);
+        self.lost.insert(part, at);
     }
 
     /// The fencing number for orders of a duty, if this process may give any at `now`.
--- a/src/process/replicas.rs
+++ b/src/process/replicas.rs
@@ -23,7 +23,7 @@
     fn default() -> Self {
         ReplicaSettings {
             advantage: 1.6,
-            residency: Duration::from_secs(3),
+            residency: Duration::from_secs(5),
             floor: 800.0,
             share: 0.9,
         }
@@ -94,7 +94,7 @@
         for (upstream, (model, _)) in self.meant.clone() {
             if let Some(order) = plan.place(&upstream, &model) {
                 self.meant.remove(&upstream);
-                orders.extend(self.pay(order, engines));
+                orders.push(order);
             } else {
                 plan.reserve(&upstream, &model);
             }
@@ -104,11 +104,16 @@
                 plan.give_up(&model);
                 continue;
             };
+            let (Step::Load(at) | Step::MakeRoom(at, _)) = &step;
+            if !self.pay(at, &model, engines) {
+                plan.give_up(&model);
+                continue;
+            }
             match step {
                 Step::Load(upstream) => {
-                    let order = ModelOrder { upstream: upstream.clone(), model, load: true };
+                    let order = ModelOrder { upstream, model, load: true };
                     plan.ordered(&order);
-                    orders.extend(self.pay(order, engines));
+                    orders.push(order);
                 }
                 Step::MakeRoom(upstream, victim) => {
                     let order =
@@ -144,17 +149,18 @@
         }
     }
 
-    /// Takes a load off the allowance of the weight store, unless the engine has a copy.
-    fn pay(&mut self, order: ModelOrder, engines: &[EngineState]) -> Option<ModelOrder> {
-        let engine = engines.iter().find(|engine| engine.name == order.upstream)?;
-        if engine.copies.contains(&order.model) {
-            return Some(order);
+    /// Takes a load off the allowance of the weight store, unless the engine has a copy; false
+    /// when the allowance is used up.
+    fn pay(&mut self, upstream: &UpstreamName, model: &ModelName, engines: &[EngineState]) -> bool {
+        let engine = engines.iter().find(|engine| engine.name == *upstream);
+        if engine.is_some_and(|engine| engine.copies.contains(model)) {
+            return true;
         }
-        if self.allowance < 1.0 {
-            return None;
+        let allowed = self.allowance >= 1.0;
+        if allowed {
+            self.allowance -= 1.0;
         }
-        self.allowance -= 1.0;
-        Some(order)
+        allowed
     }
 }
 
