Keep the fleet's token bounds over restarts and splits; order engines on one moment's state

Ruled out: retries counted twice. Now a process fills its even share until it knows the others' levels, and takes at most its share before it tells them, at once if a request waits. tests/meter.rs failed first (595,200 of 314,000 tokens).

--- a/crates/carob-edge/src/call.rs
+++ b/crates/carob-edge/src/call.rs
@@ -215,6 +215,9 @@
         let Err(missing) = taken else {
             return Ok(());
         };
+        if edge.meter.borrow().urgent() {
+            edge.news.notify_one();
+        }
         let most = QUOTA_WAIT.min(call.route.goal / 4);
         if wait + missing > most {
             let message = format!("tenant {} used up its rate", tenant.name);
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -62,6 +62,8 @@
     pub ready: Arc<AtomicBool>,
     /// Whether the process is stopping.
     pub stopping: Cell<bool>,
+    /// When the process ends, once it closes connections.
+    pub closing: Cell<Option<Duration>>,
     /// Requests under way.
     pub active: Cell<u64>,
     /// Wakes those that wait for a model, an adapter or an upstream.
@@ -99,6 +101,7 @@
             metrics,
             ready: Arc::new(AtomicBool::new(false)),
             stopping: Cell::new(false),
+            closing: Cell::new(None),
             active: Cell::new(0),
             changed: Notify::new(),
             wanted: Notify::new(),
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -15,6 +15,7 @@
 use crate::edge::Edge;
 use crate::reply::{ChunkSender, ReplyBody, passed, refusal, stream};
 
+const ELSEWHERE: Duration = Duration::from_millis(50); // when another vm can take the request
 const COME_BACK: Duration = Duration::from_millis(300); // after a refusal that is not about load
 
 /// Counts a request while it is under way.
@@ -58,7 +59,19 @@
     }
 }
 
+/// A process that closes takes only what certainly ends before it does.
+fn fits(edge: &Edge, call: &Call) -> Result<()> {
+    match edge.closing.get() {
+        Some(end) if call.end > end => {
+            let err = Error::new(ErrorKind::Draining, "the process is stopping");
+            Err(err.with_retry(ELSEWHERE))
+        }
+        _ => Ok(()),
+    }
+}
+
 async fn serve(edge: &Rc<Edge>, call: Call, active: Active) -> Result<Response<ReplyBody>> {
+    fits(edge, &call)?;
     edge.earn_retry(&call.service);
     if let Some(model) = &call.head.model {
         let work = call.prompt() + call.output();
--- a/crates/carob-edge/src/orders.rs
+++ b/crates/carob-edge/src/orders.rs
@@ -6,12 +6,11 @@
 use std::time::Duration;
 
 use carob_platform::{
-    DownstreamHead, Order, OrderAnswer, OrderTarget, REPORT_PATH, decode_order, decode_report,
-    order_body, order_path,
+    DownstreamHead, Order, REPORT_PATH, decode_order, decode_report, order_body, order_path,
 };
 use carobglade::{
-    Engine, EngineState, Listed, ModelName, ModelOrder, ReplicaSettings, Replicas, TryEnd,
-    UpstreamName, short_name,
+    Engine, EngineState, Listed, ModelName, ModelOrder, OrderBook, OrderEnd, OrderTarget,
+    ReplicaSettings, Replicas, TryEnd, UpstreamName, short_name,
 };
 use http::{HeaderValue, Method, Uri};
 
@@ -22,53 +21,14 @@
 const INTERVAL: Duration = Duration::from_millis(250); // between two plans
 const ANSWER_TIME: Duration = Duration::from_millis(700);
 const REPORT_MAX: usize = 1 << 20; // bytes
-const LOAD_TIME: Duration = Duration::from_secs(15); // after which a load is taken for lost
 const CLEAR_TIME: Duration = Duration::from_millis(150); // from the news of an eviction to its order
-const REST: Duration = Duration::from_millis(400); // after an order that was not carried out
+const REPORT_AGE: Duration = Duration::from_millis(400); // of an engine's report, at the most
 const LIST_TIME: Duration = Duration::from_millis(3500); // in which all upstreams write to the list
 const ADAPTER_TIME: Duration = Duration::from_millis(25); // until an accepted adapter is there
 
-/// What this process knows of an engine that it gives orders to.
-#[derive(Clone, Debug, Default)]
-struct Book {
-    born: u64,
-    /// Orders that the engine accepted since its start, once that is known.
-    sequence: Option<u64>,
-    /// The change that is under way, and when it is taken for lost.
-    under_way: Option<(OrderTarget, Duration)>,
-    /// No order before this time.
-    rest: Duration,
-    /// Whether an order is being sent.
-    sending: bool,
-}
-
-impl Book {
-    fn busy(&self, now: Duration) -> bool {
-        self.sending || self.under_way.is_some() || now < self.rest
-    }
-
-    /// Takes in what the list says of the engine.
-    fn note(&mut self, listed: &Listed, now: Duration) {
-        if listed.born != self.born {
-            *self = Book { born: listed.born, ..Book::default() };
-        }
-        let done = self.under_way.as_ref().is_some_and(|(target, until)| {
-            let held = listed.holds(&target.model, None);
-            now >= *until || held == target.load
-        });
-        if done {
-            self.under_way = None;
-        }
-    }
-
-    fn count(&mut self, sequence: u64) {
-        self.sequence = Some(self.sequence.unwrap_or(0).max(sequence));
-    }
-}
-
 #[derive(Default)]
 struct Desk {
-    books: BTreeMap<UpstreamName, Book>,
+    books: BTreeMap<UpstreamName, OrderBook>,
     plans: BTreeMap<String, Replicas>,
     /// When the first upstream was seen.
     since: Option<Duration>,
@@ -107,8 +67,9 @@
             desk.borrow_mut().plans.remove(service);
             continue;
         };
-        let upstreams: Vec<Listed> = edge.view.borrow().roster.usable(service).cloned().collect();
+        let upstreams = states(edge, desk, service);
         let duty = Duty { part, token, service: service.clone() };
+        learn(edge, desk, &upstreams);
         models(edge, desk, &duty, engine, &upstreams);
         adapters(edge, desk, &duty, engine, &upstreams);
     }
@@ -132,13 +93,45 @@
     service: String,
 }
 
-fn models(edge: &Rc<Edge>, desk: &SharedDesk, duty: &Duty, engine: &Engine, listed: &[Listed]) {
+/// The engines of a service as far as their states are known here.
+fn states(edge: &Edge, desk: &SharedDesk, service: &str) -> Vec<Listed> {
     let now = edge.now();
+    let view = edge.view.borrow();
     let mut all = desk.borrow_mut();
-    all.books.retain(|name, _| edge.view.borrow().roster.get(name).is_some());
-    for upstream in listed {
-        all.books.entry(upstream.name.clone()).or_default().note(upstream, now);
+    all.books.retain(|name, _| view.roster.get(name).is_some());
+    let known = view.roster.usable(service).map(|listed| {
+        let book = all.books.entry(listed.name.clone()).or_default();
+        book.note(listed, now);
+        book.state(listed)
+    });
+    known.collect()
+}
+
+/// Asks the engines whose count of orders is not known for their reports.
+fn learn(edge: &Rc<Edge>, desk: &SharedDesk, upstreams: &[Listed]) {
+    let now = edge.now();
+    for upstream in upstreams {
+        let ask = book(desk, &upstream.name, |book| {
+            let ask = book.sequence().is_none() && !book.busy(now);
+            if ask {
+                book.start();
+            }
+            ask
+        });
+        if ask {
+            let (edge, desk, upstream) = (Rc::clone(edge), Rc::clone(desk), upstream.clone());
+            tokio::task::spawn_local(async move {
+                inspect(&edge, &desk, &upstream).await;
+                book(&desk, &upstream.name, OrderBook::finish);
+                edge.wanted.notify_one();
+            });
+        }
     }
+}
+
+fn models(edge: &Rc<Edge>, desk: &SharedDesk, duty: &Duty, engine: &Engine, listed: &[Listed]) {
+    let now = edge.now();
+    let mut all = desk.borrow_mut();
     let states: Vec<EngineState> =
         listed.iter().map(|upstream| state(edge, &all.books[&upstream.name], upstream)).collect();
     let demand = edge.demand.borrow();
@@ -152,7 +145,7 @@
             continue;
         };
         let book = all.books.entry(upstream.name.clone()).or_default();
-        book.sending = true;
+        book.start();
         log::info!(target: "orders", upstream:% = order.upstream, model:% = order.model, load = order.load, demand = rates.get(&order.model).copied().unwrap_or(0.0), token = duty.token; "An order is planned.");
         let (edge, desk, duty) = (Rc::clone(edge), Rc::clone(desk), duty.clone());
         let upstream = upstream.clone();
@@ -162,19 +155,13 @@
     }
 }
 
-fn state(edge: &Edge, book: &Book, listed: &Listed) -> EngineState {
+fn state(edge: &Edge, book: &OrderBook, listed: &Listed) -> EngineState {
     let now = edge.now();
     let mut models: BTreeMap<ModelName, usize> =
         listed.models.iter().map(|held| (held.name.clone(), 0)).collect();
     for (model, _) in edge.placement.borrow().adapters(listed, now) {
         *models.entry(model).or_default() += 1;
     }
-    if let Some((target, _)) = &book.under_way {
-        match target.load {
-            true => models.entry(target.model.clone()).or_default(),
-            false => &mut models.remove(&target.model).unwrap_or_default(),
-        };
-    }
     EngineState {
         name: listed.name.clone(),
         data_centre: listed.data_centre.to_string(),
@@ -211,74 +198,53 @@
         announce(edge, upstream, &order.model, false, sequence);
         tokio::time::sleep(CLEAR_TIME).await;
     }
-    let answer = give(edge, desk, duty, upstream, &target).await;
-    let accepted = matches!(answer, Some(OrderAnswer::Accepted | OrderAnswer::Holds));
-    if accepted == order.load || answer.is_none() && !order.load {
+    let end = give(edge, desk, duty, upstream, &target).await;
+    // After an eviction that was not accepted, requests may go there again.
+    if end.done() == order.load {
         let sequence = sequence(desk, &upstream.name) + 1;
         announce(edge, upstream, &order.model, true, sequence);
     }
-    let now = edge.now();
-    let mut all = desk.borrow_mut();
-    let book = all.books.entry(upstream.name.clone()).or_default();
-    book.sending = false;
-    match answer {
-        Some(OrderAnswer::Accepted) => book.under_way = Some((target, now + LOAD_TIME)),
-        Some(OrderAnswer::Holds) => {}
-        _ => book.rest = now + REST,
-    }
+    book(desk, &upstream.name, OrderBook::finish);
 }
 
-fn known(desk: &SharedDesk, name: &UpstreamName) -> bool {
-    desk.borrow().books.get(name).is_some_and(|book| book.sequence.is_some())
+fn book<T>(desk: &SharedDesk, name: &UpstreamName, act: impl FnOnce(&mut OrderBook) -> T) -> T {
+    act(desk.borrow_mut().books.entry(name.clone()).or_default())
 }
 
 fn sequence(desk: &SharedDesk, name: &UpstreamName) -> u64 {
-    desk.borrow().books.get(name).and_then(|book| book.sequence).unwrap_or(0)
+    book(desk, name, |book| book.sequence().unwrap_or(0))
 }
 
-/// Sends an order, if the duty is still held; reads the engine's report when the outcome leaves
-/// its state open.
+/// Sends an order, if the duty is still held and the engine's state is the one it was planned on.
 async fn give(
     edge: &Edge,
     desk: &SharedDesk,
     duty: &Duty,
     upstream: &Listed,
     target: &OrderTarget,
-) -> Option<OrderAnswer> {
+) -> OrderEnd {
     let held = edge.duties.borrow().token(duty.part, edge.now());
+    let Some(expect) = book(desk, &upstream.name, |book| book.sequence()) else {
+        return OrderEnd::Refused;
+    };
     if held != Some(duty.token) {
-        return Some(OrderAnswer::Refused);
-    }
-    if !known(desk, &upstream.name) {
-        inspect(edge, desk, upstream).await;
+        return OrderEnd::Refused;
     }
-    let expect = sequence(desk, &upstream.name);
     let order =
         Order { target: target.clone(), expect, holder: edge.vm.to_string(), token: duty.token };
     let sent = tokio::time::timeout(ANSWER_TIME, post(edge, upstream, &order)).await;
-    let answer = match sent {
-        Ok(Ok(status)) => Some(decode_order(status)),
-        Ok(Err(_)) | Err(_) => None,
+    let end = match sent {
+        Ok(Ok(status)) => decode_order(status),
+        Ok(Err(TryEnd::Unsent)) => OrderEnd::Refused,
+        Ok(Err(_)) | Err(_) => OrderEnd::Unknown,
     };
     edge.metrics.ordered(if target.load { "load" } else { "unload" });
-    log::info!(target: "orders", upstream:% = upstream.name, model:% = target.model, adapter = target.adapter.as_deref().unwrap_or(""), load = target.load, expect = expect, token = duty.token, answer:? = answer; "An order was given.");
-    match answer {
-        Some(OrderAnswer::Accepted | OrderAnswer::Holds) => count(desk, &upstream.name, expect + 1),
-        Some(OrderAnswer::Fenced) => edge.duties.borrow_mut().fenced(duty.part, edge.now()),
-        Some(OrderAnswer::Conflict) | None => {
-            // An engine's report is some hundred milliseconds old.
-            tokio::time::sleep(REST).await;
-            inspect(edge, desk, upstream).await;
-        }
-        Some(OrderAnswer::Elsewhere | OrderAnswer::Refused) => {}
+    log::info!(target: "orders", upstream:% = upstream.name, model:% = target.model, adapter = target.adapter.as_deref().unwrap_or(""), load = target.load, expect = expect, token = duty.token, end:? = end; "An order was given.");
+    book(desk, &upstream.name, |book| book.ended(target, expect, end, edge.now()));
+    if end == OrderEnd::Fenced {
+        edge.duties.borrow_mut().fenced(duty.part, edge.now());
     }
-    answer
-}
-
-fn count(desk: &SharedDesk, name: &UpstreamName, sequence: u64) {
-    let mut all = desk.borrow_mut();
-    let book = all.books.entry(name.clone()).or_default();
-    book.count(sequence);
+    end
 }
 
 async fn post(edge: &Edge, upstream: &Listed, order: &Order) -> Result<u16, TryEnd> {
@@ -295,8 +261,10 @@
     Ok(answer.status)
 }
 
-/// Reads how many orders an engine has accepted.
+/// Reads an engine's own report.
 async fn inspect(edge: &Edge, desk: &SharedDesk, upstream: &Listed) {
+    // What happened up to now is in the report only when that is older.
+    tokio::time::sleep(REPORT_AGE).await;
     let request = Outgoing {
         method: Method::GET,
         target: Uri::from_static(REPORT_PATH),
@@ -314,7 +282,7 @@
     match decode_report(&body) {
         Ok(report) => {
             log::info!(target: "orders", upstream:% = upstream.name, sequence = report.sequence, busy = report.busy; "An engine was asked for its state.");
-            count(desk, &upstream.name, report.sequence);
+            book(desk, &upstream.name, |book| book.inspected(report, edge.now()));
         }
         Err(err) => {
             log::warn!(target: "orders", upstream:% = upstream.name, error:% = err; "A report cannot be read.");
@@ -340,7 +308,7 @@
         let Some((upstream, victim)) = adapter_home(edge, desk, engine, &hosts) else {
             continue;
         };
-        desk.borrow_mut().books.entry(upstream.name.clone()).or_default().sending = true;
+        book(desk, &upstream.name, OrderBook::start);
         edge.placement.borrow_mut().satisfied(&name);
         let (edge, desk, duty) = (Rc::clone(edge), Rc::clone(desk), duty.clone());
         tokio::task::spawn_local(async move {
@@ -392,7 +360,7 @@
         let target = OrderTarget { model: name.model.clone(), adapter, load: true };
         change_adapter(edge, desk, duty, upstream, target).await;
     }
-    desk.borrow_mut().books.entry(upstream.name.clone()).or_default().sending = false;
+    book(desk, &upstream.name, OrderBook::finish);
     edge.wanted.notify_one();
 }
 
@@ -403,12 +371,11 @@
     upstream: &Listed,
     target: OrderTarget,
 ) -> bool {
-    let answer = give(edge, desk, duty, upstream, &target).await;
-    let accepted = matches!(answer, Some(OrderAnswer::Accepted | OrderAnswer::Holds));
-    if !accepted {
+    let end = give(edge, desk, duty, upstream, &target).await;
+    if !end.done() {
         return false;
     }
-    if answer == Some(OrderAnswer::Accepted) {
+    if end == OrderEnd::Accepted {
         tokio::time::sleep(ADAPTER_TIME).await;
     }
     let news = PlacementNews {
--- a/crates/carob-edge/src/peers.rs
+++ b/crates/carob-edge/src/peers.rs
@@ -114,13 +114,10 @@
     settled: bool,
 ) {
     let mut meter = edge.meter.borrow_mut();
-    if !settled && !meter.settled() {
-        return;
-    }
     let usage =
         usage.into_iter().map(|UsageWire(tenant, total, level)| Usage { tenant, total, level });
     let usage: Vec<Usage> = usage.collect();
-    meter.hear(vm, incarnation, &usage, edge.now());
+    meter.hear(vm, incarnation, &usage, settled, edge.now());
 }
 
 fn hear_placement(edge: &Edge, wanted: Vec<AdapterName>, news: Vec<PlacementNews>) {
@@ -145,6 +142,7 @@
     let now = edge.now();
     let loads = edge.loads.borrow().tell();
     let mut meter = edge.meter.borrow_mut();
+    meter.expect(edge.fleet());
     meter.advance(now);
     let usage = meter.tell();
     let settled = meter.settled();
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -142,8 +142,9 @@
     group::leave(edge).await;
     let notice = NOTICE.min(edge.settings.grace() / 3);
     tokio::time::sleep(notice.saturating_sub(edge.now().saturating_sub(started))).await;
-    phase.send_replace(Phase::Closing);
     let end = started + edge.settings.grace().saturating_sub(GRACE_MARGIN);
+    edge.closing.set(Some(end));
+    phase.send_replace(Phase::Closing);
     while edge.active.get() > 0 && edge.now() < end {
         tokio::time::sleep(LOOK_AGAIN).await;
     }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -7,6 +7,7 @@
 mod freshness;
 pub mod ledger;
 mod loads;
+mod orderbook;
 pub mod placement;
 pub mod quota;
 mod record;
@@ -21,6 +22,7 @@
 pub use duty::{Duties, DutyChange, DutySettings, Joined};
 pub use freshness::{Freshness, FreshnessSettings};
 pub use loads::{LOAD_MEMORY, Load, Loads, short_name};
+pub use orderbook::{EngineReport, OrderBook, OrderEnd, OrderSettings, OrderTarget};
 pub use record::{
     Claim, ClaimDone, ClaimRef, ConfigChange, Entry, Fingerprint, Intent, IntentKind, Join,
     Outcome, Record, Resolve, Restarted, SlotTake, Snapshot, Suspicion, VmRef,
--- a/src/process/quota/meter.rs
+++ b/src/process/quota/meter.rs
@@ -11,17 +11,26 @@
 use crate::{Incarnation, TenantName, Tokens, VmName};
 
 /// Settings of a [`Meter`].
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub struct MeterSettings {
     /// Silence from which a process is assumed to use its share.
     pub silence: Duration,
     /// Silence from which it is assumed to be gone.
     pub gone: Duration,
+    /// Time until the others know what this process tells them at once.
+    pub news: Duration,
+    /// Multiple of its even share of a bucket that a process may take before it tells the others.
+    pub untold: f64,
 }
 
 impl Default for MeterSettings {
     fn default() -> Self {
-        MeterSettings { silence: Duration::from_millis(700), gone: Duration::from_secs(8) }
+        MeterSettings {
+            silence: Duration::from_millis(700),
+            gone: Duration::from_secs(8),
+            news: Duration::from_millis(25),
+            untold: 1.0,
+        }
     }
 }
 
@@ -42,6 +51,8 @@
     burst: f64,
     level: f64,
     total: u64,
+    /// Tokens taken since this process last told the others.
+    untold: f64,
     peers: BTreeMap<VmName, Told>,
 }
 
@@ -61,6 +72,8 @@
     now: Duration,
     full: bool,
     settled: bool,
+    fleet: usize,
+    urgent: bool,
 }
 
 impl Meter {
@@ -68,7 +81,7 @@
     /// process starts later: it cannot know what was admitted before.
     pub fn new(settings: MeterSettings, full: bool, now: Duration) -> Self {
         let (accounts, heard) = (BTreeMap::new(), BTreeMap::new());
-        Meter { settings, accounts, heard, now, full, settled: full }
+        Meter { settings, accounts, heard, now, full, settled: full, fleet: 1, urgent: false }
     }
 
     /// Sets a tenant's limits; a rate of 0 is no limit.
@@ -87,16 +100,23 @@
         self.accounts.retain(|tenant, _| keep(tenant));
     }
 
-    /// Fills the buckets up to `now`.
+    /// Sets the number of processes that are known to share the work, this one included.
+    pub fn expect(&mut self, fleet: usize) {
+        self.fleet = fleet.max(1);
+    }
+
+    /// Fills the buckets up to `now`. As long as this process does not know what the others
+    /// admit, only with its even share.
     pub fn advance(&mut self, now: Duration) {
         let passed = now.saturating_sub(self.now).as_secs_f64();
         self.now = self.now.max(now);
         self.heard.retain(|_, at| now.saturating_sub(*at) < self.settings.gone);
-        let fleet = (self.heard.len() + 1) as f64;
+        let fleet = self.fleet();
+        let share = if self.settled { 1.0 } else { 1.0 / fleet };
         for account in self.accounts.values_mut() {
             let heard = &self.heard;
             account.peers.retain(|vm, _| heard.contains_key(vm));
-            account.level += account.rate * passed;
+            account.level += account.rate * share * passed;
             for (vm, told) in &mut account.peers {
                 let silent = now.saturating_sub(heard[vm]) >= self.settings.silence;
                 let part = if silent { account.rate / fleet * passed } else { 0.0 };
@@ -107,6 +127,10 @@
         }
     }
 
+    fn fleet(&self) -> f64 {
+        self.fleet.max(self.heard.len() + 1) as f64
+    }
+
     /// Takes `tokens` for a request.
     ///
     /// # Errors
@@ -119,6 +143,7 @@
         now: Duration,
     ) -> Result<(), Duration> {
         self.advance(now);
+        let fleet = self.fleet();
         let Some(account) = self.accounts.get_mut(tenant).filter(|a| a.rate > 0.0) else {
             return Ok(());
         };
@@ -127,7 +152,13 @@
             let wait = (needed - account.level) / account.rate;
             return Err(Duration::from_secs_f64(wait.min(60.0)));
         }
+        let most = (account.level + account.untold) / fleet * self.settings.untold;
+        if account.untold > 0.0 && account.untold + tokens.0 as f64 > most {
+            self.urgent = true;
+            return Err(self.settings.news);
+        }
         account.level -= tokens.0 as f64;
+        account.untold += tokens.0 as f64;
         account.total += tokens.0;
         Ok(())
     }
@@ -136,15 +167,24 @@
     pub fn refund(&mut self, tenant: &TenantName, tokens: Tokens) {
         if let Some(account) = self.accounts.get_mut(tenant).filter(|a| a.rate > 0.0) {
             account.level = (account.level + tokens.0 as f64).min(account.burst);
+            account.untold = (account.untold - tokens.0 as f64).max(0.0);
             account.total = account.total.saturating_sub(tokens.0);
         }
     }
 
-    /// Takes in what another process tells of its admissions.
-    pub fn hear(&mut self, vm: &VmName, incarnation: Incarnation, told: &[Usage], now: Duration) {
+    /// Takes in what another process tells of its admissions. `settled` says whether that process
+    /// knows what was admitted before it started.
+    pub fn hear(
+        &mut self,
+        vm: &VmName,
+        incarnation: Incarnation,
+        told: &[Usage],
+        settled: bool,
+        now: Duration,
+    ) {
         self.advance(now);
-        let known = self.heard.insert(vm.clone(), now).is_some();
-        let adopt = !self.settled && !told.is_empty();
+        self.heard.insert(vm.clone(), now);
+        let adopt = !self.settled && settled && !told.is_empty();
         for usage in told {
             let Some(account) = self.accounts.get_mut(&usage.tenant) else {
                 continue;
@@ -159,7 +199,9 @@
             let before = match past {
                 Some(past) if past.incarnation == incarnation => past,
                 Some(past) => Told { total: 0, ..past },
-                None if known => Told::default(),
+                // All that a new process admitted is news; an older one may have told it before
+                // it fell silent.
+                None if !settled => Told::default(),
                 None => Told { total: usage.total, ..Told::default() },
             };
             let spent = usage.total as f64 - before.total as f64;
@@ -168,8 +210,17 @@
         self.settled |= adopt;
     }
 
+    /// Whether a request waits until the others know what this process took.
+    pub fn urgent(&self) -> bool {
+        self.urgent
+    }
+
     /// What this process tells the others.
-    pub fn tell(&self) -> Vec<Usage> {
+    pub fn tell(&mut self) -> Vec<Usage> {
+        self.urgent = false;
+        for account in self.accounts.values_mut() {
+            account.untold = 0.0;
+        }
         let limited = self.accounts.iter().filter(|(_, account)| account.rate > 0.0);
         let usage = |(tenant, account): (&TenantName, &Account)| Usage {
             tenant: tenant.clone(),
--- /dev/null
+++ b/tests/meter.rs
@@ -0,0 +1,234 @@
+//! Buckets that all processes keep alike from what they tell each other.
+
+#[macro_use]
+mod support;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carobglade::{Incarnation, Meter, MeterSettings, TenantName, Tokens, Usage, VmName};
+
+const RATE: u64 = 30_000; // tokens a second
+const BURST: u64 = 30_000; // tokens
+const STEP: Duration = Duration::from_millis(10);
+const TELL: Duration = Duration::from_millis(200); // between two messages of a process
+const SOON: Duration = Duration::from_millis(20); // when a request waits for it
+const DELAY: Duration = Duration::from_millis(3); // of a message
+
+fn tenant() -> TenantName {
+    "north".parse().unwrap()
+}
+
+fn vm(i: usize) -> VmName {
+    format!("vm-{i}").parse().unwrap()
+}
+
+/// What a process tells another.
+struct Letter {
+    from: usize,
+    to: usize,
+    incarnation: u64,
+    settled: bool,
+    told: Vec<Usage>,
+}
+
+/// A fleet on virtual time; every process is asked for more than the whole rate.
+struct Fleet {
+    meters: Vec<(Meter, u64, Duration)>,
+    mail: BTreeMap<Duration, Vec<Letter>>,
+    admitted: Vec<(Duration, u64)>,
+    cut: Option<usize>,
+    now: Duration,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let meters =
+            (0..count).map(|_| (Self::meter(true, Duration::ZERO, count), 1, Duration::ZERO));
+        Fleet {
+            meters: meters.collect(),
+            mail: BTreeMap::new(),
+            admitted: Vec::new(),
+            cut: None,
+            now: Duration::ZERO,
+        }
+    }
+
+    fn meter(first: bool, now: Duration, fleet: usize) -> Meter {
+        let mut meter = Meter::new(MeterSettings::default(), first, now);
+        meter.expect(fleet);
+        meter.set(&tenant(), RATE, BURST);
+        meter
+    }
+
+    fn restart_all(&mut self) {
+        let count = self.meters.len();
+        for (meter, incarnation, started) in &mut self.meters {
+            *meter = Self::meter(false, self.now, count);
+            *incarnation += 1;
+            *started = self.now;
+        }
+    }
+
+    fn cuts(&self, from: usize, to: usize) -> bool {
+        self.cut.is_some_and(|cut| (from < cut) != (to < cut))
+    }
+
+    fn run(&mut self, time: Duration, tokens: u64) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.deliver();
+            for i in 0..self.meters.len() {
+                let (meter, _, started) = &mut self.meters[i];
+                if self.now.saturating_sub(*started) >= Duration::from_secs(1) {
+                    meter.settle();
+                }
+                if tokens < BURST && meter.admit(&tenant(), Tokens(tokens), self.now).is_ok() {
+                    self.admitted.push((self.now, tokens));
+                }
+                // Processes tell at different moments, and soon when a request waits for it.
+                let phase = STEP * i as u32;
+                let due = (self.now + phase).as_millis().is_multiple_of(TELL.as_millis());
+                let soon = (self.now + phase).as_millis().is_multiple_of(SOON.as_millis());
+                if due || (soon && meter.urgent()) {
+                    self.post(i);
+                }
+            }
+        }
+    }
+
+    fn post(&mut self, from: usize) {
+        let (meter, incarnation, _) = &mut self.meters[from];
+        let (incarnation, settled, told) = (*incarnation, meter.settled(), meter.tell());
+        let others = (0..self.meters.len()).filter(|to| *to != from && !self.cuts(from, *to));
+        let letter = |to| Letter { from, to, incarnation, settled, told: told.clone() };
+        let letters: Vec<Letter> = others.map(letter).collect();
+        self.mail.entry(self.now + DELAY).or_default().extend(letters);
+    }
+
+    fn deliver(&mut self) {
+        while let Some(entry) = self.mail.first_entry().filter(|e| *e.key() <= self.now) {
+            for letter in entry.remove() {
+                let meter = &mut self.meters[letter.to].0;
+                let incarnation = Incarnation(letter.incarnation);
+                meter.hear(&vm(letter.from), incarnation, &letter.told, letter.settled, self.now);
+            }
+        }
+    }
+
+    /// The most that was admitted in any window of `length`.
+    fn most(&self, length: Duration) -> u64 {
+        let within = |start: Duration| {
+            let range = self.admitted.iter().filter(|(at, _)| *at >= start && *at < start + length);
+            range.map(|(_, tokens)| tokens).sum()
+        };
+        self.admitted.iter().map(|(at, _)| within(*at)).max().unwrap_or(0)
+    }
+}
+
+/// The bound of the deployments: a tenth above the limit, and a fixed allowance.
+fn bound(seconds: u64) -> u64 {
+    (RATE * seconds + BURST) * 11 / 10 + 17_000
+}
+
+fn steady(count: usize) {
+    let mut fleet = Fleet::new(count);
+    fleet.run(Duration::from_secs(12), 2_400);
+    let most = fleet.most(Duration::from_secs(8));
+    assert!(most <= bound(8), "{most} tokens in 8 s, allowed {}", bound(8));
+    let all: u64 = fleet.admitted.iter().map(|(_, tokens)| tokens).sum();
+    assert!(all >= RATE * 12 * 9 / 10, "only {all} tokens in 12 s");
+}
+
+fn restart(count: usize) {
+    let mut fleet = Fleet::new(count);
+    fleet.run(Duration::from_secs(6), 2_400);
+    fleet.restart_all();
+    fleet.run(Duration::from_secs(8), 2_400);
+    let most = fleet.most(Duration::from_secs(8));
+    assert!(most <= bound(8), "{most} tokens in 8 s, allowed {}", bound(8));
+}
+
+fn split(count: usize) {
+    let mut fleet = Fleet::new(count);
+    fleet.run(Duration::from_secs(4), 2_400);
+    fleet.cut = Some(count / 2);
+    fleet.run(Duration::from_secs(6), 2_400);
+    fleet.cut = None;
+    fleet.run(Duration::from_secs(6), 2_400);
+    let most = fleet.most(Duration::from_secs(8));
+    assert!(most <= bound(8), "{most} tokens in 8 s, allowed {}", bound(8));
+}
+
+cases! {
+    steady:
+    steady_of_six => (6);
+    steady_of_nine => (9);
+}
+
+cases! {
+    restart:
+    all_restart_at_once_of_six => (6);
+    all_restart_at_once_of_nine => (9);
+}
+
+cases! {
+    split:
+    split_fleet_of_six => (6);
+    split_fleet_of_nine => (9);
+}
+
+#[test]
+fn a_process_that_starts_alone_adopts_the_level() {
+    let mut old = Fleet::meter(true, Duration::ZERO, 2);
+    let now = Duration::from_secs(10);
+    assert!(old.admit(&tenant(), Tokens(20_000), now).is_ok());
+    let mut new = Fleet::meter(false, now, 2);
+    assert!(new.admit(&tenant(), Tokens(5_000), now).is_err());
+    new.hear(&vm(0), Incarnation(1), &old.tell(), old.settled(), now);
+    assert!(new.admit(&tenant(), Tokens(5_000), now).is_ok());
+    assert_eq!(new.level(&tenant()), Some(5_000));
+}
+
+#[test]
+fn refunded_tokens_come_back_everywhere() {
+    let mut one = Fleet::meter(true, Duration::ZERO, 2);
+    let mut two = Fleet::meter(true, Duration::ZERO, 2);
+    assert!(one.admit(&tenant(), Tokens(10_000), Duration::ZERO).is_ok());
+    two.hear(&vm(0), Incarnation(1), &one.tell(), true, Duration::ZERO);
+    one.admit(&tenant(), Tokens(8_000), Duration::ZERO).unwrap();
+    two.hear(&vm(0), Incarnation(1), &one.tell(), true, Duration::ZERO);
+    assert_eq!(two.level(&tenant()), Some(22_000));
+    one.refund(&tenant(), Tokens(8_000));
+    two.hear(&vm(0), Incarnation(1), &one.tell(), true, Duration::ZERO);
+    assert_eq!(two.level(&tenant()), Some(30_000));
+}
+
+/// One process gets all of a tenant's requests, just within the rate; none waits for long.
+#[test]
+fn one_process_may_take_the_whole_rate() {
+    let mut fleet = Fleet::new(6);
+    let mut waiting: Vec<Duration> = Vec::new();
+    let mut longest = Duration::ZERO;
+    let spacing = Duration::from_millis(90); // 2,400 tokens each: 0.89 of the rate
+    let mut next = Duration::ZERO;
+    while fleet.now < Duration::from_secs(20) {
+        fleet.run(STEP, BURST); // asks for nothing
+        if fleet.now >= next {
+            waiting.push(fleet.now);
+            next += spacing;
+        }
+        let now = fleet.now;
+        let meter = &mut fleet.meters[0].0;
+        while let Some(since) = waiting.first().copied() {
+            if meter.admit(&tenant(), Tokens(2_400), now).is_err() {
+                break;
+            }
+            longest = longest.max(now - since);
+            waiting.remove(0);
+        }
+    }
+    assert!(waiting.len() <= 1, "{} requests wait", waiting.len());
+    assert!(longest <= Duration::from_millis(100), "a request waited {longest:?}");
+}
