--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -66,6 +66,8 @@
     pub closing: Cell<Option<Duration>>,
     /// Requests under way.
     pub active: Cell<u64>,
+    /// Connections of callers.
+    pub connections: Cell<u64>,
     /// Wakes those that wait for a model, an adapter or an upstream.
     pub changed: Notify,
     /// Wakes the planner.
@@ -103,6 +105,7 @@
             stopping: Cell::new(false),
             closing: Cell::new(None),
             active: Cell::new(0),
+            connections: Cell::new(0),
             changed: Notify::new(),
             wanted: Notify::new(),
             news: Notify::new(),
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -10,7 +10,7 @@
 use eyre::{Result, WrapErr};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
-use tokio::task::LocalSet;
+use tokio::task::{JoinHandle, LocalSet};
 
 use crate::edge::Edge;
 use crate::front::{self, Phase};
@@ -44,7 +44,7 @@
     let (phase, watching) = watch::channel(Phase::Serving);
     let servers = [serve_ready(&edge)?, serve_metrics(&edge, metrics)?];
     log::info!(target: "main", vm = edge.settings.vm.as_str(), data_centre = edge.settings.data_centre.as_str(), first = edge.settings.first, incarnation = edge.incarnation.0; "The process started.");
-    tokio::task::spawn_local(front::accept(Rc::clone(&edge), listener, watching));
+    let accepting = tokio::task::spawn_local(front::accept(Rc::clone(&edge), listener, watching));
     tokio::task::spawn_local(follow::configuration(Rc::clone(&edge)));
     tokio::task::spawn_local(follow::upstreams(Rc::clone(&edge)));
     tokio::task::spawn_local(follow::announce(Rc::clone(&edge)));
@@ -56,7 +56,7 @@
     tokio::task::spawn_local(upkeep(Rc::clone(&edge)));
     wait_for_stop(&edge, &path).await?;
     duties.abort();
-    let whole = stop(&edge, &phase).await;
+    let whole = stop(&edge, &phase, &accepting).await;
     log::info!(target: "main", whole = whole, active = edge.active.get(); "The process stopped.");
     servers.into_iter().for_each(Server::stop);
     Ok(whole)
@@ -134,7 +134,7 @@
 }
 
 /// Stops taking callers, hands duties over, and finishes every request.
-async fn stop(edge: &Rc<Edge>, phase: &watch::Sender<Phase>) -> bool {
+async fn stop(edge: &Rc<Edge>, phase: &watch::Sender<Phase>, accepting: &JoinHandle<()>) -> bool {
     let started = edge.now();
     log::info!(target: "main", active = edge.active.get(); "The process stops.");
     edge.stopping.set(true);
@@ -148,7 +148,10 @@
     while edge.active.get() > 0 && edge.now() < end {
         tokio::time::sleep(LOOK_AGAIN).await;
     }
-    // Connections that end now still have to write their last bytes.
-    tokio::time::sleep(LOOK_AGAIN).await;
+    // What is not accepted yet was not read; its callers come back elsewhere.
+    accepting.abort();
+    while edge.connections.get() > 0 && edge.now() < end {
+        tokio::time::sleep(LOOK_AGAIN).await;
+    }
     edge.active.get() == 0
 }
