--- a/crates/carob-edge/src/orders.rs
+++ b/crates/carob-edge/src/orders.rs
@@ -157,11 +157,8 @@
 
 fn state(edge: &Edge, book: &OrderBook, listed: &Listed) -> EngineState {
     let now = edge.now();
-    let mut models: BTreeMap<ModelName, usize> =
-        listed.models.iter().map(|held| (held.name.clone(), 0)).collect();
-    for (model, _) in edge.placement.borrow().adapters(listed, now) {
-        *models.entry(model).or_default() += 1;
-    }
+    let held = listed.models.iter().map(|held| (held.name.clone(), held.adapters.len()));
+    let models: BTreeMap<ModelName, usize> = held.collect();
     EngineState {
         name: listed.name.clone(),
         data_centre: listed.data_centre.to_string(),
@@ -317,6 +314,14 @@
     }
 }
 
+fn adapters_of(listed: &Listed) -> Vec<(ModelName, String)> {
+    let held = listed
+        .models
+        .iter()
+        .flat_map(|held| held.adapters.iter().map(|adapter| (held.name.clone(), adapter.clone())));
+    held.collect()
+}
+
 /// The engine that takes an adapter with the least loss, and the adapter that makes room there.
 fn adapter_home(
     edge: &Edge,
@@ -330,7 +335,7 @@
     let loads = edge.loads.borrow();
     let free = hosts.iter().filter(|l| all.books.get(&l.name).is_none_or(|b| !b.busy(now)));
     let options = free.map(|listed| {
-        let held = board.adapters(listed, now);
+        let held = adapters_of(listed);
         let full = held.len() >= engine.adapters;
         let used =
             |(model, adapter): &(ModelName, String)| board.used(&listed.name, model, adapter);
--- a/crates/carob-edge/src/placement.rs
+++ b/crates/carob-edge/src/placement.rs
@@ -178,23 +178,6 @@
         }
     }
 
-    /// The adapters of an engine, by the list and by news.
-    pub fn adapters(&self, listed: &Listed, now: Duration) -> Vec<(ModelName, String)> {
-        let held = listed.models.iter().flat_map(|held| {
-            held.adapters.iter().map(|adapter| (held.name.clone(), adapter.clone()))
-        });
-        let mut all: Vec<(ModelName, String)> = held.collect();
-        for known in self.news.iter().filter(|known| known.news.upstream == listed.name) {
-            if let Some(adapter) = &known.news.adapter {
-                all.push((known.news.model.clone(), adapter.clone()));
-            }
-        }
-        all.sort();
-        all.dedup();
-        all.retain(|(model, adapter)| self.holds(listed, model, Some(adapter), now));
-        all
-    }
-
     /// A request used an adapter.
     pub fn touch(
         &mut self,
--- a/src/process/orderbook.rs
+++ b/src/process/orderbook.rs
@@ -2,8 +2,8 @@
 //!
 //! An engine refuses an order that expects another count of orders than it has accepted. So an
 //! order whose answer was lost, and the next one, cannot both be carried out, as long as each is
-//! planned on the state that belongs to the count that it expects. The platform's list is seconds
-//! old; an engine's own report holds count and state of one moment.
+//! planned on the state that belongs to the count that it expects. The platform's list is
+//! seconds old or more; an engine's own report holds count and state of one moment.
 
 use std::time::Duration;
 
@@ -62,30 +62,22 @@
     pub load: Duration,
     /// Rest after an order that was not carried out.
     pub rest: Duration,
-    /// Entries of the list after a report until the list is at least as new.
-    pub beats: u64,
 }
 
 impl Default for OrderSettings {
     fn default() -> Self {
-        OrderSettings { load: Duration::from_secs(15), rest: Duration::from_millis(400), beats: 2 }
+        OrderSettings { load: Duration::from_secs(15), rest: Duration::from_millis(400) }
     }
 }
 
-#[derive(Clone, Debug)]
-struct Seen {
-    models: Vec<HeldModel>,
-    beat: u64,
-}
-
 /// What is known of one engine.
 #[derive(Clone, Debug, Default)]
 pub struct OrderBook {
     settings: OrderSettings,
     born: u64,
-    beat: u64,
     sequence: Option<u64>,
-    seen: Option<Seen>,
+    /// What the engine held at that count; the list may be many seconds older.
+    seen: Option<Vec<HeldModel>>,
     under_way: Option<(OrderTarget, Duration)>,
     rest: Duration,
     sending: bool,
@@ -98,10 +90,6 @@
             let settings = self.settings;
             *self = OrderBook { settings, born: listed.born, ..OrderBook::default() };
         }
-        self.beat = listed.beat;
-        if self.seen.as_ref().is_some_and(|s| listed.beat >= s.beat + self.settings.beats) {
-            self.seen = None;
-        }
         let done = self.under_way.as_ref().is_some_and(|(target, until)| {
             now >= *until || listed.holds(&target.model, None) == target.load
         });
@@ -119,15 +107,16 @@
             return false;
         }
         self.sequence = Some(report.sequence);
-        self.seen = Some(Seen { models: report.models, beat: self.beat });
+        self.seen = Some(report.models);
         true
     }
 
-    /// The engine as far as it is known: the list's entry, corrected by what is newer.
+    /// The engine as far as it is known: the list's entry, with the models of the last report and
+    /// of the orders since then.
     pub fn state(&self, listed: &Listed) -> Listed {
         let mut state = listed.clone();
         if let Some(seen) = &self.seen {
-            state.models.clone_from(&seen.models);
+            state.models.clone_from(seen);
         }
         match &self.under_way {
             Some((target, _)) if target.load && !state.holds(&target.model, None) => {
@@ -189,17 +178,16 @@
         let Some(seen) = &mut self.seen else {
             return;
         };
-        seen.beat = seen.beat.max(self.beat);
         match &target.adapter {
             None if target.load => {
-                if !seen.models.iter().any(|held| held.name == target.model) {
+                if !seen.iter().any(|held| held.name == target.model) {
                     let name = target.model.clone();
-                    seen.models.push(HeldModel { name, adapters: Vec::new() });
+                    seen.push(HeldModel { name, adapters: Vec::new() });
                 }
             }
-            None => seen.models.retain(|held| held.name != target.model),
+            None => seen.retain(|held| held.name != target.model),
             Some(adapter) => {
-                for held in seen.models.iter_mut().filter(|held| held.name == target.model) {
+                for held in seen.iter_mut().filter(|held| held.name == target.model) {
                     held.adapters.retain(|known| known != adapter);
                     if target.load {
                         held.adapters.push(adapter.clone());
