--- a/src/process/demand.rs
+++ b/src/process/demand.rs
@@ -6,7 +6,7 @@
 use crate::{ModelName, VmName};
 
 /// Time over which demand is averaged.
-const WINDOW: f64 = 3.0; // seconds
+const WINDOW: f64 = 1.5; // seconds
 
 /// How long what another process told counts.
 const MEMORY: Duration = Duration::from_secs(3);
--- a/src/process/replicas.rs
+++ b/src/process/replicas.rs
@@ -22,8 +22,8 @@
 impl Default for ReplicaSettings {
     fn default() -> Self {
         ReplicaSettings {
-            advantage: 1.6,
-            residency: Duration::from_secs(5),
+            advantage: 1.8,
+            residency: Duration::from_secs(4),
             floor: 800.0,
             share: 0.9,
         }
