--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -17,7 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 const USER_TIMEOUT: Duration = Duration::from_secs(2); // unacknowledged bytes on a connection
 const IDLE_DEFAULT: Duration = Duration::from_secs(4); // where an upstream names no time
 const IDLE_PART: f64 = 0.6; // of the time that an upstream names
