--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -27,7 +27,7 @@
             crowd: Duration::from_millis(2),
             remote: Duration::from_millis(25),
             fill: 0.9,
-            patience: 1.6,
+            patience: 1.1,
         }
     }
 }
