--- a/benches/carob-bench/src/lib.rs
+++ b/benches/carob-bench/src/lib.rs
@@ -14,3 +14,4 @@
 
 pub use client::{Answer, Client};
 pub use fleet::{Fleet, FleetOptions};
+pub use process::{Process, free_address};
--- a/crates/carob-edge/src/settings.rs
+++ b/crates/carob-edge/src/settings.rs
@@ -150,7 +150,7 @@
 
     /// The address for metrics.
     pub fn metrics_address(&self) -> SocketAddr {
-        SocketAddr::new(self.ip, self.ports.first + 1)
+        SocketAddr::new(self.ip, self.ports.last)
     }
 
     /// Time from SIGTERM until the process must be gone.
