Test duties, list, choice and placement without network; count full memory as a wait

A full memory counted 28 ms where a request waits until another ends; the case a_full_memory_counts_as_a_wait failed first.

--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -2,6 +2,12 @@
 
 use std::time::Duration;
 
+/// Milliseconds until some request of an engine with full memory ends.
+const FULL_MS: f64 = 200.0;
+
+/// Milliseconds until an engine's memory was given back once over.
+const DRAIN_MS: f64 = 4000.0;
+
 /// Settings of [`dispatch`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DispatchSettings {
@@ -85,7 +91,8 @@
         let start = settings.start.as_secs_f64() * 1000.0;
         let (used, size) = self.memory;
         let over = (used + self.prompt).saturating_sub(size) as f64;
-        let full = if size > 0 { over / size as f64 * 4000.0 } else { 0.0 };
+        let full =
+            if size > 0 && over > 0.0 { FULL_MS + over / size as f64 * DRAIN_MS } else { 0.0 };
         let place = if self.memory.1 > 0 { crowd + start } else { 0.0 };
         let beyond = (self.running + 1).saturating_sub(self.slots.max(1));
         let queue =
--- /dev/null
+++ b/tests/dispatch.rs
@@ -0,0 +1,137 @@
+//! Choice of an upstream and what follows a failed try, on loads that occurred.
+
+#[macro_use]
+mod support;
+
+use std::time::Duration;
+
+use carobglade::{
+    Bid, DispatchSettings, Dispatched, ErrorKind, EventSplitter, Need, Next, RouteKind, Tries,
+    TryEnd, dispatch,
+};
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn bid(backlog: u64) -> Bid {
+    Bid { backlog, prompt: 2000, slots: 64, memory: (20_000, 140_000), pace: 1.0, ..Bid::default() }
+}
+
+fn need() -> Need {
+    Need { goal: ms(800), left: ms(5000), output: ms(300), work: ms(20) }
+}
+
+fn chosen(bids: &[Bid], need: &Need) -> Dispatched {
+    dispatch(bids, need, &DispatchSettings::default(), 0)
+}
+
+fn index(bids: &[Bid], need: &Need) -> usize {
+    match chosen(bids, need) {
+        Dispatched::Send(index, _) => index,
+        other => panic!("not sent: {other:?}"),
+    }
+}
+
+#[test]
+fn the_shorter_backlog_wins() {
+    assert_eq!(index(&[bid(9000), bid(1000), bid(5000)], &need()), 1);
+}
+
+#[test]
+fn another_data_centre_must_be_better_by_more_than_the_way() {
+    let remote = Bid { remote: true, ..bid(1000) };
+    assert_eq!(index(&[remote, bid(1200)], &need()), 1);
+    assert_eq!(index(&[remote, bid(9000)], &need()), 0);
+}
+
+#[test]
+fn a_slow_or_failing_upstream_gets_less() {
+    let slow = Bid { pace: 5.0, ..bid(0) };
+    assert_eq!(index(&[slow, bid(3000)], &need()), 1);
+    let failing = Bid { failing: 0.5, ..bid(0) };
+    assert_eq!(index(&[failing, bid(3000)], &need()), 1);
+}
+
+/// Demand moved to a model with one copy: what comes later is told at once to come back.
+#[test]
+fn a_request_that_would_be_very_late_is_refused_with_a_time() {
+    match chosen(&[bid(40_000)], &need()) {
+        Dispatched::Late(after) => assert!(after >= ms(1000) && after <= ms(2000), "{after:?}"),
+        other => panic!("{other:?}"),
+    }
+    let patient = Need { goal: ms(3000), left: ms(8000), ..need() };
+    assert_eq!(index(&[bid(40_000)], &patient), 0);
+}
+
+#[test]
+fn a_request_is_not_sent_where_it_cannot_end_in_time() {
+    let short = Need { left: ms(350), ..need() };
+    assert!(matches!(chosen(&[bid(0)], &short), Dispatched::Late(_)));
+}
+
+#[test]
+fn a_full_memory_counts_as_a_wait() {
+    let full = Bid { memory: (139_000, 140_000), ..bid(0) };
+    assert_eq!(index(&[full, bid(1500)], &need()), 1);
+}
+
+#[test]
+fn a_plain_upstream_with_free_places_has_no_wait() {
+    let plain = |running| Bid { running, slots: 6, pace: 1.0, ..Bid::default() };
+    let need = Need { goal: ms(100), left: ms(1500), output: ms(0), work: ms(15) };
+    assert_eq!(index(&[plain(9), plain(5)], &need), 1);
+    assert_eq!(plain(5).estimate(&need, &DispatchSettings::default()), ms(0));
+}
+
+#[test]
+fn nobody_is_not_late() {
+    assert_eq!(chosen(&[], &need()), Dispatched::Nobody);
+}
+
+const ONCE: RouteKind = RouteKind::Once;
+const READ: RouteKind = RouteKind::Idempotent;
+const DRAFT: RouteKind = RouteKind::Stream { resumable: false };
+const PLAN: RouteKind = RouteKind::Stream { resumable: true };
+
+fn after(kind: RouteKind, attempts: u32, ends: &[TryEnd], expected: Next) {
+    let mut tries = Tries::default();
+    ends.iter().for_each(|end| tries.note(*end));
+    assert_eq!(tries.next(kind, attempts, *ends.last().unwrap()), expected);
+}
+
+cases! {
+    after:
+    a_command_that_was_not_sent_goes_elsewhere => (ONCE, 1, &[TryEnd::Unsent], Next::Again);
+    a_command_that_was_shed_keeps_to_its_attempts => (ONCE, 1, &[TryEnd::NotRun], Next::Refuse(ErrorKind::UpstreamUnavailable));
+    a_command_that_was_shed_may_go_on => (ONCE, 2, &[TryEnd::NotRun], Next::Again);
+    a_command_with_a_lost_answer_ends => (ONCE, 3, &[TryEnd::Broken], Next::Refuse(ErrorKind::UpstreamFailed));
+    a_silent_command_ends_unknown => (ONCE, 3, &[TryEnd::Silent], Next::Refuse(ErrorKind::Timeout));
+    a_failed_command_is_answered_by_its_upstream => (ONCE, 3, &[TryEnd::Failed], Next::Pass);
+    a_draft_is_like_a_command => (DRAFT, 3, &[TryEnd::Broken], Next::Refuse(ErrorKind::UpstreamFailed));
+    a_plan_goes_on => (PLAN, 2, &[TryEnd::Broken], Next::Again);
+    a_plan_keeps_to_its_attempts => (PLAN, 2, &[TryEnd::Broken, TryEnd::Silent], Next::Refuse(ErrorKind::Timeout));
+    a_read_is_tried_again_after_a_failure => (READ, 2, &[TryEnd::Failed], Next::Again);
+    a_read_passes_the_last_failure => (READ, 2, &[TryEnd::Broken, TryEnd::Failed], Next::Pass);
+    a_read_that_may_have_run_is_not_called_unrun => (READ, 2, &[TryEnd::Broken, TryEnd::NotRun], Next::Refuse(ErrorKind::UpstreamFailed));
+}
+
+#[test]
+fn events_are_passed_on_whole_at_any_cut() {
+    let stream = b"id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nid: 3\ndata: c\n\n";
+    for cut in 0..stream.len() {
+        for second in cut..stream.len() {
+            let mut splitter = EventSplitter::default();
+            let mut passed = Vec::new();
+            for part in [&stream[..cut], &stream[cut..second], &stream[second..]] {
+                if let Some(events) = splitter.push(part) {
+                    assert!(events.ends_with(b"\n\n") || events.ends_with(b"\r\n\r\n"));
+                    passed.extend_from_slice(&events);
+                }
+            }
+            assert_eq!(passed, stream);
+            assert_eq!((splitter.last(), splitter.count()), (Some(3), 3));
+            assert!(!splitter.partial());
+        }
+    }
+}
--- /dev/null
+++ b/tests/replicas.rs
@@ -0,0 +1,179 @@
+//! Which engine holds which models, on demand that moves.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carobglade::{
+    Engine, EngineModel, EngineState, ModelName, ModelOrder, ReplicaSettings, Replicas, Tokens,
+};
+
+const ENGINES: usize = 9;
+const MODELS: usize = 18;
+const LOAD: Duration = Duration::from_millis(2400);
+const STEP: Duration = Duration::from_millis(250);
+
+fn model(i: usize) -> ModelName {
+    format!("m{i}").parse().unwrap()
+}
+
+fn engine() -> Engine {
+    let models = (0..MODELS).map(|i| {
+        let name = model(i);
+        let load = LOAD;
+        (name.clone(), EngineModel { name, weights: 72_700.0, adapter: 66.0, load })
+    });
+    Engine {
+        slots: 64,
+        memory: Tokens(140_000),
+        weights: 230_000.0,
+        adapters: 8,
+        loads: 1.1,
+        models: models.collect(),
+    }
+}
+
+/// Engines on virtual time that carry out the planner's orders.
+struct World {
+    engine: Engine,
+    planner: Replicas,
+    states: Vec<EngineState>,
+    coming: Vec<(Duration, ModelOrder)>,
+    loads: Vec<Duration>,
+    now: Duration,
+}
+
+impl World {
+    /// Every model on one engine; the first on all others that have room.
+    fn new() -> Self {
+        let mut states: Vec<EngineState> = (0..ENGINES)
+            .map(|i| EngineState {
+                name: format!("engine-{i}").parse().unwrap(),
+                data_centre: "rennes".into(),
+                models: BTreeMap::new(),
+                copies: Vec::new(),
+                busy: false,
+                backlog: 0,
+            })
+            .collect();
+        for i in 0..MODELS {
+            states[i % ENGINES].models.insert(model(i), 0);
+        }
+        for state in states.iter_mut() {
+            if state.models.len() < 3 {
+                state.models.insert(model(0), 0);
+            }
+        }
+        World {
+            engine: engine(),
+            planner: Replicas::new(ReplicaSettings::default()),
+            states,
+            coming: Vec::new(),
+            loads: Vec::new(),
+            now: Duration::ZERO,
+        }
+    }
+
+    fn run(&mut self, time: Duration, demand: &[(usize, f64)]) {
+        let demand: BTreeMap<ModelName, f64> =
+            demand.iter().map(|(i, rate)| (model(*i), *rate)).collect();
+        let end = self.now + time;
+        while self.now < end {
+            self.now += STEP;
+            self.finish();
+            let orders = self.planner.plan(&self.engine, &self.states, &demand, self.now);
+            for order in orders {
+                let state = self.states.iter_mut().find(|s| s.name == order.upstream).unwrap();
+                assert!(!state.busy, "two orders to {}", order.upstream);
+                state.busy = true;
+                let takes = if order.load { LOAD } else { Duration::from_millis(500) };
+                if order.load && !state.copies.contains(&order.model) {
+                    self.loads.push(self.now);
+                }
+                self.coming.push((self.now + takes, order));
+            }
+        }
+    }
+
+    fn finish(&mut self) {
+        let now = self.now;
+        let (done, rest) = self.coming.drain(..).partition(|(at, _)| *at <= now);
+        self.coming = rest;
+        let done: Vec<(Duration, ModelOrder)> = done;
+        for (_, order) in done {
+            let state = self.states.iter_mut().find(|s| s.name == order.upstream).unwrap();
+            state.busy = false;
+            if order.load {
+                state.models.insert(order.model.clone(), 0);
+                state.copies.push(order.model);
+                assert!(state.models.len() <= 3, "{} is overcommitted", order.upstream);
+            } else {
+                state.models.remove(&order.model);
+            }
+        }
+    }
+
+    fn copies(&self, i: usize) -> usize {
+        self.states.iter().filter(|state| state.models.contains_key(&model(i))).count()
+    }
+
+    fn most_loads(&self, window: Duration) -> usize {
+        let within = |start: Duration| {
+            self.loads.iter().filter(|at| **at >= start && **at < start + window).count()
+        };
+        self.loads.iter().map(|at| within(*at)).max().unwrap_or(0)
+    }
+}
+
+const fn seconds(value: u64) -> Duration {
+    Duration::from_secs(value)
+}
+
+#[test]
+fn steady_demand_moves_nothing() {
+    let mut world = World::new();
+    world.run(seconds(20), &[(0, 20_000.0), (1, 900.0)]);
+    assert!(world.loads.len() <= 2, "{} loads", world.loads.len());
+}
+
+/// The busiest model falls silent and one with a single copy takes its place.
+#[test]
+fn copies_follow_demand_that_moves() {
+    let mut world = World::new();
+    world.run(seconds(5), &[(0, 60_000.0)]);
+    world.run(seconds(12), &[(7, 60_000.0)]);
+    assert!(world.copies(7) >= 4, "{} copies", world.copies(7));
+    assert!((0..MODELS).all(|i| world.copies(i) >= 1), "a model lost its last copy");
+}
+
+#[test]
+fn two_busy_models_do_not_push_each_other_out() {
+    let mut world = World::new();
+    world.run(seconds(10), &[(0, 30_000.0), (1, 30_000.0)]);
+    let loads = world.loads.len();
+    world.run(seconds(20), &[(0, 30_000.0), (1, 31_000.0)]);
+    assert!(
+        world.loads.len() <= loads + 1,
+        "{} loads while nothing changed",
+        world.loads.len() - loads
+    );
+    assert!(world.copies(0).abs_diff(world.copies(1)) <= 2);
+}
+
+#[test]
+fn the_models_of_a_lost_engine_come_back() {
+    let mut world = World::new();
+    world.run(seconds(3), &[(0, 20_000.0)]);
+    world.states[4].models.clear();
+    world.run(seconds(10), &[(0, 20_000.0)]);
+    assert!((0..MODELS).all(|i| world.copies(i) >= 1));
+}
+
+#[test]
+fn loads_from_the_store_stay_below_its_ceiling() {
+    let mut world = World::new();
+    for round in 0..6 {
+        world.run(seconds(4), &[(round * 2, 60_000.0), (round * 2 + 1, 40_000.0)]);
+    }
+    // 1.1 loads a second, a tenth above, and three more in any five seconds.
+    assert!(world.most_loads(seconds(5)) <= 9, "{} loads in 5 s", world.most_loads(seconds(5)));
+}
