--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -26,6 +26,9 @@
 /// Retries that a request earns, of those that the deployment allows.
 const RATIO_PART: f64 = 0.8;
 
+/// Tokens that a bucket holds after a restart, of those that a tenant may go beyond its limit.
+const START_PART: f64 = 0.4;
+
 /// The parts of the process. Each has its own state; none is held across a wait.
 pub struct Edge {
     /// Settings.
@@ -87,12 +90,16 @@
             lease: Duration::from_millis(settings.bounds.lease),
             ..DutySettings::default()
         };
+        let meter = MeterSettings {
+            start: (settings.bounds.tokens as f64 * START_PART) as u64,
+            ..MeterSettings::default()
+        };
         Rc::new(Edge {
             vm: settings.vm.parse().unwrap_or_default(),
             incarnation: Incarnation(clock.unix_millis()),
             view: RefCell::new(View::new(Duration::from_millis(settings.bounds.revoke))),
             loads: RefCell::default(),
-            meter: RefCell::new(Meter::new(MeterSettings::default(), settings.first, now)),
+            meter: RefCell::new(Meter::new(meter, settings.first, now)),
             demand: RefCell::default(),
             suspects: RefCell::default(),
             retries: RefCell::default(),
--- a/crates/carob-edge/src/settings.rs
+++ b/crates/carob-edge/src/settings.rs
@@ -56,11 +56,13 @@
     pub retries: f64,
     /// Requests that may be sent again beside that in a window, over all vms.
     pub spare: f64,
+    /// Tokens by which a tenant may go beyond its limit in a window.
+    pub tokens: u64,
 }
 
 impl Default for Bounds {
     fn default() -> Self {
-        Bounds { revoke: 5000, grace: 8.0, lease: 3000, retries: 0.2, spare: 50.0 }
+        Bounds { revoke: 5000, grace: 8.0, lease: 3000, retries: 0.2, spare: 50.0, tokens: 0 }
     }
 }
 
--- a/deploy/settings.json.tpl
+++ b/deploy/settings.json.tpl
@@ -15,6 +15,7 @@
     "grace": {{bounds.grace_s|json}},
     "lease": {{bounds.lease_ms|json}},
     "retries": {{bounds.retry_ratio|json}},
-    "spare": {{bounds.retry_allowance|json}}
+    "spare": {{bounds.retry_allowance|json}},
+    "tokens": {{bounds.quota_allowance|json}}
   }
 }
--- a/src/process/quota/meter.rs
+++ b/src/process/quota/meter.rs
@@ -19,6 +19,8 @@
     pub gone: Duration,
     /// Time until the others know what this process tells them at once.
     pub news: Duration,
+    /// Tokens that a bucket holds when a process starts that cannot know what was admitted before.
+    pub start: u64,
     /// Multiple of its even share of a bucket that a process may take before it tells the others.
     pub untold: f64,
 }
@@ -29,6 +31,7 @@
             silence: Duration::from_millis(700),
             gone: Duration::from_secs(8),
             news: Duration::from_millis(25),
+            start: 0,
             untold: 1.0,
         }
     }
@@ -77,8 +80,8 @@
 }
 
 impl Meter {
-    /// Buckets that start full when the whole system starts for the first time, and empty when a
-    /// process starts later: it cannot know what was admitted before.
+    /// Buckets that start full when the whole system starts for the first time, and nearly empty
+    /// when a process starts later: it cannot know what was admitted before.
     pub fn new(settings: MeterSettings, full: bool, now: Duration) -> Self {
         let (accounts, heard) = (BTreeMap::new(), BTreeMap::new());
         Meter { settings, accounts, heard, now, full, settled: full, fleet: 1, urgent: false }
@@ -89,8 +92,9 @@
         let fresh = !self.accounts.contains_key(tenant);
         let account = self.accounts.entry(tenant.clone()).or_default();
         (account.rate, account.burst) = (rate as f64, burst as f64);
-        if fresh && (self.full || self.settled) {
-            account.level = account.burst;
+        if fresh {
+            let known = self.full || self.settled;
+            account.level = if known { account.burst } else { self.settings.start as f64 };
         }
         account.level = account.level.min(account.burst);
     }
