Explain a request from log lines; metrics by tenant and service; show what the platform holds

carobctl explain merges the lines of several vms and says what they cannot tell; every line names its vm. carobctl platform status and check read the platform's log. Also traced: a free port of the harness was taken once in 21 tests (process a_withdrawn_key_stops_working). A starting process holds a probed port's socket until it is its program; ports.rs shows it, and spawn waits for the probe.

--- a/benches/carob-bench/src/process.rs
+++ b/benches/carob-bench/src/process.rs
@@ -32,6 +32,17 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// Starts a command while no port is being probed: a new process holds all open sockets of this
+/// one until it has become its program, a probed port's among them.
+///
+/// # Errors
+///
+/// When the program cannot be started.
+pub fn spawn(command: &mut Command) -> std::io::Result<Child> {
+    let _probing = TAKEN.lock().unwrap_or_else(std::sync::PoisonError::into_inner);
+    command.spawn()
+}
+
 /// The folder of the programs that were built.
 pub fn programs() -> Result<PathBuf> {
     let own = std::env::current_exe()?;
@@ -53,13 +64,9 @@
     pub fn start(program: &str, args: &[&str], output: &Path) -> Result<Self> {
         let path = programs()?.join(program);
         let file = File::options().create(true).append(true).open(output)?;
-        let child = Command::new(&path)
-            .args(args)
-            .stdin(Stdio::null())
-            .stdout(file.try_clone()?)
-            .stderr(file)
-            .spawn()
-            .wrap_err_with(|| path.display().to_string())?;
+        let mut command = Command::new(&path);
+        command.args(args).stdin(Stdio::null()).stdout(file.try_clone()?).stderr(file);
+        let child = spawn(&mut command).wrap_err_with(|| path.display().to_string())?;
         Ok(Process { child, output: output.to_path_buf() })
     }
 
@@ -71,7 +78,9 @@
     /// Sends a signal by name.
     pub fn signal(&self, name: &str) {
         let id = self.id().to_string();
-        let _ = Command::new("kill").args([&format!("-{name}"), id.as_str()]).status();
+        let mut command = Command::new("kill");
+        command.args([&format!("-{name}"), id.as_str()]);
+        let _ = spawn(&mut command).and_then(|mut child| child.wait());
     }
 
     /// Kills it.
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -43,13 +43,10 @@
         Ok(call) => serve(&edge, call, active).await,
         Err(err) => Err(err),
     };
-    let took = edge.now().saturating_sub(arrival);
     match answered {
-        Ok(response) => {
-            edge.metrics.answered(response.status().as_u16(), took);
-            response
-        }
+        Ok(response) => response,
         Err(err) => {
+            let took = edge.now().saturating_sub(arrival);
             let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
             edge.metrics.refused(err.kind());
             log::info!(target: "request", id = id, kind = err.kind().answer().code, why = err.message(), took = took.as_millis() as u64, retry = err.retry().map_or(0, |r| r.as_millis() as u64); "A request was refused.");
@@ -84,8 +81,14 @@
     let tried = tokio::time::timeout(limit, tries(edge, &call, &progress, Vec::new(), None)).await;
     let tried = tried.unwrap_or_else(|_| Err(expired(progress.get())));
     match tried {
-        Ok(Tried::Whole(answer)) => Ok(whole(answer)),
-        Ok(Tried::Open(open)) => Ok(relay(edge, call, *open, progress.get(), active)),
+        Ok(Tried::Whole(answer)) => {
+            note(edge, &call, answer.status);
+            Ok(whole(answer))
+        }
+        Ok(Tried::Open(open)) => {
+            note(edge, &call, open.status);
+            Ok(relay(edge, call, *open, progress.get(), active))
+        }
         Err(err) => {
             if !progress.get().maybe {
                 refund(edge, &call);
@@ -95,6 +98,12 @@
     }
 }
 
+fn note(edge: &Edge, call: &Call, status: u16) {
+    let tenant = call.tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
+    let took = edge.now().saturating_sub(call.arrival);
+    edge.metrics.answered(tenant, &call.service, status, took);
+}
+
 fn expired(tries: Tries) -> Error {
     let kind = if tries.sent > 0 { ErrorKind::Timeout } else { ErrorKind::UpstreamUnavailable };
     Error::new(kind, "no answer came in time").with_retry(COME_BACK)
--- a/crates/carob-edge/src/logs.rs
+++ b/crates/carob-edge/src/logs.rs
@@ -19,6 +19,7 @@
 /// Writes lines to standard output; a line that does not fit is dropped and counted.
 #[derive(Debug, Default)]
 struct PipeAppend {
+    vm: String,
     budgets: Mutex<HashMap<String, (Duration, u32)>>,
     dropped: AtomicU64,
 }
@@ -66,6 +67,7 @@
             return Ok(());
         }
         let mut fields = Map::new();
+        fields.insert("vm".into(), self.vm.as_str().into());
         fields.insert("time".into(), (now.as_millis() as u64).into());
         fields.insert("level".into(), record.level().name().to_ascii_lowercase().into());
         fields.insert("part".into(), record.target().into());
@@ -87,8 +89,8 @@
     }
 }
 
-/// Starts logging.
-pub fn start() {
+/// Starts logging in the name of a vm.
+pub fn start(vm: &str) {
     if !std::io::stdout().is_terminal() {
         let flags =
             rustix::fs::fcntl_getfl(std::io::stdout()).unwrap_or(rustix::fs::OFlags::empty());
@@ -98,7 +100,8 @@
         }
     }
     let filter = EnvFilterBuilder::from_default_env_or("info").build();
+    let append = PipeAppend { vm: vm.to_owned(), ..PipeAppend::default() };
     let builder = logforth::starter_log::builder();
-    builder.dispatch(|d| d.filter(filter).append(PipeAppend::default())).apply();
+    builder.dispatch(|d| d.filter(filter).append(append)).apply();
     log::debug!(target: "main", time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64; "Logging started.");
 }
--- a/crates/carob-edge/src/main.rs
+++ b/crates/carob-edge/src/main.rs
@@ -51,7 +51,7 @@
         println!("settings are valid");
         return ExitCode::SUCCESS;
     }
-    carob_edge::start_logging();
+    carob_edge::start_logging(&settings.vm);
     match carob_edge::run(settings, path) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::from(EXIT_CUT),
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -22,6 +22,23 @@
     calls: Counter<u64>,
     failures: Counter<u64>,
     version: Gauge<u64>,
+    age: Gauge<f64>,
+    active: Gauge<u64>,
+    connections: Gauge<u64>,
+    duties: Gauge<u64>,
+}
+
+/// What the process is doing.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct ProcessState {
+    /// Age of the last confirmed reading of the configuration.
+    pub age: Duration,
+    /// Requests under way.
+    pub active: u64,
+    /// Connections of callers.
+    pub connections: u64,
+    /// Duties that it holds.
+    pub duties: u64,
 }
 
 impl Metrics {
@@ -39,6 +56,9 @@
         let counter = |name: &'static str, what: &'static str| {
             meter.u64_counter(name).with_description(what).build()
         };
+        let gauge = |name: &'static str, what: &'static str| {
+            meter.u64_gauge(name).with_description(what).build()
+        };
         let latency = meter.f64_histogram("request_time").with_unit("s");
         let latency = latency.with_description("Time to an answer, or to a stream's first event");
         Ok(Metrics {
@@ -48,10 +68,15 @@
             orders: counter("orders", "Orders sent to engines"),
             calls: counter("store_calls", "Calls to the platform's log"),
             failures: counter("store_failures", "Calls to the platform's log without an answer"),
-            version: meter
-                .u64_gauge("config_version")
-                .with_description("Version of the configuration in force")
+            version: gauge("config_version", "Version of the configuration in force"),
+            age: meter
+                .f64_gauge("config_age")
+                .with_unit("s")
+                .with_description("Age of the last confirmed reading of the configuration")
                 .build(),
+            active: gauge("active_requests", "Requests under way"),
+            connections: gauge("caller_connections", "Connections of callers"),
+            duties: gauge("duties", "Duties that the process holds"),
             registry,
             _provider: provider,
         })
@@ -66,10 +91,22 @@
         }
     }
 
-    /// A request was answered with an upstream's answer.
-    pub fn answered(&self, status: u16, took: Duration) {
-        let label = KeyValue::new("status", i64::from(status));
-        self.latency.record(took.as_secs_f64(), &[label]);
+    /// A request of a tenant for a service was answered with an upstream's answer.
+    pub fn answered(&self, tenant: &str, service: &str, status: u16, took: Duration) {
+        let labels = [
+            KeyValue::new("tenant", tenant.to_owned()),
+            KeyValue::new("service", service.to_owned()),
+            KeyValue::new("status", i64::from(status)),
+        ];
+        self.latency.record(took.as_secs_f64(), &labels);
+    }
+
+    /// What the process is doing now.
+    pub fn state(&self, state: ProcessState) {
+        self.age.record(state.age.as_secs_f64(), &[]);
+        self.active.record(state.active, &[]);
+        self.connections.record(state.connections, &[]);
+        self.duties.record(state.duties, &[]);
     }
 
     /// A request was refused.
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -14,7 +14,7 @@
 
 use crate::edge::Edge;
 use crate::front::{self, Phase};
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, ProcessState};
 use crate::settings::Settings;
 use crate::{follow, group, orders, peers};
 
@@ -95,6 +95,7 @@
     loop {
         tokio::time::sleep(UPKEEP).await;
         edge.update_ready();
+        edge.metrics.state(state(&edge));
         edge.pool.sweep();
         edge.loads.borrow_mut().fade();
         edge.suspects.borrow_mut().expire(edge.clock.unix_millis());
@@ -104,6 +105,16 @@
     }
 }
 
+fn state(edge: &Edge) -> ProcessState {
+    let now = edge.now();
+    ProcessState {
+        age: edge.view.borrow().freshness.age(now).unwrap_or_default(),
+        active: edge.active.get(),
+        connections: edge.connections.get(),
+        duties: edge.duties.borrow().count(now),
+    }
+}
+
 async fn wait_for_stop(edge: &Edge, path: &std::path::Path) -> Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut interrupt = signal(SignalKind::interrupt())?;
--- a/crates/carobctl/src/main.rs
+++ b/crates/carobctl/src/main.rs
@@ -2,8 +2,10 @@
 
 mod apply;
 mod cert;
+mod explain;
 mod fleet;
 mod key;
+mod platform;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -142,6 +144,35 @@
                 .arg(Arg::new("vm").required(true).value_name("VM").help("Name of the vm"))
                 .arg(log_address()),
         )
+        .subcommand(
+            Command::new("platform")
+                .about("What the users' platform holds")
+                .subcommand_required(true)
+                .subcommand(
+                    Command::new("status")
+                        .about("Show the version in force, vms, upstreams and their models")
+                        .arg(log_address())
+                        .arg(flag("json", "Print JSON")),
+                )
+                .subcommand(
+                    Command::new("check")
+                        .about("Check the configuration that the log holds")
+                        .arg(log_address()),
+                ),
+        )
+        .subcommand(
+            Command::new("explain")
+                .about("Tell the story of a request from log lines")
+                .arg(Arg::new("request").required(true).value_name("REQUEST-ID").help("Its id"))
+                .arg(
+                    Arg::new("files")
+                        .value_name("FILE")
+                        .num_args(0..)
+                        .help("Log files of the vms [default: standard input]")
+                        .value_parser(value_parser!(PathBuf)),
+                )
+                .arg(flag("json", "Print JSON")),
+        )
         .subcommand(Command::new("schema").about("Print the JSON Schema of the configuration"))
         .subcommand(
             Command::new("completions")
@@ -207,6 +238,21 @@
     }
 }
 
+fn explain_request(args: &ArgMatches) -> Result<Ended> {
+    let Some(id) = args.get_one::<String>("request") else { bail!("no request id") };
+    let files = args.get_many::<PathBuf>("files").unwrap_or_default().cloned();
+    explain::explain(id, &files.collect::<Vec<_>>(), args.get_flag("json"))
+}
+
+async fn platform(args: &ArgMatches) -> Result<Ended> {
+    let Some((name, args)) = args.subcommand() else { bail!("no command") };
+    let Some(log) = args.get_one::<SocketAddr>("log") else { bail!("no log") };
+    match name {
+        "status" => platform::status(*log, args.get_flag("json")).await,
+        _ => platform::check(*log).await,
+    }
+}
+
 async fn run(name: &str, args: &ArgMatches) -> Result<Ended> {
     match name {
         "check" => check_file(args),
@@ -216,6 +262,8 @@
         "status" => fleet::status(args).await,
         "drain" => fleet::drain(args).await,
         "gone" => fleet::gone(args).await,
+        "platform" => platform(args).await,
+        "explain" => explain_request(args),
         "key" => key::new(),
         "cert" => cert::write(args),
         "schema" => {
--- /dev/null
+++ b/crates/carobctl/src/platform.rs
@@ -0,0 +1,132 @@
+//! What the users' platform holds: the configuration in force, upstreams and vms.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use carob_net::Caller;
+use carob_platform::{
+    CONFIG_KEY, KeyedRecord, LogCall, OPERATOR_TOPIC, UPSTREAM_TOPIC, VM_TOPIC, decode_newest,
+    decode_site, decode_upstream,
+};
+use carobglade::{Listed, Site};
+use eyre::{Result, eyre};
+use serde_json::json;
+
+use crate::Ended;
+
+const WITHIN: Duration = Duration::from_secs(3); // for one answer of the log
+
+async fn newest(log: SocketAddr, topic: &str) -> Result<Vec<KeyedRecord>> {
+    let caller = Caller::fresh();
+    let mut records: Vec<KeyedRecord> = Vec::new();
+    loop {
+        let after = records.last().map(|record| record.key.clone());
+        let call = LogCall::newest(topic, after.as_deref());
+        let answer = caller.get(&format!("http://{log}{}", call.target), WITHIN).await;
+        let answer = answer.map_err(|err| eyre!("log {log}: {err}"))?;
+        if answer.status != 200 {
+            return Err(eyre!("log {log} answered {} for {topic}", answer.status));
+        }
+        let page = decode_newest(&answer.body)?;
+        records.extend(page.records);
+        if !page.more {
+            return Ok(records);
+        }
+    }
+}
+
+async fn site(log: SocketAddr) -> Result<Option<Site>> {
+    let records = newest(log, OPERATOR_TOPIC).await?;
+    let record = records.iter().find(|record| record.key == CONFIG_KEY);
+    Ok(record.map(|record| decode_site(&record.value)).transpose()?)
+}
+
+/// Checks the configuration that the log holds.
+///
+/// # Errors
+///
+/// When the log does not answer.
+pub async fn check(log: SocketAddr) -> Result<Ended> {
+    let site = match site(log).await {
+        Ok(site) => site,
+        Err(err) if err.downcast_ref::<carob_platform::DecodeError>().is_some() => {
+            eprintln!("carobctl: the configuration cannot be read: {err}");
+            return Ok(Ended::Invalid);
+        }
+        Err(err) => return Err(err),
+    };
+    let Some(site) = site else {
+        eprintln!("carobctl: the log holds no configuration");
+        return Ok(Ended::Invalid);
+    };
+    let routes = site.routes.values().flatten();
+    let missing: Vec<String> = routes
+        .flat_map(|route| route.services.iter().map(move |(service, _)| (route, service)))
+        .filter(|(_, service)| !site.services.contains_key(*service))
+        .map(|(route, service)| format!("route {}: no service {service}", route.name))
+        .collect();
+    missing.iter().for_each(|problem| println!("{problem}"));
+    println!(
+        "version {}: {} routes, {} services, {} tenants",
+        site.version,
+        site.routes.values().map(Vec::len).sum::<usize>(),
+        site.services.len(),
+        site.tenants.len()
+    );
+    Ok(if missing.is_empty() { Ended::Done } else { Ended::Invalid })
+}
+
+fn models(listed: &Listed) -> String {
+    let names = listed.models.iter().map(|held| match held.adapters.len() {
+        0 => held.name.to_string(),
+        count => format!("{}+{count}", held.name),
+    });
+    names.collect::<Vec<_>>().join(" ")
+}
+
+/// Prints what the log holds: version, vms, upstreams with their models.
+///
+/// # Errors
+///
+/// When the log does not answer.
+pub async fn status(log: SocketAddr, as_json: bool) -> Result<Ended> {
+    let site = site(log).await?;
+    let vms = newest(log, VM_TOPIC).await?;
+    let entries = newest(log, UPSTREAM_TOPIC).await?;
+    let decoded = entries.iter().map(|record| decode_upstream(&record.key, &record.value));
+    let upstreams: Vec<Listed> = decoded.filter_map(|entry| Some(entry.ok()?.listed)).collect();
+    let unreadable = entries.len() - upstreams.len();
+    let version = site.as_ref().map(|site| site.version);
+    let names: Vec<&String> = vms.iter().map(|record| &record.key).collect();
+    if as_json {
+        let listed = upstreams.iter().map(|listed| {
+            json!({ "name": listed.name.as_str(), "service": listed.service,
+                    "data_centre": listed.data_centre.as_str(), "draining": listed.draining,
+                    "models": models(listed) })
+        });
+        let listed: Vec<serde_json::Value> = listed.collect();
+        let document = json!({ "version": version, "vms": names, "upstreams": listed,
+                               "unreadable": unreadable });
+        println!("{document}");
+        return Ok(Ended::Done);
+    }
+    println!("version {}", version.map_or("none".to_owned(), |version| version.to_string()));
+    println!(
+        "vms that started: {}",
+        names.iter().map(|n| n.as_str()).collect::<Vec<_>>().join(" ")
+    );
+    for listed in &upstreams {
+        let state = if listed.draining { "leaves" } else { "ready" };
+        println!(
+            "{:<16} {:<12} {:<12} {state:<7} {}",
+            listed.name,
+            listed.service,
+            listed.data_centre,
+            models(listed)
+        );
+    }
+    if unreadable > 0 {
+        println!("{unreadable} entries name no upstream");
+    }
+    Ok(Ended::Done)
+}
--- a/src/process/duty.rs
+++ b/src/process/duty.rs
@@ -119,6 +119,11 @@
         (now >= *from && now < self.until).then_some(self.generation)
     }
 
+    /// Duties that belong to this process.
+    pub fn count(&self, now: Duration) -> u64 {
+        if now < self.until { self.held.len() as u64 } else { 0 }
+    }
+
     /// Whether the duty belongs to this process, though it may have to wait yet.
     pub fn holds(&self, part: u32, now: Duration) -> bool {
         now < self.until && self.held.contains_key(&part)
