Adopt the lowest level told at the start; a vm that leaves tells none; count second runs

Also: a vm that starts assumes 16 others until it has read the list, and a run that is repeated is taken from the bucket again.

--- a/crates/carob-edge/src/call.rs
+++ b/crates/carob-edge/src/call.rs
@@ -228,6 +228,13 @@
     }
 }
 
+/// Takes the tokens again for a request that runs once more.
+pub fn charge_again(edge: &Edge, call: &Call) {
+    if let Some(tenant) = &call.tenant {
+        edge.meter.borrow_mut().debit(&tenant.name, call.charge());
+    }
+}
+
 /// Gives the tokens back for a request that did not run.
 pub fn refund(edge: &Edge, call: &Call) {
     if let Some(tenant) = &call.tenant {
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -185,6 +185,13 @@
         self.view.borrow().neighbours.len() + 1
     }
 
+    /// Tells the tenants' buckets how many vms share them, once that is known.
+    pub fn expect_fleet(&self) {
+        if self.view.borrow().vms_known {
+            self.meter.borrow_mut().expect(self.fleet());
+        }
+    }
+
     /// Counts a request that came for a service.
     pub fn earn_retry(&self, service: &str) {
         self.with_budget(service, RetryBudget::deposit);
--- a/crates/carob-edge/src/follow.rs
+++ b/crates/carob-edge/src/follow.rs
@@ -256,7 +256,10 @@
         }
     }
 
-    fn confirmed(&mut self, _edge: &Edge, _sent: Duration) {}
+    fn confirmed(&mut self, edge: &Edge, _sent: Duration) {
+        edge.view.borrow_mut().vms_known = true;
+        edge.expect_fleet();
+    }
 }
 
 /// Writes where this vm takes messages, until the log accepts it.
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 
 use crate::attempt::{EventSource, Failed, OpenStream, Tried, WholeAnswer, attempt};
-use crate::call::{Call, charge, read, refund};
+use crate::call::{Call, charge, charge_again, read, refund};
 use crate::choose::choose;
 use crate::edge::Edge;
 use crate::reply::{ChunkSender, ReplyBody, passed, refusal, stream};
@@ -56,6 +56,12 @@
     }
 }
 
+/// Tokens that are left of the tenant's, as this process sees them.
+fn level(edge: &Edge, call: &Call) -> i64 {
+    let tenant = call.tenant.as_ref();
+    tenant.and_then(|tenant| edge.meter.borrow().level(&tenant.name)).unwrap_or_default()
+}
+
 /// A process that closes takes only what certainly ends before it does.
 fn fits(edge: &Edge, call: &Call) -> Result<()> {
     match edge.closing.get() {
@@ -75,7 +81,7 @@
         edge.demand.borrow_mut().ask(&call.service, model, work, edge.now());
     }
     charge(edge, &call).await?;
-    log::info!(target: "request", id = call.head.id.as_str(), route = call.route.name.as_str(), service = call.service.as_str(), tenant = call.tenant.as_ref().map_or("", |t| t.name.as_str()), model = call.head.model.as_ref().map_or("", |m| m.as_str()), version = call.site.version, left = call.left(edge.now()).as_millis() as u64; "A request was admitted.");
+    log::info!(target: "request", id = call.head.id.as_str(), route = call.route.name.as_str(), service = call.service.as_str(), tenant = call.tenant.as_ref().map_or("", |t| t.name.as_str()), model = call.head.model.as_ref().map_or("", |m| m.as_str()), version = call.site.version, tokens = call.charge().0, level = level(edge, &call), left = call.left(edge.now()).as_millis() as u64; "A request was admitted.");
     let progress = Cell::new(Tries::default());
     let limit = call.left(edge.now());
     let tried = tokio::time::timeout(limit, tries(edge, &call, &progress, Vec::new(), None)).await;
@@ -124,6 +130,9 @@
     loop {
         let choice = choose(edge, call, &tried).await.map_err(|err| truthful(err, progress))?;
         tried.push(choice.listed.name.clone());
+        if progress.get().maybe {
+            charge_again(edge, call);
+        }
         // Until the try ends, the request may run.
         let before = progress.get();
         progress.set(Tries { sent: before.sent + 1, maybe: true });
--- a/crates/carob-edge/src/peers.rs
+++ b/crates/carob-edge/src/peers.rs
@@ -141,11 +141,12 @@
 fn message(edge: &Edge) -> Message {
     let now = edge.now();
     let loads = edge.loads.borrow().tell();
+    edge.expect_fleet();
     let mut meter = edge.meter.borrow_mut();
-    meter.expect(edge.fleet());
     meter.advance(now);
     let usage = meter.tell();
-    let settled = meter.settled();
+    // A vm that leaves may no longer hear all that the others admit.
+    let settled = meter.settled() && !edge.stopping.get();
     let mut board = edge.placement.borrow_mut();
     Message {
         version: VERSION,
--- a/crates/carob-edge/src/view.rs
+++ b/crates/carob-edge/src/view.rs
@@ -26,6 +26,8 @@
     pub roster: Roster,
     /// The other vms.
     pub neighbours: BTreeMap<VmName, Neighbour>,
+    /// Whether the list of vms was read.
+    pub vms_known: bool,
 }
 
 /// Time kept between the last use of a key and its bound.
@@ -41,6 +43,7 @@
             freshness: Freshness::new(settings),
             roster: Roster::new(RosterSettings::default()),
             neighbours: BTreeMap::new(),
+            vms_known: false,
         }
     }
 
--- a/src/process/quota/meter.rs
+++ b/src/process/quota/meter.rs
@@ -21,6 +21,11 @@
     pub news: Duration,
     /// Tokens that a bucket holds when a process starts that cannot know what was admitted before.
     pub start: u64,
+    /// Processes that a later one assumes to share the work until it knows them.
+    pub strangers: usize,
+    /// Time after the first level that was adopted in which a lower one of another process counts
+    /// too: that process may have heard more.
+    pub adopting: Duration,
     /// Multiple of its even share of a bucket that a process may take before it tells the others.
     pub untold: f64,
 }
@@ -32,6 +37,8 @@
             gone: Duration::from_secs(8),
             news: Duration::from_millis(25),
             start: 0,
+            strangers: 16,
+            adopting: Duration::from_millis(500),
             untold: 1.0,
         }
     }
@@ -75,6 +82,7 @@
     now: Duration,
     full: bool,
     settled: bool,
+    adopted: Option<Duration>,
     fleet: usize,
     urgent: bool,
 }
@@ -84,7 +92,18 @@
     /// when a process starts later: it cannot know what was admitted before.
     pub fn new(settings: MeterSettings, full: bool, now: Duration) -> Self {
         let (accounts, heard) = (BTreeMap::new(), BTreeMap::new());
-        Meter { settings, accounts, heard, now, full, settled: full, fleet: 1, urgent: false }
+        let fleet = if full { 1 } else { settings.strangers };
+        Meter {
+            settings,
+            accounts,
+            heard,
+            now,
+            full,
+            settled: full,
+            adopted: None,
+            fleet,
+            urgent: false,
+        }
     }
 
     /// Sets a tenant's limits; a rate of 0 is no limit.
@@ -167,6 +186,16 @@
         Ok(())
     }
 
+    /// Takes `tokens` for a request that runs once more, whether or not the bucket holds them:
+    /// what comes after it waits.
+    pub fn debit(&mut self, tenant: &TenantName, tokens: Tokens) {
+        if let Some(account) = self.accounts.get_mut(tenant).filter(|a| a.rate > 0.0) {
+            account.level -= tokens.0 as f64;
+            account.untold += tokens.0 as f64;
+            account.total += tokens.0;
+        }
+    }
+
     /// Gives back the tokens of a request that no upstream ran.
     pub fn refund(&mut self, tenant: &TenantName, tokens: Tokens) {
         if let Some(account) = self.accounts.get_mut(tenant).filter(|a| a.rate > 0.0) {
@@ -189,6 +218,7 @@
         self.advance(now);
         self.heard.insert(vm.clone(), now);
         let adopt = !self.settled && settled && !told.is_empty();
+        let lower = self.adopted.is_some_and(|at| now < at + self.settings.adopting) && settled;
         for usage in told {
             let Some(account) = self.accounts.get_mut(&usage.tenant) else {
                 continue;
@@ -200,6 +230,9 @@
                 account.level = (usage.level as f64).min(account.burst);
                 continue;
             }
+            if lower {
+                account.level = account.level.min(usage.level as f64);
+            }
             let before = match past {
                 Some(past) if past.incarnation == incarnation => past,
                 Some(past) => Told { total: 0, ..past },
@@ -211,7 +244,9 @@
             let spent = usage.total as f64 - before.total as f64;
             account.level = (account.level - spent + before.assumed).min(account.burst);
         }
-        self.settled |= adopt;
+        if adopt {
+            (self.settled, self.adopted) = (true, Some(now));
+        }
     }
 
     /// Whether a request waits until the others know what this process took.
--- a/tests/meter.rs
+++ b/tests/meter.rs
@@ -163,6 +163,23 @@
     assert!(tokens >= 6_000, "{tokens} tokens in the first half second");
 }
 
+/// Processes that start together do not know of each other for the first fifth of a second.
+fn strangers(count: usize) {
+    let mut fleet = Fleet::new(count);
+    fleet.run(Duration::from_secs(6), 2_400);
+    fleet.restart_all();
+    let now = fleet.now;
+    for (meter, _, _) in &mut fleet.meters {
+        let settings = MeterSettings { start: 6_800, ..MeterSettings::default() };
+        *meter = Meter::new(settings, false, now);
+        meter.set(&tenant(), RATE, BURST);
+    }
+    let before = fleet.admitted.len();
+    fleet.run(Duration::from_millis(190), 500);
+    let tokens = (fleet.admitted.len() - before) as u64 * 500;
+    assert!(tokens <= 17_000, "{tokens} tokens in the first fifth of a second");
+}
+
 fn split(count: usize) {
     let mut fleet = Fleet::new(count);
     fleet.run(Duration::from_secs(4), 2_400);
@@ -192,6 +209,12 @@
     served_after_restart_of_nine => (9);
 }
 
+cases! {
+    strangers:
+    strangers_of_six => (6);
+    strangers_of_nine => (9);
+}
+
 cases! {
     split:
     split_fleet_of_six => (6);
@@ -251,3 +274,30 @@
     assert!(waiting.len() <= 1, "{} requests wait", waiting.len());
     assert!(longest <= Duration::from_millis(100), "a request waited {longest:?}");
 }
+
+/// A request that runs a second time counts twice; the next one waits for it.
+#[test]
+fn a_second_run_is_taken_from_what_follows() {
+    let mut one = Fleet::meter(true, Duration::ZERO, 1);
+    assert!(one.admit(&tenant(), Tokens(20_000), Duration::ZERO).is_ok());
+    one.debit(&tenant(), Tokens(20_000));
+    assert_eq!(one.level(&tenant()), Some(-10_000));
+    one.tell();
+    let wait = one.admit(&tenant(), Tokens(5_000), Duration::ZERO).unwrap_err();
+    assert_eq!(wait, Duration::from_millis(500));
+}
+
+/// A vm that hears less than the others, as one that stops does, tells too high a level.
+#[test]
+fn the_lowest_of_the_levels_told_at_the_start_counts() {
+    let now = Duration::from_secs(10);
+    let mut deaf = Fleet::meter(true, Duration::ZERO, 3);
+    let mut well = Fleet::meter(true, Duration::ZERO, 3);
+    deaf.advance(now);
+    assert!(well.admit(&tenant(), Tokens(29_000), now).is_ok());
+    let mut new = Fleet::meter(false, now, 3);
+    new.hear(&vm(0), Incarnation(1), &deaf.tell(), true, now);
+    assert_eq!(new.level(&tenant()), Some(30_000));
+    new.hear(&vm(1), Incarnation(1), &well.tell(), true, now);
+    assert_eq!(new.level(&tenant()), Some(1_000));
+}
