Share a small grant after a restart of all, and charge only own requests until settled

After a restart of all, each process filled its share but took off what all of them admitted, so levels sank by a second's rate and tenants within their rate were refused for seconds. Each now keeps its own share until it is settled; nine tenths of the allowance are shared out at the start.

--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -26,8 +26,9 @@
 /// Retries that a request earns, of those that the deployment allows.
 const RATIO_PART: f64 = 0.8;
 
-/// Tokens that a bucket holds after a restart, of those that a tenant may go beyond its limit.
-const START_PART: f64 = 0.4;
+/// Tokens that a tenant's buckets hold together after a restart of all vms, of those that it may go
+/// beyond its limit.
+const START_PART: f64 = 0.9;
 
 /// The parts of the process. Each has its own state; none is held across a wait.
 pub struct Edge {
--- a/src/process/quota/meter.rs
+++ b/src/process/quota/meter.rs
@@ -19,7 +19,8 @@
     pub gone: Duration,
     /// Time until the others know what this process tells them at once.
     pub news: Duration,
-    /// Tokens that a bucket holds when a process starts that cannot know what was admitted before.
+    /// Tokens that the buckets of all processes hold together when they start and cannot know
+    /// what was admitted before.
     pub start: u64,
     /// Processes that a later one assumes to share the work until it knows them.
     pub strangers: usize,
@@ -84,6 +85,7 @@
     settled: bool,
     adopted: Option<Duration>,
     fleet: usize,
+    known: bool,
     urgent: bool,
 }
 
@@ -102,6 +104,7 @@
             settled: full,
             adopted: None,
             fleet,
+            known: full,
             urgent: false,
         }
     }
@@ -109,11 +112,11 @@
     /// Sets a tenant's limits; a rate of 0 is no limit.
     pub fn set(&mut self, tenant: &TenantName, rate: u64, burst: u64) {
         let fresh = !self.accounts.contains_key(tenant);
+        let grant = self.grant();
         let account = self.accounts.entry(tenant.clone()).or_default();
         (account.rate, account.burst) = (rate as f64, burst as f64);
         if fresh {
-            let known = self.full || self.settled;
-            account.level = if known { account.burst } else { self.settings.start as f64 };
+            account.level = if self.full || self.settled { account.burst } else { grant };
         }
         account.level = account.level.min(account.burst);
     }
@@ -126,6 +129,19 @@
     /// Sets the number of processes that are known to share the work, this one included.
     pub fn expect(&mut self, fleet: usize) {
         self.fleet = fleet.max(1);
+        if self.known {
+            return;
+        }
+        self.known = true;
+        let grant = self.grant();
+        if !self.full && !self.settled {
+            self.accounts.values_mut().for_each(|account| account.level = account.burst.min(grant));
+        }
+    }
+
+    /// What a bucket holds when a process starts that knows nothing of what was admitted.
+    fn grant(&self) -> f64 {
+        if self.known { self.settings.start as f64 / self.fleet as f64 } else { 0.0 }
     }
 
     /// Fills the buckets up to `now`. As long as this process does not know what the others
@@ -226,6 +242,10 @@
             let past = account
                 .peers
                 .insert(vm.clone(), Told { incarnation, total: usage.total, assumed: 0.0 });
+            // Processes that start together each use their share until they are settled.
+            if !self.settled && !settled {
+                continue;
+            }
             if adopt {
                 account.level = (usage.level as f64).min(account.burst);
                 continue;
