Answer every request before the process ends; one copy of chunks, counters and metrics

Now what waits unsent is refused when the process begins to close, and the rest is told 0.4 s before the end.

--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -30,6 +30,34 @@
 /// beyond its limit.
 const START_PART: f64 = 0.9;
 
+/// Counts things as long as they last.
+#[derive(Clone, Debug, Default)]
+pub struct Counter(Rc<Cell<u64>>);
+
+/// One that is counted, until it is dropped.
+#[derive(Debug)]
+pub struct Counted(Counter);
+
+impl Counter {
+    /// Counts one more.
+    pub fn enter(&self) -> Counted {
+        self.0.set(self.0.get() + 1);
+        Counted(self.clone())
+    }
+
+    /// How many there are.
+    pub fn get(&self) -> u64 {
+        self.0.get()
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        let counter = &self.0.0;
+        counter.set(counter.get() - 1);
+    }
+}
+
 /// The parts of the process. Each has its own state; none is held across a wait.
 pub struct Edge {
     /// Settings.
@@ -68,10 +96,14 @@
     pub stopping: Cell<bool>,
     /// When the process ends, once it closes connections.
     pub closing: Cell<Option<Duration>>,
+    /// Whether requests without an answer have to be given up, as the process ends.
+    pub ending: Cell<bool>,
+    /// Wakes requests when the process begins to close connections, and when it ends.
+    pub halting: Notify,
     /// Requests under way.
-    pub active: Cell<u64>,
+    pub active: Counter,
     /// Connections of callers.
-    pub connections: Cell<u64>,
+    pub connections: Counter,
     /// Wakes those that wait for a model, an adapter or an upstream.
     pub changed: Notify,
     /// Wakes the planner.
@@ -112,8 +144,10 @@
             ready: Arc::new(AtomicBool::new(false)),
             stopping: Cell::new(false),
             closing: Cell::new(None),
-            active: Cell::new(0),
-            connections: Cell::new(0),
+            ending: Cell::new(false),
+            halting: Notify::new(),
+            active: Counter::default(),
+            connections: Counter::default(),
             changed: Notify::new(),
             wanted: Notify::new(),
             news: Notify::new(),
--- a/crates/carob-edge/src/front.rs
+++ b/crates/carob-edge/src/front.rs
@@ -56,24 +56,8 @@
     }
 }
 
-/// Counts a connection as long as it is open.
-struct Open(Rc<Edge>);
-
-impl Open {
-    fn new(edge: &Rc<Edge>) -> Self {
-        edge.connections.set(edge.connections.get() + 1);
-        Open(Rc::clone(edge))
-    }
-}
-
-impl Drop for Open {
-    fn drop(&mut self) {
-        self.0.connections.set(self.0.connections.get() - 1);
-    }
-}
-
 async fn connection(edge: Rc<Edge>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
-    let _open = Open::new(&edge);
+    let _open = edge.connections.enter();
     let socket = socket2::SockRef::from(&stream);
     for result in [socket.set_tcp_nodelay(true), socket.set_tcp_user_timeout(Some(USER_TIMEOUT))] {
         if let Err(err) = result {
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use carob_net::{ChunkSender, chunks};
 use carobglade::{Error, ErrorKind, Next, Result, Tries, TryEnd, UpstreamName};
 use http::{Request, Response};
 use hyper::body::Incoming;
@@ -12,31 +13,15 @@
 use crate::attempt::{EventSource, Failed, OpenStream, Tried, WholeAnswer, attempt};
 use crate::call::{Call, charge, charge_again, read, refund};
 use crate::choose::choose;
-use crate::edge::Edge;
-use crate::reply::{ChunkSender, ReplyBody, passed, refusal, stream};
+use crate::edge::{Counted, Edge};
+use crate::reply::{ReplyBody, passed, refusal};
 
 const ELSEWHERE: Duration = Duration::from_millis(50); // when another vm can take the request
 const COME_BACK: Duration = Duration::from_millis(300); // after a refusal that is not about load
 
-/// Counts a request while it is under way.
-pub struct Active(Rc<Edge>);
-
-impl Active {
-    fn new(edge: &Rc<Edge>) -> Self {
-        edge.active.set(edge.active.get() + 1);
-        Active(Rc::clone(edge))
-    }
-}
-
-impl Drop for Active {
-    fn drop(&mut self) {
-        self.0.active.set(self.0.active.get() - 1);
-    }
-}
-
 /// Answers a caller.
 pub async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<ReplyBody> {
-    let active = Active::new(&edge);
+    let active = edge.active.enter();
     let arrival = edge.now();
     let id = request.headers().get("request-id").cloned();
     let answered = match read(&edge, request, arrival).await {
@@ -73,7 +58,7 @@
     }
 }
 
-async fn serve(edge: &Rc<Edge>, call: Call, active: Active) -> Result<Response<ReplyBody>> {
+async fn serve(edge: &Rc<Edge>, call: Call, active: Counted) -> Result<Response<ReplyBody>> {
     fits(edge, &call)?;
     edge.earn_retry(&call.service);
     if let Some(model) = &call.head.model {
@@ -84,8 +69,11 @@
     log::info!(target: "request", id = call.head.id.as_str(), route = call.route.name.as_str(), service = call.service.as_str(), tenant = call.tenant.as_ref().map_or("", |t| t.name.as_str()), model = call.head.model.as_ref().map_or("", |m| m.as_str()), version = call.site.version, tokens = call.charge().0, level = level(edge, &call), left = call.left(edge.now()).as_millis() as u64; "A request was admitted.");
     let progress = Cell::new(Tries::default());
     let limit = call.left(edge.now());
-    let tried = tokio::time::timeout(limit, tries(edge, &call, &progress, Vec::new(), None)).await;
-    let tried = tried.unwrap_or_else(|_| Err(expired(progress.get())));
+    let tried = tokio::select! {
+        tried = tries(edge, &call, &progress, Vec::new(), None) => tried,
+        () = tokio::time::sleep(limit) => Err(expired(progress.get())),
+        () = halted(edge, &progress) => Err(stopped(progress.get())),
+    };
     match tried {
         Ok(Tried::Whole(answer)) => {
             note(edge, &call, answer.status);
@@ -104,6 +92,24 @@
     }
 }
 
+/// Completes when a request has to be given up because the process stops: at once if it was sent
+/// nowhere yet, at the end if it has no answer by then.
+async fn halted(edge: &Edge, progress: &Cell<Tries>) {
+    loop {
+        let changed = edge.halting.notified();
+        let waiting = progress.get().sent == 0 && edge.closing.get().is_some();
+        if edge.ending.get() || waiting {
+            return;
+        }
+        changed.await;
+    }
+}
+
+fn stopped(tries: Tries) -> Error {
+    let kind = if tries.maybe { ErrorKind::UpstreamFailed } else { ErrorKind::Draining };
+    Error::new(kind, "the process is stopping").with_retry(ELSEWHERE)
+}
+
 fn note(edge: &Edge, call: &Call, status: u16) {
     let tenant = call.tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
     let took = edge.now().saturating_sub(call.arrival);
@@ -181,10 +187,10 @@
     call: Call,
     open: OpenStream,
     progress: Tries,
-    active: Active,
+    active: Counted,
 ) -> Response<ReplyBody> {
-    let (tx, body) = stream();
-    let response = passed(open.status, open.headers, body);
+    let (tx, chunks) = chunks();
+    let response = passed(open.status, open.headers, ReplyBody::Stream(chunks));
     let edge = Rc::clone(edge);
     tokio::task::spawn_local(async move {
         let _active = active;
--- a/crates/carob-edge/src/logs.rs
+++ b/crates/carob-edge/src/logs.rs
@@ -4,7 +4,7 @@
 use std::io::IsTerminal;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, UNIX_EPOCH};
 
 use logforth::filter::env_filter::EnvFilterBuilder;
 use logforth::kv::{Key, Value, Visitor};
@@ -103,5 +103,4 @@
     let append = PipeAppend { vm: vm.to_owned(), ..PipeAppend::default() };
     let builder = logforth::starter_log::builder();
     builder.dispatch(|d| d.filter(filter).append(append)).apply();
-    log::debug!(target: "main", time = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis() as u64; "Logging started.");
 }
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -2,19 +2,17 @@
 
 use std::time::Duration;
 
+use carob_net::MetricsRegistry;
 use carobglade::ErrorKind;
 use eyre::Result;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram};
 
 const SECONDS: [f64; 12] = [0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 5.0, 8.0, 15.0];
 
 /// The metrics of the process.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    registry: MetricsRegistry,
     latency: Histogram<f64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
@@ -48,19 +46,13 @@
     ///
     /// When the exporter cannot be built.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let reader =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(reader).build();
-        let meter = provider.meter("carobglade");
-        let counter = |name: &'static str, what: &'static str| {
-            meter.u64_counter(name).with_description(what).build()
-        };
-        let gauge = |name: &'static str, what: &'static str| {
-            meter.u64_gauge(name).with_description(what).build()
-        };
-        let latency = meter.f64_histogram("request_time").with_unit("s");
+        let registry = MetricsRegistry::new()?;
+        let counter = |name, what| registry.counter(name, what);
+        let gauge = |name, what| registry.gauge(name, what);
+        let latency = registry.meter().f64_histogram("request_time").with_unit("s");
         let latency = latency.with_description("Time to an answer, or to a stream's first event");
+        let age = registry.meter().f64_gauge("config_age").with_unit("s");
+        let age = age.with_description("Age of the last confirmed reading of the configuration");
         Ok(Metrics {
             latency: latency.with_boundaries(SECONDS.to_vec()).build(),
             refusals: counter("refusals", "Requests refused, by kind"),
@@ -69,26 +61,17 @@
             calls: counter("store_calls", "Calls to the platform's log"),
             failures: counter("store_failures", "Calls to the platform's log without an answer"),
             version: gauge("config_version", "Version of the configuration in force"),
-            age: meter
-                .f64_gauge("config_age")
-                .with_unit("s")
-                .with_description("Age of the last confirmed reading of the configuration")
-                .build(),
+            age: age.build(),
             active: gauge("active_requests", "Requests under way"),
             connections: gauge("caller_connections", "Connections of callers"),
             duties: gauge("duties", "Duties that the process holds"),
             registry,
-            _provider: provider,
         })
     }
 
     /// All metrics as Prometheus text.
     pub fn text(&self) -> String {
-        let mut buf = Vec::new();
-        match TextEncoder::new().encode(&self.registry.gather(), &mut buf) {
-            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
-            Err(err) => err.to_string(),
-        }
+        self.registry.text()
     }
 
     /// A request of a tenant for a service was answered with an upstream's answer.
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -22,6 +22,8 @@
 const NOTICE: Duration = Duration::from_millis(2600);
 /// Time kept between the last answer and the end of the grace period.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Time before the end in which requests without an answer are told so.
+const LAST_WORDS: Duration = Duration::from_millis(400);
 const LOOK_AGAIN: Duration = Duration::from_millis(50); // while requests are under way
 const UPKEEP: Duration = Duration::from_millis(500);
 
@@ -155,8 +157,12 @@
     tokio::time::sleep(notice.saturating_sub(edge.now().saturating_sub(started))).await;
     let end = started + edge.settings.grace().saturating_sub(GRACE_MARGIN);
     edge.closing.set(Some(end));
+    edge.halting.notify_waiters();
     phase.send_replace(Phase::Closing);
     while edge.active.get() > 0 && edge.now() < end {
+        if edge.now() + LAST_WORDS >= end && !edge.ending.replace(true) {
+            edge.halting.notify_waiters();
+        }
         tokio::time::sleep(LOOK_AGAIN).await;
     }
     // What is not accepted yet was not read; its callers come back elsewhere.
--- a/crates/carob-edge/src/reply.rs
+++ b/crates/carob-edge/src/reply.rs
@@ -1,18 +1,15 @@
 //! Answers to callers.
 
-use std::convert::Infallible;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
 use bytes::Bytes;
+use carob_net::{BrokenOff, ChunkReceiver};
 use carobglade::{Error, ErrorKind};
 use http::{HeaderMap, HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use serde_json::json;
-use tokio::sync::mpsc;
-
-const CHUNKS_BUFFERED: usize = 8; // chunks of one stream
 
 /// The body of an answer.
 pub enum ReplyBody {
@@ -22,60 +19,6 @@
     Stream(ChunkReceiver),
 }
 
-/// The receiving end of a streamed body.
-pub struct ChunkReceiver {
-    rx: mpsc::Receiver<Option<Bytes>>,
-    done: bool,
-}
-
-/// The sending end; dropping it without [`finish`](Self::finish) breaks the answer off visibly.
-pub struct ChunkSender {
-    tx: mpsc::Sender<Option<Bytes>>,
-}
-
-impl ChunkSender {
-    /// Sends a chunk; false when the caller has left.
-    pub async fn send(&self, chunk: Bytes) -> bool {
-        self.tx.send(Some(chunk)).await.is_ok()
-    }
-
-    /// Marks the answer as whole.
-    pub async fn finish(self) {
-        if self.tx.send(None).await.is_err() {
-            log::debug!(target: "request", whole = true; "The caller left before the end of its answer.");
-        }
-    }
-
-    /// Completes when the caller has left.
-    pub async fn closed(&self) {
-        self.tx.closed().await;
-    }
-}
-
-/// A stream and the sender of its chunks.
-pub fn stream() -> (ChunkSender, ReplyBody) {
-    let (tx, rx) = mpsc::channel(CHUNKS_BUFFERED);
-    (ChunkSender { tx }, ReplyBody::Stream(ChunkReceiver { rx, done: false }))
-}
-
-/// The caller's answer was broken off.
-#[derive(Debug)]
-pub struct BrokenOff;
-
-impl std::fmt::Display for BrokenOff {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str("the answer broke off")
-    }
-}
-
-impl std::error::Error for BrokenOff {}
-
-impl From<Infallible> for BrokenOff {
-    fn from(never: Infallible) -> Self {
-        match never {}
-    }
-}
-
 impl Body for ReplyBody {
     type Data = Bytes;
     type Error = BrokenOff;
@@ -86,25 +29,16 @@
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
         match &mut *self {
             ReplyBody::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
-            ReplyBody::Stream(chunks) if chunks.done => Poll::Ready(None),
-            ReplyBody::Stream(chunks) => chunks.rx.poll_recv(cx).map(|received| match received {
-                Some(Some(chunk)) => Some(Ok(Frame::data(chunk))),
-                Some(None) => {
-                    chunks.done = true;
-                    None
-                }
-                None => {
-                    chunks.done = true;
-                    Some(Err(BrokenOff))
-                }
-            }),
+            ReplyBody::Stream(chunks) => {
+                chunks.poll_chunk(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+            }
         }
     }
 
     fn is_end_stream(&self) -> bool {
         match self {
             ReplyBody::Whole(bytes) => bytes.is_none(),
-            ReplyBody::Stream(chunks) => chunks.done,
+            ReplyBody::Stream(chunks) => chunks.done(),
         }
     }
 
--- a/crates/carob-entry/src/metrics.rs
+++ b/crates/carob-entry/src/metrics.rs
@@ -2,20 +2,18 @@
 
 use std::time::Duration;
 
+use carob_net::MetricsRegistry;
 use carobglade::{Class, ErrorKind, Heartbeat};
 use eyre::Result;
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter, MeterProvider};
-use opentelemetry_sdk::metrics::SdkMeterProvider;
-use prometheus::{Encoder, Registry, TextEncoder};
+use opentelemetry::metrics::{Counter, Gauge, Histogram, Meter};
 
 const SECONDS: [f64; 14] =
     [0.001, 0.003, 0.01, 0.02, 0.026, 0.04, 0.08, 0.15, 0.3, 0.6, 1.1, 2.5, 5.0, 30.0];
 
 /// The metrics of the process.
 pub struct Metrics {
-    registry: Registry,
-    _provider: SdkMeterProvider,
+    registry: MetricsRegistry,
     latency: Histogram<f64>,
     first_token: Histogram<f64>,
     token_gap: Histogram<f64>,
@@ -46,43 +44,30 @@
     ///
     /// When the exporter cannot be built.
     pub fn new() -> Result<Self> {
-        let registry = Registry::new();
-        let reader =
-            opentelemetry_prometheus::exporter().with_registry(registry.clone()).build()?;
-        let provider = SdkMeterProvider::builder().with_reader(reader).build();
-        let meter = provider.meter("carobglade");
-        let counter = |name: &'static str, what: &'static str| {
-            meter.u64_counter(name).with_description(what).build()
-        };
-        let gauge = |name: &'static str, what: &'static str| {
-            meter.u64_gauge(name).with_description(what).build()
-        };
+        let registry = MetricsRegistry::new()?;
+        let meter = registry.meter();
+        let counter = |name, what| registry.counter(name, what);
+        let gauge = |name, what| registry.gauge(name, what);
         Ok(Metrics {
             slots: gauge("slots", "Slots that this process holds"),
             running: gauge("running", "Requests that run or wait here"),
             draining: gauge("draining", "Whether the process takes no new requests"),
-            latency: seconds(&meter, "request_time", "Time from a request to its whole answer"),
-            first_token: seconds(&meter, "first_token_time", "Time to the first token"),
-            token_gap: seconds(&meter, "token_gap", "Time between two chunks of an answer"),
-            queue_time: seconds(&meter, "queue_time", "Time that a request waited"),
+            latency: seconds(meter, "request_time", "Time from a request to its whole answer"),
+            first_token: seconds(meter, "first_token_time", "Time to the first token"),
+            token_gap: seconds(meter, "token_gap", "Time between two chunks of an answer"),
+            queue_time: seconds(meter, "queue_time", "Time that a request waited"),
             refusals: counter("refusals", "Requests refused, by kind"),
             retries: counter("retries", "Requests sent again"),
             tokens: counter("tokens", "Tokens charged"),
             orders: counter("orders", "Orders sent to upstreams"),
             peer_bytes: counter("peer_bytes", "Bytes to and from other vms"),
             registry,
-            _provider: provider,
         })
     }
 
     /// All metrics as Prometheus text.
     pub fn text(&self) -> String {
-        let mut buf = Vec::new();
-        let encoded = TextEncoder::new().encode(&self.registry.gather(), &mut buf);
-        match encoded {
-            Ok(()) => String::from_utf8_lossy(&buf).into_owned(),
-            Err(err) => err.to_string(),
-        }
+        self.registry.text()
     }
 
     /// What the process tells of itself.
--- a/crates/carob-net/src/lib.rs
+++ b/crates/carob-net/src/lib.rs
@@ -8,11 +8,15 @@
 //! ```
 
 mod call;
+mod chunks;
 mod clock;
 mod platform;
+mod registry;
 mod serve;
 
 pub use call::{Caller, Received, Streamed};
+pub use chunks::{BrokenOff, ChunkReceiver, ChunkSender, chunks};
 pub use clock::{BootClock, Clock, SystemClock};
 pub use platform::{LogClient, LogPage};
-pub use serve::{ChunkSender, Reply, Request, ServeOptions, Server, serve};
+pub use registry::MetricsRegistry;
+pub use serve::{Reply, Request, ServeOptions, Server, serve};
--- a/crates/carob-net/src/serve.rs
+++ b/crates/carob-net/src/serve.rs
@@ -14,13 +14,13 @@
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::Serialize;
-use tokio::sync::mpsc;
 use xitca_web::HttpServer;
 use xitca_web::body::{Body, BodyExt, BoxBody, Frame, RequestBody, ResponseBody};
 use xitca_web::http::{WebRequest, WebResponse};
 use xitca_web::service::fn_service;
 
-const CHUNKS_BUFFERED: usize = 16; // chunks of one streamed answer
+use crate::chunks::{BrokenOff, ChunkReceiver, ChunkSender, chunks};
+
 const HEADERS_MAX: usize = 64; // headers of one request
 const HEAD_BYTES: usize = 32 * 1024; // bytes of one request's header section
 
@@ -117,56 +117,17 @@
     Ok(buf.freeze())
 }
 
-/// Sends the chunks of a streamed answer; dropping it without [`finish`](Self::finish) breaks the
-/// answer off visibly.
-pub struct ChunkSender {
-    tx: mpsc::Sender<Option<Bytes>>,
-}
-
-impl ChunkSender {
-    /// Sends a chunk; false when the caller has left.
-    pub async fn send(&self, chunk: Bytes) -> bool {
-        self.tx.send(Some(chunk)).await.is_ok()
-    }
-
-    /// Marks the answer as whole.
-    pub async fn finish(self) {
-        let _ = self.tx.send(None).await;
-    }
-
-    /// Completes when the caller has left.
-    pub async fn closed(&self) {
-        self.tx.closed().await;
-    }
-}
-
-struct ChunkBody {
-    rx: mpsc::Receiver<Option<Bytes>>,
-    done: bool,
-}
+struct ChunkBody(ChunkReceiver);
 
 impl Body for ChunkBody {
     type Data = Bytes;
-    type Error = std::io::Error;
+    type Error = BrokenOff;
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        if self.done {
-            return Poll::Ready(None);
-        }
-        self.rx.poll_recv(cx).map(|received| match received {
-            Some(Some(chunk)) => Some(Ok(Frame::Data(chunk))),
-            Some(None) => {
-                self.done = true;
-                None
-            }
-            None => {
-                self.done = true;
-                Some(Err(std::io::Error::other("answer broke off")))
-            }
-        })
+        self.0.poll_chunk(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::Data)))
     }
 }
 
@@ -205,9 +166,9 @@
 
     /// A streamed answer and the sender of its chunks.
     pub fn stream(status: u16) -> (ChunkSender, Self) {
-        let (tx, rx) = mpsc::channel(CHUNKS_BUFFERED);
-        let body = ReplyBody::Chunks(ChunkBody { rx, done: false });
-        (ChunkSender { tx }, Reply { status, headers: HeaderMap::new(), body })
+        let (sender, receiver) = chunks();
+        let body = ReplyBody::Chunks(ChunkBody(receiver));
+        (sender, Reply { status, headers: HeaderMap::new(), body })
     }
 
     /// Adds a header; one whose value is not valid is left out.
