Let a process that closes finish what it took because it fits

Found by reading: a request that came while the process closed, and fits, could be refused as one that waits.

--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -92,12 +92,14 @@
     }
 }
 
-/// Completes when a request has to be given up because the process stops: at once if it was sent
-/// nowhere yet, at the end if it has no answer by then.
+/// Completes when a request has to be given up because the process stops: as it begins to close,
+/// if the request was sent nowhere yet; at the end, if it has no answer by then. A request that
+/// came later was taken because it fits.
 async fn halted(edge: &Edge, progress: &Cell<Tries>) {
+    let fits = edge.closing.get().is_some();
     loop {
         let changed = edge.halting.notified();
-        let waiting = progress.get().sent == 0 && edge.closing.get().is_some();
+        let waiting = !fits && progress.get().sent == 0 && edge.closing.get().is_some();
         if edge.ending.get() || waiting {
             return;
         }
