--- a/crates/carob-edge/src/peers.rs
+++ b/crates/carob-edge/src/peers.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use carobglade::{Fingerprint, Incarnation, Load, TenantName, Usage, VmName};
+use carobglade::{Fingerprint, Incarnation, Load, Teller, TenantName, Usage, VmName};
 use eyre::Result;
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -20,7 +20,7 @@
 const RATE: f64 = 40.0; // messages a second that a vm sends at the most, whatever the fleet
 const NEWS_TIME: Duration = Duration::from_millis(450); // how long news are told again
 const MESSAGE_MAX: usize = 8 << 10; // bytes
-const VERSION: u8 = 1; // of the messages
+const VERSION: u8 = 2; // of the messages
 
 /// Load of an upstream.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
@@ -38,8 +38,8 @@
     incarnation: Incarnation,
     loads: Vec<LoadWire>,
     usage: Vec<UsageWire>,
-    /// Whether the levels rest on more than a guess.
-    settled: bool,
+    /// What the vm knows of the tokens that others admitted.
+    teller: Teller,
     demand: Vec<(u32, u32)>,
     wanted: Vec<AdapterName>,
     news: Vec<PlacementNews>,
@@ -98,7 +98,7 @@
     edge.loads.borrow_mut().hear(&message.vm, message.incarnation, loads, now);
     let demand = message.demand.into_iter().collect();
     edge.demand.borrow_mut().hear(&message.vm, demand, now);
-    hear_usage(edge, &message.vm, message.incarnation, message.usage, message.settled);
+    hear_usage(edge, &message.vm, message.incarnation, message.usage, message.teller);
     edge.placement.borrow_mut().touched(message.used, now);
     hear_placement(edge, message.wanted, message.news);
     for (request, crash) in message.suspects {
@@ -111,13 +111,13 @@
     vm: &VmName,
     incarnation: Incarnation,
     usage: Vec<UsageWire>,
-    settled: bool,
+    teller: Teller,
 ) {
     let mut meter = edge.meter.borrow_mut();
     let usage =
         usage.into_iter().map(|UsageWire(tenant, total, level)| Usage { tenant, total, level });
     let usage: Vec<Usage> = usage.collect();
-    meter.hear(vm, incarnation, &usage, settled, edge.now());
+    meter.hear(vm, incarnation, &usage, teller, edge.now());
 }
 
 fn hear_placement(edge: &Edge, wanted: Vec<AdapterName>, news: Vec<PlacementNews>) {
@@ -145,8 +145,7 @@
     let mut meter = edge.meter.borrow_mut();
     meter.advance(now);
     let usage = meter.tell();
-    // A vm that leaves may no longer hear all that the others admit.
-    let settled = meter.settled() && !edge.stopping.get();
+    let teller = if edge.stopping.get() { Teller::Leaving } else { meter.teller() };
     let mut board = edge.placement.borrow_mut();
     Message {
         version: VERSION,
@@ -154,7 +153,7 @@
         incarnation: edge.incarnation,
         loads: loads.iter().map(|(n, l)| LoadWire(*n, l.running, l.backlog, l.memory)).collect(),
         usage: usage.into_iter().map(|u| UsageWire(u.tenant, u.total, u.level)).collect(),
-        settled,
+        teller,
         demand: edge.demand.borrow_mut().tell(now).into_iter().collect(),
         wanted: board.own_wanted(now),
         news: board.recent(now, NEWS_TIME),
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -48,7 +48,7 @@
 pub use process::placement::{Demand, PlacementPolicy, PlacementSettings, PlanInput, plan};
 pub use process::quota::{
     Ask, Bucket, LOAN_TIME, Lender, Lent, LoanReport, Mark, Meter, MeterSettings, Pool,
-    Reservation, Share, Usage,
+    Reservation, Share, Teller, Usage,
 };
 pub use process::{
     Claim, ClaimDone, ClaimRef, ConfigChange, ControlState, Duties, DutyChange, DutySettings,
--- a/src/process/quota/meter.rs
+++ b/src/process/quota/meter.rs
@@ -8,6 +8,8 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{Incarnation, TenantName, Tokens, VmName};
 
 /// Settings of a [`Meter`].
@@ -56,6 +58,17 @@
     pub level: i64,
 }
 
+/// What a process that tells of its admissions knows of those of others.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Teller {
+    /// It started lately; all that it ever admitted is news, and its levels are guesses.
+    New,
+    /// Its levels rest on what all told.
+    Settled,
+    /// It stops, and may no longer be told what others admit; its levels are too high.
+    Leaving,
+}
+
 #[derive(Clone, Debug, Default)]
 struct Account {
     rate: f64,
@@ -221,20 +234,20 @@
         }
     }
 
-    /// Takes in what another process tells of its admissions. `settled` says whether that process
-    /// knows what was admitted before it started.
+    /// Takes in what another process tells of its admissions.
     pub fn hear(
         &mut self,
         vm: &VmName,
         incarnation: Incarnation,
         told: &[Usage],
-        settled: bool,
+        teller: Teller,
         now: Duration,
     ) {
         self.advance(now);
         self.heard.insert(vm.clone(), now);
-        let adopt = !self.settled && settled && !told.is_empty();
-        let lower = self.adopted.is_some_and(|at| now < at + self.settings.adopting) && settled;
+        let adopt = !self.settled && teller == Teller::Settled && !told.is_empty();
+        let adopting = self.adopted.is_some_and(|at| now < at + self.settings.adopting);
+        let lower = adopting && teller == Teller::Settled;
         for usage in told {
             let Some(account) = self.accounts.get_mut(&usage.tenant) else {
                 continue;
@@ -243,7 +256,7 @@
                 .peers
                 .insert(vm.clone(), Told { incarnation, total: usage.total, assumed: 0.0 });
             // Processes that start together each use their share until they are settled.
-            if !self.settled && !settled {
+            if !self.settled && teller != Teller::Settled {
                 continue;
             }
             if adopt {
@@ -258,7 +271,7 @@
                 Some(past) => Told { total: 0, ..past },
                 // All that a new process admitted is news; an older one may have told it before
                 // it fell silent.
-                None if !settled => Told::default(),
+                None if teller == Teller::New => Told::default(),
                 None => Told { total: usage.total, ..Told::default() },
             };
             let spent = usage.total as f64 - before.total as f64;
@@ -289,9 +302,9 @@
         limited.map(usage).collect()
     }
 
-    /// Whether the levels rest on more than a guess, so that a new process may adopt them.
-    pub fn settled(&self) -> bool {
-        self.settled
+    /// What this process knows, unless it is leaving.
+    pub fn teller(&self) -> Teller {
+        if self.settled { Teller::Settled } else { Teller::New }
     }
 
     /// Trusts the levels from now on, as nobody knew better.
--- a/src/process/quota/mod.rs
+++ b/src/process/quota/mod.rs
@@ -14,5 +14,5 @@
 
 pub use bucket::{Bucket, Mark, Share};
 pub use lender::{Ask, LOAN_TIME, Lender, Lent, LoanReport};
-pub use meter::{Meter, MeterSettings, Usage};
+pub use meter::{Meter, MeterSettings, Teller, Usage};
 pub use pool::{Pool, Reservation};
--- a/tests/meter.rs
+++ b/tests/meter.rs
@@ -6,7 +6,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use carobglade::{Incarnation, Meter, MeterSettings, TenantName, Tokens, Usage, VmName};
+use carobglade::{Incarnation, Meter, MeterSettings, Teller, TenantName, Tokens, Usage, VmName};
 
 const RATE: u64 = 30_000; // tokens a second
 const BURST: u64 = 30_000; // tokens
@@ -28,7 +28,7 @@
     from: usize,
     to: usize,
     incarnation: u64,
-    settled: bool,
+    teller: Teller,
     told: Vec<Usage>,
 }
 
@@ -102,9 +102,9 @@
 
     fn post(&mut self, from: usize) {
         let (meter, incarnation, _) = &mut self.meters[from];
-        let (incarnation, settled, told) = (*incarnation, meter.settled(), meter.tell());
+        let (incarnation, teller, told) = (*incarnation, meter.teller(), meter.tell());
         let others = (0..self.meters.len()).filter(|to| *to != from && !self.cuts(from, *to));
-        let letter = |to| Letter { from, to, incarnation, settled, told: told.clone() };
+        let letter = |to| Letter { from, to, incarnation, teller, told: told.clone() };
         let letters: Vec<Letter> = others.map(letter).collect();
         self.mail.entry(self.now + DELAY).or_default().extend(letters);
     }
@@ -114,7 +114,7 @@
             for letter in entry.remove() {
                 let meter = &mut self.meters[letter.to].0;
                 let incarnation = Incarnation(letter.incarnation);
-                meter.hear(&vm(letter.from), incarnation, &letter.told, letter.settled, self.now);
+                meter.hear(&vm(letter.from), incarnation, &letter.told, letter.teller, self.now);
             }
         }
     }
@@ -228,7 +228,7 @@
     assert!(old.admit(&tenant(), Tokens(20_000), now).is_ok());
     let mut new = Fleet::meter(false, now, 2);
     assert!(new.admit(&tenant(), Tokens(8_000), now).is_err());
-    new.hear(&vm(0), Incarnation(1), &old.tell(), old.settled(), now);
+    new.hear(&vm(0), Incarnation(1), &old.tell(), old.teller(), now);
     assert!(new.admit(&tenant(), Tokens(5_000), now).is_ok());
     assert_eq!(new.level(&tenant()), Some(5_000));
 }
@@ -238,12 +238,12 @@
     let mut one = Fleet::meter(true, Duration::ZERO, 2);
     let mut two = Fleet::meter(true, Duration::ZERO, 2);
     assert!(one.admit(&tenant(), Tokens(10_000), Duration::ZERO).is_ok());
-    two.hear(&vm(0), Incarnation(1), &one.tell(), true, Duration::ZERO);
+    two.hear(&vm(0), Incarnation(1), &one.tell(), Teller::Settled, Duration::ZERO);
     one.admit(&tenant(), Tokens(8_000), Duration::ZERO).unwrap();
-    two.hear(&vm(0), Incarnation(1), &one.tell(), true, Duration::ZERO);
+    two.hear(&vm(0), Incarnation(1), &one.tell(), Teller::Settled, Duration::ZERO);
     assert_eq!(two.level(&tenant()), Some(22_000));
     one.refund(&tenant(), Tokens(8_000));
-    two.hear(&vm(0), Incarnation(1), &one.tell(), true, Duration::ZERO);
+    two.hear(&vm(0), Incarnation(1), &one.tell(), Teller::Settled, Duration::ZERO);
     assert_eq!(two.level(&tenant()), Some(30_000));
 }
 
@@ -296,8 +296,30 @@
     deaf.advance(now);
     assert!(well.admit(&tenant(), Tokens(29_000), now).is_ok());
     let mut new = Fleet::meter(false, now, 3);
-    new.hear(&vm(0), Incarnation(1), &deaf.tell(), true, now);
+    new.hear(&vm(0), Incarnation(1), &deaf.tell(), Teller::Settled, now);
     assert_eq!(new.level(&tenant()), Some(30_000));
-    new.hear(&vm(1), Incarnation(1), &well.tell(), true, now);
+    new.hear(&vm(1), Incarnation(1), &well.tell(), Teller::Settled, now);
     assert_eq!(new.level(&tenant()), Some(1_000));
 }
+
+/// What a leaving vm admitted before a new one started is in the level that the new one adopts.
+#[test]
+fn a_leaving_vm_that_is_heard_for_the_first_time_costs_nothing() {
+    let now = Duration::from_secs(10);
+    let mut leaving = Fleet::meter(true, Duration::ZERO, 3);
+    let mut well = Fleet::meter(true, Duration::ZERO, 3);
+    for second in 0..10 {
+        let at = Duration::from_secs(second);
+        assert!(leaving.admit(&tenant(), Tokens(20_000), at).is_ok());
+        leaving.tell();
+    }
+    well.advance(now);
+    let mut new = Fleet::meter(false, now, 3);
+    new.hear(&vm(1), Incarnation(1), &well.tell(), Teller::Settled, now);
+    new.hear(&vm(0), Incarnation(1), &leaving.tell(), Teller::Leaving, now);
+    assert_eq!(new.level(&tenant()), Some(30_000));
+    // What it admits from then on counts.
+    assert!(leaving.admit(&tenant(), Tokens(5_000), now).is_ok());
+    new.hear(&vm(0), Incarnation(1), &leaving.tell(), Teller::Leaving, now);
+    assert_eq!(new.level(&tenant()), Some(25_000));
+}
