--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -232,7 +232,7 @@
     };
     let failed = matches!(result, Err(failure) if failure.outcome != AttemptOutcome::Misdirected);
     loads.record_result(name, failed);
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, end = end, took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64; "An upstream was tried.");
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, end = end, took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64, running = choice.running, load = choice.load_tokens; "An upstream was tried.");
     let transport_failed =
         matches!(result, Err(AttemptFailure { outcome: AttemptOutcome::TransportError, .. }));
     if transport_failed {
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -26,6 +26,10 @@
     pub entry: UpstreamEntry,
     /// The expected time to the first byte.
     pub estimate: Duration,
+    /// Requests that ran at the upstream when it was chosen, as far as this process knows.
+    pub running: u32,
+    /// Tokens of these requests.
+    pub load_tokens: u64,
 }
 
 /// Chooses an upstream that is not among `tried`.
@@ -165,7 +169,9 @@
         DispatchDecision::Send(index, estimate) => {
             let entry =
                 eligible.into_iter().nth(index).ok_or_else(|| unavailable_error(request))?;
-            Ok(Choice { entry, estimate })
+            let candidate = dispatch_candidates[index];
+            let (running, load_tokens) = (candidate.running, candidate.memory.0);
+            Ok(Choice { entry, estimate, running, load_tokens })
         }
         DispatchDecision::RetryLater(after) => {
             let message = format!("upstreams are busy for {} ms more", after.as_millis());
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -1,6 +1,6 @@
 //! Handles a caller's request: admission, attempts at upstreams, retries and the response.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,6 +18,7 @@
 use crate::choose::choose_upstream;
 use crate::edge::{Edge, InFlightGuard};
 use crate::request::{CallerRequest, charge, charge_retry, read_request, refund};
+
 use crate::response::{ResponseBody, error_response, forwarded_response};
 
 /// Retry time for a request that another vm can serve.
@@ -30,9 +31,9 @@
     let active = edge.active_requests.increment();
     let arrival = edge.now();
     let id = request.headers().get("request-id").cloned();
-    let result = match read_request(&edge, request, arrival).await {
-        Ok(request) => serve(&edge, request, active).await,
-        Err(err) => Err(err),
+    let (size, result) = match read_request(&edge, request, arrival).await {
+        Ok(request) => (Some(request.size()), serve(&edge, request, active).await),
+        Err(err) => (None, Err(err)),
     };
     match result {
         Ok(response) => response,
@@ -40,7 +41,8 @@
             let took = edge.now().saturating_sub(arrival);
             let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
             edge.metrics.record_refusal(err.kind());
-            log::info!(target: "request", id = id, kind = err.kind().response().code, why = err.message(), took = took.as_millis() as u64, retry = err.retry_after().map_or(0, |r| r.as_millis() as u64); "A request was refused.");
+            let size = size.unwrap_or_default();
+            log::info!(target: "request", id = id, kind = err.kind().response().code, why = err.message(), route = size.route.as_str(), prompt = size.prompt, output = size.output, took = took.as_millis() as u64, retry = err.retry_after().map_or(0, |r| r.as_millis() as u64); "A request was refused.");
             let close = edge.stopping.get() || err.kind() == ErrorKind::NotReady;
             error_response(&err, close)
         }
@@ -77,7 +79,7 @@
         let work = request.prompt_tokens() + request.expected_output();
         edge.demand.borrow_mut().record_request(&request.service, model, work, edge.now());
     }
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), route = request.route.name.as_str(), service = request.service.as_str(), tenant = request.tenant.as_ref().map_or("", |t| t.name.as_str()), model = request.caller_headers.model.as_ref().map_or("", |m| m.as_str()), version = request.config.version, tokens = request.charged_tokens().0, level = remaining_tokens(edge, &request), left = request.remaining_time(edge.now()).as_millis() as u64; "A request was admitted.");
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), route = request.route.name.as_str(), service = request.service.as_str(), tenant = request.tenant.as_ref().map_or("", |t| t.name.as_str()), model = request.caller_headers.model.as_ref().map_or("", |m| m.as_str()), version = request.config.version, tokens = request.charged_tokens().0, prompt = request.prompt_tokens(), output = request.expected_output(), level = remaining_tokens(edge, &request), left = request.remaining_time(edge.now()).as_millis() as u64; "A request was admitted.");
     let progress = Cell::new(AttemptHistory::default());
     let limit = request.remaining_time(edge.now());
     let outcome = tokio::select! {
@@ -207,6 +209,20 @@
     err
 }
 
+/// How far a stream was forwarded.
+struct StreamPosition {
+    /// The upstream that sends the stream.
+    upstream: UpstreamName,
+    /// Id of the last event that was received.
+    last_id: Option<u64>,
+}
+
+impl StreamPosition {
+    fn of(source: &EventStream) -> Self {
+        StreamPosition { upstream: source.name.clone(), last_id: source.last_id() }
+    }
+}
+
 /// Forwards a stream in a separate task, which also ends when the caller disconnects or at the
 /// deadline.
 fn relay_stream(
@@ -222,23 +238,33 @@
     tokio::task::spawn_local(async move {
         let _active = active;
         let limit = request.remaining_time(edge.now());
-        let forwarding =
-            forward_events(&edge, &request, &tx, stream.events, stream.remaining, progress);
+        let position = RefCell::new(StreamPosition::of(&stream.remaining));
+        let forwarding = forward_events(
+            &edge,
+            &request,
+            &tx,
+            stream.events,
+            stream.remaining,
+            progress,
+            &position,
+        );
         let ended = tokio::select! {
             ended = tokio::time::timeout(limit, forwarding) => ended.unwrap_or(Err(AttemptOutcome::TimedOut)),
             () = tx.closed() => {
-                log::info!(target: "request", id = request.caller_headers.request_id.as_str(); "The caller left its stream.");
+                let (position, took) = (position.borrow(), edge.now().saturating_sub(request.arrival).as_millis() as u64);
+                log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = position.upstream, last = position.last_id.unwrap_or(0), took = took; "The caller left its stream.");
                 return;
             }
         };
+        let position = position.into_inner();
         let took = edge.now().saturating_sub(request.arrival).as_millis() as u64;
         match ended {
             Ok(()) => {
-                log::info!(target: "request", id = request.caller_headers.request_id.as_str(), took = took; "A stream ended whole.");
+                log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = position.upstream, last = position.last_id.unwrap_or(0), took = took; "A stream ended whole.");
                 tx.finish().await;
             }
             Err(outcome) => {
-                log::info!(target: "request", id = request.caller_headers.request_id.as_str(), took = took, end = outcome.as_str(); "A stream was broken off.");
+                log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = position.upstream, last = position.last_id.unwrap_or(0), took = took, end = outcome.as_str(); "A stream was broken off.");
             }
         }
     });
@@ -253,6 +279,7 @@
     events: Bytes,
     mut source: EventStream,
     progress: AttemptHistory,
+    position: &RefCell<StreamPosition>,
 ) -> std::result::Result<(), AttemptOutcome> {
     if !events.is_empty() && !tx.send(events).await {
         return Ok(());
@@ -261,6 +288,7 @@
     loop {
         match source.next().await {
             Ok(Some(events)) => {
+                position.borrow_mut().last_id = source.last_id();
                 if !tx.send(events).await {
                     return Ok(());
                 }
@@ -280,6 +308,7 @@
                 drop(source);
                 source = resume_stream(edge, request, tx, failed_upstream, last_id, &mut attempts)
                     .await?;
+                *position.borrow_mut() = StreamPosition::of(&source);
             }
         }
     }
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -47,7 +47,27 @@
     pub fingerprint: Fingerprint,
 }
 
+/// The route and the expected tokens of a request, as log lines tell them.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RequestSize {
+    /// Name of the route; empty while no route is known.
+    pub route: String,
+    /// Tokens of the prompt.
+    pub prompt: u64,
+    /// Expected tokens of the response.
+    pub output: u64,
+}
+
 impl CallerRequest {
+    /// Returns the route and the expected tokens.
+    pub fn size(&self) -> RequestSize {
+        RequestSize {
+            route: self.route.name.clone(),
+            prompt: self.prompt_tokens(),
+            output: self.expected_output(),
+        }
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining_time(&self, now: Duration) -> Duration {
         self.deadline.saturating_sub(now)
