carobctl sizes: how the requests of each route ended, by their size

A kind of request whose largest are served half as often as all looks healthy in every count there was. The report reads the log lines of the vms and gives for each route the share served and the other ends, for all requests, for the largest tenth and for the fifth below it.

--- a/crates/carobctl/src/explain.rs
+++ b/crates/carobctl/src/explain.rs
@@ -6,10 +6,11 @@
 use std::path::PathBuf;
 
 use eyre::{Context, Result};
-use serde_json::{Map, Value, json};
+use serde_json::{Value, json};
 
 use crate::CommandOutcome;
 use crate::clock_offsets::{ClockOffset, ClockSamples};
+use crate::log_lines::{Line, number_field, parse, text_field};
 
 /// Parts whose log lines tell the state of a process.
 const STATE_PARTS: [&str; 6] = ["config", "ready", "follow", "duty", "upstreams", "main"];
@@ -17,8 +18,6 @@
 const START_MESSAGE: &str = "The process started.";
 const UNKNOWN_VM: &str = "?"; // for lines without a vm
 
-type Line = Map<String, Value>;
-
 /// The log lines of a request and the state of the vms that handled it.
 #[derive(Default)]
 struct RequestTrace {
@@ -37,14 +36,6 @@
     dropped: u64,
 }
 
-fn text_field<'a>(line: &'a Line, field: &str) -> &'a str {
-    line.get(field).and_then(Value::as_str).unwrap_or_default()
-}
-
-fn number_field(line: &Line, field: &str) -> u64 {
-    line.get(field).and_then(Value::as_u64).unwrap_or_default()
-}
-
 /// Returns the subject of a state line; a later line with the same key replaces the earlier.
 fn state_key(line: &Line) -> String {
     let about = ["topic", "upstream"].map(|field| text_field(line, field));
@@ -56,16 +47,15 @@
         let mut vm = default_vm.to_owned();
         for line in input.split(b'\n') {
             let line = line?;
-            let start = line.iter().position(|byte| *byte == b'{').unwrap_or(line.len());
-            match serde_json::from_slice::<Line>(&line[start..]) {
-                Ok(parsed) => {
+            match parse(&line) {
+                Some(parsed) => {
                     if !text_field(&parsed, "vm").is_empty() {
                         text_field(&parsed, "vm").clone_into(&mut vm);
                     }
                     self.add_line(parsed, id, &vm);
                 }
-                Err(_) if line.is_empty() => {}
-                Err(_) => self.unreadable += 1,
+                None if line.is_empty() => {}
+                None => self.unreadable += 1,
             }
         }
         Ok(())
--- a/crates/carobctl/src/main.rs
+++ b/crates/carobctl/src/main.rs
@@ -5,8 +5,10 @@
 mod clock_offsets;
 mod config_commands;
 mod explain;
+mod log_lines;
 mod platform_commands;
 mod process_commands;
+mod sizes;
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -171,6 +173,17 @@
                         .arg(log_arg()),
                 ),
         )
+        .subcommand(
+            Command::new("sizes")
+                .about("Count how requests ended by their size, from log lines")
+                .arg(
+                    Arg::new("files")
+                        .value_name("FILE")
+                        .num_args(0..)
+                        .help("Log files of the vms [default: standard input]")
+                        .value_parser(value_parser!(PathBuf)),
+                ),
+        )
         .subcommand(
             Command::new("explain")
                 .about("Trace a request through log lines")
@@ -284,6 +297,10 @@
         "gone" => process_commands::declare_gone(args).await,
         "platform" => platform(args).await,
         "explain" => explain_request(args),
+        "sizes" => {
+            let files = args.get_many::<PathBuf>("files").unwrap_or_default().cloned();
+            sizes::sizes(&files.collect::<Vec<_>>())
+        }
         "key" => api_key::generate(),
         "cert" => certificates::write(args),
         "schema" => {
