--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -6,4 +6,6 @@
 mod base_with_adapters;
 mod closed_loans;
 mod empty_stream;
+mod simulated_engine;
+mod starved_large_requests;
 mod unfenced_restart;
