Quota: a bucket that runs low keeps room for the largest request of a route

Cause: a request was admitted as soon as the bucket held its own tokens. In a bucket that is nearly empty, small requests take each refill before it is enough for a large one. Class: admission that compares a shared resource with the size of the request itself, so that small requests overtake large ones.

Change: a request is admitted only if the bucket holds as many tokens as the largest recent request of its route takes, up to half of the burst. So the chance of a request does not depend on its size, and no more is admitted than before: the bound of the bucket is unchanged.

--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -11,7 +11,8 @@
 use carobglade::{
     DutyLeases, DutyLeasesSettings, HubSelector, HubSelectorSettings, Incarnation, Load,
     LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, RateLimiter, RateLimiterSettings,
-    RetryBudget, RetryBudgetSettings, Suspects, UpstreamName, UsageRelay, VmName, VmProfile,
+    RecentMaximum, RetryBudget, RetryBudgetSettings, Suspects, Tokens, UpstreamName, UsageRelay,
+    VmName, VmProfile,
 };
 use tokio::sync::Notify;
 
@@ -89,6 +90,8 @@
     pub loads: RefCell<LoadTracker>,
     /// Token buckets of tenants.
     pub rate_limiter: RefCell<RateLimiter>,
+    /// Tokens that the largest recent request of each route was charged.
+    largest_charges: RefCell<BTreeMap<String, RecentMaximum>>,
     /// Demand for models, from this vm and its peers.
     pub demand: RefCell<ModelDemand>,
     /// Requests that were in flight when an upstream crashed.
@@ -165,6 +168,7 @@
             view: RefCell::new(ClusterView::new(Duration::from_millis(settings.bounds.revoke))),
             loads: RefCell::default(),
             rate_limiter: RefCell::new(RateLimiter::new(limiter_settings, settings.first, now)),
+            largest_charges: RefCell::default(),
             demand: RefCell::default(),
             suspects: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -216,6 +220,9 @@
         for tenant in config.tenants.values() {
             rate_limiter.set_limits(&tenant.name, tenant.rate, tenant.burst);
         }
+        self.largest_charges
+            .borrow_mut()
+            .retain(|name, _| config.routes.values().flatten().any(|route| route.name == *name));
         self.metrics.record_version(version);
         log::info!(target: "config", version = version, offset = offset, routes = config.routes.values().map(Vec::len).sum::<usize>(), tenants = config.tenants.len(); "A configuration is in force.");
         self.capacity_changed.notify_waiters();
@@ -284,6 +291,14 @@
         totals
     }
 
+    /// Records the tokens charged for a request of a route, and returns those of the largest recent
+    /// request of the route.
+    pub fn largest_charge(&self, route: &str, tokens: Tokens) -> Tokens {
+        let mut largest = self.largest_charges.borrow_mut();
+        let maximum = largest.entry(route.to_owned()).or_default();
+        Tokens(maximum.record(tokens.0 as f64, self.now()) as u64)
+    }
+
     /// Adds the share of one request to the retry budget of a service.
     pub fn deposit_retry(&self, service: &str) {
         self.with_retry_budget(service, RetryBudget::deposit);
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -246,10 +246,12 @@
         return Ok(());
     };
     let mut wait = Duration::ZERO;
+    let reserve = edge.largest_charge(&request.route.name, request.charged_tokens());
     loop {
-        let admitted = edge.rate_limiter.borrow_mut().admit(
+        let admitted = edge.rate_limiter.borrow_mut().admit_with_reserve(
             &tenant.name,
             request.charged_tokens(),
+            reserve,
             edge.now(),
         );
         let Err(missing) = admitted else {
--- a/src/process/quota/rate_limiter.rs
+++ b/src/process/quota/rate_limiter.rs
@@ -13,6 +13,9 @@
 use super::tenant_bucket::{PeerUsage, TenantBucket};
 use crate::{Incarnation, TenantName, Tokens, VmName};
 
+/// Fraction of the burst up to which a bucket keeps a reserve.
+const MAX_RESERVE_FRACTION: f64 = 0.5;
+
 /// Settings of a [`RateLimiter`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RateLimiterSettings {
@@ -215,13 +218,34 @@
         tenant: &TenantName,
         tokens: Tokens,
         now: Duration,
+    ) -> Result<(), Duration> {
+        self.admit_with_reserve(tenant, tokens, Tokens(0), now)
+    }
+
+    /// Admits a request and takes its `tokens`, if the bucket holds at least `reserve` tokens or
+    /// half of its burst.
+    ///
+    /// The reserve is what the largest request of the same kind takes. Without one, a bucket that is
+    /// nearly empty admits only small requests, which take each refill before it is enough for a
+    /// large one.
+    ///
+    /// # Errors
+    ///
+    /// The time until a retry may succeed, as for [`admit`](Self::admit).
+    pub fn admit_with_reserve(
+        &mut self,
+        tenant: &TenantName,
+        tokens: Tokens,
+        reserve: Tokens,
+        now: Duration,
     ) -> Result<(), Duration> {
         self.advance(now);
         let fleet = self.fleet();
         let Some(bucket) = self.buckets.get_mut(tenant).filter(|b| b.rate > 0.0) else {
             return Ok(());
         };
-        let needed = (tokens.0 as f64).min(bucket.burst);
+        let reserve = (reserve.0 as f64).min(bucket.burst * MAX_RESERVE_FRACTION);
+        let needed = (tokens.0 as f64).max(reserve).min(bucket.burst);
         let level = bucket.level - bucket.peer_flow(now) * self.relay_delay.as_secs_f64();
         if level < needed {
             let wait = (needed - level) / bucket.rate;
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -7,6 +7,7 @@
 mod dispatch;
 pub mod fair_queue;
 mod model_call;
+mod recent_maximum;
 mod retry_budget;
 pub mod routing;
 
@@ -17,4 +18,5 @@
     DispatchCandidate, DispatchDecision, DispatchSettings, RequestTiming, dispatch,
 };
 pub use model_call::{ModelCall, estimate_prompt_tokens};
+pub use recent_maximum::RecentMaximum;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
--- a/tests/regression/starved_large_requests.rs
+++ b/tests/regression/starved_large_requests.rs
@@ -4,7 +4,7 @@
 
 use carobglade::{
     DispatchCandidate, DispatchDecision, DispatchSettings, LoadTracker, RateLimiter,
-    RateLimiterSettings, RequestTiming, TenantName, Tokens, UpstreamName, dispatch,
+    RateLimiterSettings, RecentMaximum, RequestTiming, TenantName, Tokens, UpstreamName, dispatch,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -162,6 +162,7 @@
     let tenant: TenantName = "crews".parse().unwrap();
     let mut limiter = RateLimiter::new(RateLimiterSettings::default(), true, Duration::ZERO);
     limiter.set_limits(&tenant, 20_000, 40_000);
+    let mut largest = RecentMaximum::default();
     let mut requests = Vec::new();
     for i in 0..6_000u64 {
         let now = Duration::from_millis(10 * i);
@@ -171,13 +172,14 @@
         }
         // Sizes spread evenly on a logarithmic scale, from 600 to 6,000 tokens.
         let prompt = (600.0 * rng.random_range(0.0..2.3f64).exp()) as u64;
-        let served = limiter.admit(&tenant, Tokens(prompt), now).is_ok();
+        let reserve = Tokens(largest.record(prompt as f64, now) as u64);
+        let admitted = limiter.admit_with_reserve(&tenant, Tokens(prompt), reserve, now);
         requests.push(Request {
             prompt,
             output: 0,
             sent_at: now,
             estimate: Duration::ZERO,
-            served,
+            served: admitted.is_ok(),
         });
     }
     let share = relative_share(requests);
