Dispatch: an engine whose responses are slow takes no further short requests

Cause: admission looked at the time to the first token only, and took 14 ms for each further token. An engine reads prompts between the tokens of its responses; with prompts always waiting, a token took 100 ms, and no response of more than 140 tokens could end. Class: an estimate of one stage that ignores the load which the admitted work puts on the next stage.

Change: vms measure how many tokens a second each stream of an engine gets, and share sums of it. An engine that gives its streams less than the longest responses of the service need counts as slower, by at most 1.5 s, and by less the longer the response of the request is. So short requests go to another engine, or are rejected at once with a time, and long ones end. No speed of an engine is assumed. The field follows the peer message, so that older processes ignore it.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -26,8 +26,11 @@
 pub struct LoadGuard {
     edge: Rc<Edge>,
     name: UpstreamName,
+    service: String,
     prompt: u64,
     tokens: u64,
+    /// Output tokens in one event, while the progress of the stream is recorded.
+    event_tokens: Option<f64>,
 }
 
 impl LoadGuard {
@@ -40,19 +43,44 @@
         {
             edge.placement.borrow_mut().record_use(name, model, adapter, edge.now());
         }
-        LoadGuard { edge: Rc::clone(edge), name: name.clone(), prompt, tokens }
+        LoadGuard {
+            edge: Rc::clone(edge),
+            name: name.clone(),
+            service: request.service.clone(),
+            prompt,
+            tokens,
+            event_tokens: None,
+        }
     }
 
     /// Removes the prompt from the backlog of the upstream once the first event arrived.
     fn record_first_event(&mut self) {
         let prompt = std::mem::take(&mut self.prompt);
-        self.edge.loads.borrow_mut().record_first_event(&self.name, prompt);
+        let mut loads = self.edge.loads.borrow_mut();
+        loads.record_first_event(&self.name, prompt);
+        // Without the size of events, the stream would seem to make no progress.
+        self.event_tokens = self.edge.token_pace.borrow().tokens_per_event(&self.service);
+        if self.event_tokens.is_some() {
+            loads.record_stream_start(&self.name, self.edge.now());
+        }
+    }
+
+    /// Records further events of the stream.
+    fn record_events(&self, events: u64) {
+        if let Some(tokens) = self.event_tokens {
+            let mut loads = self.edge.loads.borrow_mut();
+            loads.record_tokens(&self.name, tokens * events as f64, self.edge.now());
+        }
     }
 }
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
-        self.edge.loads.borrow_mut().record_end(&self.name, self.prompt, self.tokens);
+        let mut loads = self.edge.loads.borrow_mut();
+        loads.record_end(&self.name, self.prompt, self.tokens);
+        if self.event_tokens.is_some() {
+            loads.record_stream_end(&self.name, self.edge.now());
+        }
     }
 }
 
@@ -86,7 +114,7 @@
     splitter: EventSplitter,
     ended: bool,
     event_timeout: Option<Duration>,
-    _load: LoadGuard,
+    load: LoadGuard,
 }
 
 impl EventStream {
@@ -115,7 +143,9 @@
                 }
                 return Ok(None);
             };
+            let known = self.splitter.event_count();
             if let Some(events) = self.splitter.push(&chunk) {
+                self.load.record_events(self.splitter.event_count() - known);
                 return Ok(Some(events));
             }
         }
@@ -183,7 +213,7 @@
                 splitter,
                 ended: false,
                 event_timeout,
-                _load: load_guard,
+                load: load_guard,
             };
             Ok(AttemptResponse::Stream(Box::new(StartedStream {
                 status,
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -128,6 +128,7 @@
     DispatchCandidate {
         prompt_backlog: total.prompt_backlog,
         prefill_tokens: request.prompt_tokens(),
+        token_rate: total.tokens_per_stream(),
         running: total.running,
         slots: entry.slots,
         memory: engine.map_or((0, 0), |engine| (total.tokens, engine.kv_capacity.0)),
@@ -147,6 +148,8 @@
         } else {
             Duration::ZERO
         },
+        token_rate: request.token_rate(),
+        needed_rate: edge.token_pace.borrow().needed_rate(&request.service),
         service_time: Duration::from_millis(20),
     }
 }
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -11,8 +11,8 @@
 use carobglade::{
     DutyLeases, DutyLeasesSettings, HubSelector, HubSelectorSettings, Incarnation, Load,
     LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, RateLimiter, RateLimiterSettings,
-    RecentMaximum, RetryBudget, RetryBudgetSettings, Suspects, Tokens, UpstreamName, UsageRelay,
-    VmName, VmProfile,
+    RecentMaximum, RetryBudget, RetryBudgetSettings, Suspects, TokenPace, Tokens, UpstreamName,
+    UsageRelay, VmName, VmProfile,
 };
 use tokio::sync::Notify;
 
@@ -94,6 +94,8 @@
     largest_charges: RefCell<BTreeMap<String, RecentMaximum>>,
     /// Demand for models, from this vm and its peers.
     pub demand: RefCell<ModelDemand>,
+    /// Pace at which the responses of each service have to be generated.
+    pub token_pace: RefCell<TokenPace>,
     /// Requests that were in flight when an upstream crashed.
     pub suspects: RefCell<Suspects>,
     /// Retry budget of each service.
@@ -170,6 +172,7 @@
             rate_limiter: RefCell::new(RateLimiter::new(limiter_settings, settings.first, now)),
             largest_charges: RefCell::default(),
             demand: RefCell::default(),
+            token_pace: RefCell::default(),
             suspects: RefCell::default(),
             retry_budgets: RefCell::default(),
             duty_leases: RefCell::new(DutyLeases::new(duty_settings)),
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -25,6 +25,19 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct WireLoad(u32, u32, u64, u64);
 
+/// Fields that were added to the encoding later. Versions without them ignore the bytes that follow
+/// a message, and send none.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+struct Extension {
+    /// Progress of the streams of each upstream.
+    streams: Vec<WireProgress>,
+}
+
+/// Progress of the streams of an upstream: name hash, output tokens a second, and the average
+/// number of streams in thousandths.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct WireProgress(u32, u64, u64);
+
 /// Builds the usage report of this vm.
 pub fn own_usage_report(edge: &Edge) -> UsageReport {
     edge.update_fleet_size();
@@ -139,16 +152,43 @@
     pub since: u64,
     /// Whether the sender is shutting down and has no requests left.
     pub leaving: bool,
+    /// Encoded after the message.
+    #[serde(skip)]
+    extension: Extension,
 }
 
 impl Message {
+    /// Encodes the message and its extension.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when a part cannot be encoded.
+    pub fn encode(&self) -> postcard::Result<Vec<u8>> {
+        let mut bytes = postcard::to_allocvec(self)?;
+        bytes.extend(postcard::to_allocvec(&self.extension)?);
+        Ok(bytes)
+    }
+
+    /// Decodes a message, with its extension if there is one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error when the bytes are not a message, or end in an incomplete extension.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
+        let (message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
+        if rest.is_empty() {
+            return Ok(message);
+        }
+        Ok(Message { extension: postcard::from_bytes(rest)?, ..message })
+    }
+
     /// Builds the message that this vm sends in the role `sender`.
     pub fn new(edge: &Edge, sender: SenderRole) -> Self {
         let now = edge.now();
         let mut message = Message::empty(edge, sender);
         match sender {
             SenderRole::Peer | SenderRole::Member => {
-                message.set_loads(edge.loads.borrow().local_loads());
+                message.set_loads(edge.loads.borrow().local_loads(now));
                 message.demand = edge.demand.borrow_mut().local_rates(now).into_iter().collect();
             }
             SenderRole::Hub => {
@@ -235,6 +275,7 @@
             changes: Vec::new(),
             since: u64::MAX,
             leaving: is_drained(edge),
+            extension: Extension::default(),
         }
     }
 
@@ -281,6 +322,10 @@
     }
 
     fn set_loads(&mut self, loads: BTreeMap<u32, Load>) {
+        let streams = loads.iter().filter(|(_, load)| load.stream_millis > 0);
+        let streams =
+            streams.map(|(n, load)| WireProgress(*n, load.token_rate, load.stream_millis));
+        self.extension.streams = streams.collect();
         let loads = loads.into_iter();
         self.loads =
             loads.map(|(n, l)| WireLoad(n, l.running, l.prompt_backlog, l.tokens)).collect();
@@ -306,10 +351,16 @@
 
     /// Returns the loads by name hash of the upstream.
     pub fn loads(&self) -> BTreeMap<u32, Load> {
-        let loads = self.loads.iter().map(|WireLoad(name, running, prompt_backlog, tokens)| {
-            (*name, Load { running: *running, prompt_backlog: *prompt_backlog, tokens: *tokens })
-        });
-        loads.collect()
+        let mut loads: BTreeMap<u32, Load> = BTreeMap::new();
+        for WireLoad(name, running, prompt_backlog, tokens) in &self.loads {
+            let (running, prompt_backlog, tokens) = (*running, *prompt_backlog, *tokens);
+            loads.insert(*name, Load { running, prompt_backlog, tokens, ..Load::default() });
+        }
+        for WireProgress(name, token_rate, stream_millis) in &self.extension.streams {
+            let load = loads.entry(*name).or_default();
+            (load.token_rate, load.stream_millis) = (*token_rate, *stream_millis);
+        }
+        loads
     }
 }
 
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -166,7 +166,7 @@
 }
 
 fn encode(message: &Message) -> Option<Vec<u8>> {
-    match postcard::to_allocvec(message) {
+    match message.encode() {
         Ok(bytes) if bytes.len() <= MAX_MESSAGE_BYTES => Some(bytes),
         Ok(bytes) => {
             log::warn!(target: "peers", bytes = bytes.len(); "Peer message exceeds the size limit and was not sent.");
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -26,7 +26,7 @@
 }
 
 fn handle_datagram(edge: &Edge, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
-    let mut message: Message = match postcard::from_bytes(bytes) {
+    let mut message = match Message::decode(bytes) {
         Ok(message) => message,
         Err(err) => {
             log::debug!(target: "peers", from:% = from, error:% = err; "Peer message cannot be decoded.");
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -19,6 +19,9 @@
 /// Maximum time for which a request waits for its tenant's tokens before it is refused.
 const MAX_QUOTA_WAIT: Duration = Duration::from_millis(250);
 
+/// Fraction of the route's timeout in which a stream should end.
+const STREAM_TIME_FRACTION: f64 = 0.9;
+
 /// An authorized request with its complete body.
 pub struct CallerRequest {
     /// The request headers that the platform defines.
@@ -85,6 +88,14 @@
         self.caller_headers.output_hint.map_or(max_output, |hint| hint.0.min(max_output))
     }
 
+    /// Returns the rate at which the response has to be generated after its first token to end
+    /// within the route's timeout, in tokens a second.
+    pub fn token_rate(&self) -> f64 {
+        let time = self.route.timeout.mul_f64(STREAM_TIME_FRACTION);
+        let time = time.saturating_sub(self.route.latency_goal);
+        self.expected_output() as f64 / time.max(Duration::from_millis(1)).as_secs_f64()
+    }
+
     /// Returns the tokens charged to the tenant: prompt plus maximum output, or the tenant's fixed
     /// price for a request without token usage.
     pub fn charged_tokens(&self) -> Tokens {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -80,8 +80,8 @@
 pub use request::{
     AttemptHistory, AttemptOutcome, DispatchCandidate, DispatchDecision, DispatchSettings,
     ModelCall, RecentMaximum, RequestClass, RequestTiming, RetryBudget, RetryBudgetSettings,
-    RetryDecision, dispatch, estimate_prompt_tokens, extract_api_key, is_credential_header,
-    strip_query_keys,
+    RetryDecision, TokenPace, dispatch, estimate_prompt_tokens, extract_api_key,
+    is_credential_header, strip_query_keys,
 };
 pub use units::{
     ByteSize, DataCentre, Incarnation, ModelName, Offset, TenantName, TokenRate, Tokens,
--- a/src/process/load_tracker.rs
+++ b/src/process/load_tracker.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::StreamProgress;
 use crate::{Incarnation, UpstreamName, VmName};
 
 /// How long the loads that another process reported count.
@@ -11,6 +12,9 @@
 /// Weight of the old value in an exponential moving average.
 const SMOOTHING: f64 = 0.85;
 
+/// Average number of streams that tells how fast an upstream generates, in thousandths.
+const MIN_STREAM_MILLIS: u64 = 1_000;
+
 /// Load of one upstream.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -20,6 +24,10 @@
     pub prompt_backlog: u64,
     /// Tokens of the running requests, prompts and expected responses.
     pub tokens: u64,
+    /// Output tokens received from running streams, in tokens a second.
+    pub token_rate: u64,
+    /// Average number of running streams, in thousandths.
+    pub stream_millis: u64,
 }
 
 impl Load {
@@ -28,6 +36,8 @@
             running: self.running.saturating_sub(other.running),
             prompt_backlog: self.prompt_backlog.saturating_sub(other.prompt_backlog),
             tokens: self.tokens.saturating_sub(other.tokens),
+            token_rate: self.token_rate.saturating_sub(other.token_rate),
+            stream_millis: self.stream_millis.saturating_sub(other.stream_millis),
         }
     }
 
@@ -35,6 +45,15 @@
         self.running += other.running;
         self.prompt_backlog += other.prompt_backlog;
         self.tokens += other.tokens;
+        self.token_rate += other.token_rate;
+        self.stream_millis += other.stream_millis;
+    }
+
+    /// Returns the output tokens of one stream, in tokens a second; `None` if too few streams ran
+    /// to tell.
+    pub fn tokens_per_stream(&self) -> Option<f64> {
+        let known = self.stream_millis >= MIN_STREAM_MILLIS;
+        known.then(|| self.token_rate as f64 * 1000.0 / self.stream_millis as f64)
     }
 }
 
@@ -64,6 +83,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct LoadTracker {
     local: BTreeMap<UpstreamName, Load>,
+    streams: BTreeMap<UpstreamName, StreamProgress>,
     peers: BTreeMap<VmName, PeerLoads>,
     stats: BTreeMap<UpstreamName, UpstreamStats>,
 }
@@ -77,10 +97,29 @@
     /// Records the start of a request on an upstream; `prompt` is the number of its prompt tokens,
     /// and `tokens` includes those of the expected response.
     pub fn record_start(&mut self, name: &UpstreamName, prompt: u64, tokens: u64) {
-        let load = Load { running: 1, prompt_backlog: prompt, tokens };
+        let load = Load { running: 1, prompt_backlog: prompt, tokens, ..Load::default() };
         self.local.entry(name.clone()).or_default().add(load);
     }
 
+    /// Records the start of a stream from an upstream.
+    pub fn record_stream_start(&mut self, name: &UpstreamName, now: Duration) {
+        self.streams.entry(name.clone()).or_default().record_start(now);
+    }
+
+    /// Records output tokens of a stream that runs.
+    pub fn record_tokens(&mut self, name: &UpstreamName, tokens: f64, now: Duration) {
+        if let Some(streams) = self.streams.get_mut(name) {
+            streams.record_tokens(tokens, now);
+        }
+    }
+
+    /// Records the end of a stream.
+    pub fn record_stream_end(&mut self, name: &UpstreamName, now: Duration) {
+        if let Some(streams) = self.streams.get_mut(name) {
+            streams.record_end(now);
+        }
+    }
+
     /// Records the first event of a request of `prompt` tokens.
     pub fn record_first_event(&mut self, name: &UpstreamName, prompt: u64) {
         if let Some(load) = self.local.get_mut(name) {
@@ -117,7 +156,7 @@
 
     /// Returns the load that all processes put on an upstream, as known at `now`.
     pub fn total_load(&self, name: &UpstreamName, now: Duration) -> Load {
-        let mut total = self.local_load(name);
+        let mut total = self.local_load(name, now);
         let hash = name_hash(name.as_str());
         for peer in self.peers.values() {
             if now.saturating_sub(peer.received_at) < PEER_LOAD_TTL {
@@ -129,7 +168,7 @@
 
     /// Returns the summed loads of this process and of the vms that `vms` accepts.
     pub fn sum_over(&self, vms: impl Fn(&VmName) -> bool, now: Duration) -> BTreeMap<u32, Load> {
-        let mut sum = self.local_loads();
+        let mut sum = self.local_loads(now);
         let fresh = |peer: &PeerLoads| now.saturating_sub(peer.received_at) < PEER_LOAD_TTL;
         let counted = self.peers.iter().filter(|(vm, peer)| vms(vm) && fresh(peer));
         for (name, load) in counted.flat_map(|(_, peer)| &peer.loads) {
@@ -151,13 +190,18 @@
     }
 
     /// Returns the load that this process puts on an upstream.
-    pub fn local_load(&self, name: &UpstreamName) -> Load {
-        self.local.get(name).copied().unwrap_or_default()
+    pub fn local_load(&self, name: &UpstreamName, now: Duration) -> Load {
+        let load = self.local.get(name).copied().unwrap_or_default();
+        let rates = self.streams.get(name).map(|streams| streams.rates(now));
+        let (tokens, running) = rates.unwrap_or_default();
+        Load { token_rate: tokens as u64, stream_millis: (running * 1000.0) as u64, ..load }
     }
 
     /// Returns the loads that this process puts on upstreams, by hash of the name.
-    pub fn local_loads(&self) -> BTreeMap<u32, Load> {
-        self.local.iter().map(|(name, load)| (name_hash(name.as_str()), *load)).collect()
+    pub fn local_loads(&self, now: Duration) -> BTreeMap<u32, Load> {
+        let names = self.local.keys().chain(self.streams.keys());
+        let loads = names.map(|name| (name_hash(name.as_str()), self.local_load(name, now)));
+        loads.filter(|(_, load)| *load != Load::default()).collect()
     }
 
     /// Returns the statistics of an upstream, or the defaults if there are none.
@@ -189,8 +233,9 @@
         }
     }
 
-    /// Drops the statistics of an upstream that is gone or restarted.
+    /// Drops the statistics and the progress of the streams of an upstream that is gone or restarted.
     pub fn reset_stats(&mut self, name: &UpstreamName) {
         self.stats.remove(name);
+        self.streams.remove(name);
     }
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 mod backoff;
 mod control_state;
+mod decaying_rate;
 mod duty_leases;
 pub mod fleet;
 mod freshness;
@@ -18,6 +19,7 @@
 mod replay;
 mod replica_planner;
 mod slot_table;
+mod stream_progress;
 mod suspects;
 mod token_bucket;
 mod upstream_registry;
@@ -25,6 +27,7 @@
 
 pub use backoff::Backoff;
 pub use control_state::{ControlState, Member, Verdict};
+pub(crate) use decaying_rate::DecayingRate;
 pub use duty_leases::{DutyChange, DutyLeases, DutyLeasesSettings, GroupAssignment};
 pub use freshness::{Freshness, FreshnessSettings};
 pub use hub_selector::{HubSelector, HubSelectorSettings, VmProfile};
@@ -45,6 +48,7 @@
 pub use replay::{Replay, ReplayPage, ReplayStatus, StateMachine};
 pub use replica_planner::{EngineState, ModelOrder, ReplicaPlanner, ReplicaPlannerSettings};
 pub use slot_table::{SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, SlotHolder, SlotTable, tenant_slots};
+pub(crate) use stream_progress::StreamProgress;
 pub use suspects::{QUARANTINE_THRESHOLD, Suspects};
 pub(crate) use token_bucket::TokenBucket;
 pub use upstream_registry::{
--- a/src/process/model_demand.rs
+++ b/src/process/model_demand.rs
@@ -3,32 +3,12 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::DecayingRate;
 use crate::{ModelName, VmName};
 
-/// Time constant of the exponential average, in seconds.
-const AVERAGING_SECONDS: f64 = 1.5;
-
 /// How long the demand that another process reported counts.
 const PEER_DEMAND_TTL: Duration = Duration::from_secs(3);
 
-#[derive(Clone, Copy, Debug, Default)]
-struct DecayingRate {
-    rate: f64,
-    updated_at: Duration,
-}
-
-impl DecayingRate {
-    fn rate_at(&self, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.updated_at).as_secs_f64();
-        self.rate * (-passed / AVERAGING_SECONDS).exp()
-    }
-
-    fn add(&mut self, amount: f64, now: Duration) {
-        self.rate = self.rate_at(now) + amount / AVERAGING_SECONDS;
-        self.updated_at = now;
-    }
-}
-
 /// Demand for the models of all services, in tokens a second: measured by this process and reported
 /// by others.
 #[derive(Clone, Debug, Default)]
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -1,4 +1,5 @@
-//! Chooses an upstream by estimated latency and sheds requests that cannot meet their deadline.
+//! Chooses an upstream by estimated latency and sheds requests that cannot meet their deadline, or
+//! that would keep the responses of an engine from meeting theirs.
 
 use std::time::Duration;
 
@@ -8,6 +9,9 @@
 /// Milliseconds in which an engine frees as many tokens as its whole memory holds.
 const MEMORY_TURNOVER_MS: f64 = 4000.0;
 
+/// Rate below which a response counts as making no progress, in tokens a second.
+const MIN_TOKEN_RATE: f64 = 0.1;
+
 /// Settings of [`dispatch`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct DispatchSettings {
@@ -19,6 +23,10 @@
     pub load_latency: Duration,
     /// Latency added to the cost of an upstream in another data centre.
     pub remote_penalty: Duration,
+    /// Time by which an engine is avoided whose responses take twice as long as they may.
+    pub slow_penalty: Duration,
+    /// Longest time by which a slow engine is avoided.
+    pub max_penalty: Duration,
     /// Fraction of the remaining time that the estimate and the output may use.
     pub time_fraction: f64,
     /// Multiple of the latency goal beyond which a request is rejected; a value below 1
@@ -33,6 +41,8 @@
             base_latency: Duration::from_millis(45),
             load_latency: Duration::from_millis(2),
             remote_penalty: Duration::from_millis(25),
+            slow_penalty: Duration::from_secs(12),
+            max_penalty: Duration::from_millis(1500),
             time_fraction: 0.9,
             goal_factor: 1.1,
         }
@@ -46,6 +56,8 @@
     pub prompt_backlog: u64,
     /// Prompt tokens of the request that the upstream has to process.
     pub prefill_tokens: u64,
+    /// Output tokens that each of the upstream's responses gets, in tokens a second, if known.
+    pub token_rate: Option<f64>,
     /// Requests that the upstream runs now.
     pub running: u32,
     /// Maximum number of requests that the upstream runs at once.
@@ -70,6 +82,10 @@
     pub time_left: Duration,
     /// Time that the response takes after its first byte.
     pub output_time: Duration,
+    /// Rate that the response needs to end in time, in tokens a second.
+    pub token_rate: f64,
+    /// Rate that the longest responses of the service need, in tokens a second.
+    pub needed_rate: f64,
     /// Time that the request occupies a slot of a plain service.
     pub service_time: Duration,
 }
@@ -108,6 +124,22 @@
         Duration::from_secs_f64(millis.min(1e7) / 1000.0)
     }
 
+    /// Returns the penalty of an engine that generates its responses more slowly than the longest
+    /// of them need.
+    ///
+    /// An engine reads prompts between the tokens of its responses, so each further prompt delays
+    /// all of them. The penalty is the smaller, the longer the response of the request itself, so
+    /// that long responses are not shed for the sake of long responses.
+    fn slow_penalty(&self, timing: &RequestTiming, settings: &DispatchSettings) -> Duration {
+        let Some(rate) = self.token_rate else {
+            return Duration::ZERO;
+        };
+        let slowness = (timing.needed_rate / rate.max(MIN_TOKEN_RATE) - 1.0).max(0.0);
+        let penalty = settings.slow_penalty.mul_f64(slowness).min(settings.max_penalty);
+        let shortness = 1.0 - timing.token_rate / timing.needed_rate.max(MIN_TOKEN_RATE);
+        penalty.mul_f64(shortness.clamp(0.0, 1.0))
+    }
+
     fn cost(&self, estimate: Duration, timing: &RequestTiming, settings: &DispatchSettings) -> f64 {
         let remote = if self.remote { settings.remote_penalty.as_secs_f64() } else { 0.0 };
         let failure = self.failure_rate.clamp(0.0, 1.0) * timing.latency_goal.as_secs_f64() * 2.0;
@@ -127,19 +159,21 @@
     tie: u64,
 ) -> DispatchDecision {
     let rank = |i: &usize| (*i as u64 + tie) % candidates.len().max(1) as u64;
-    let costs = (0..candidates.len()).map(|i| {
-        let estimate = candidates[i].estimate(timing, settings);
-        (i, estimate, candidates[i].cost(estimate, timing, settings))
+    let costs = candidates.iter().enumerate().map(|(i, candidate)| {
+        let estimate = candidate.estimate(timing, settings);
+        let penalty = candidate.slow_penalty(timing, settings);
+        (i, estimate, penalty, candidate.cost(estimate + penalty, timing, settings))
     });
-    let best = costs.min_by(|(i, _, a), (j, _, b)| a.total_cmp(b).then(rank(i).cmp(&rank(j))));
-    let Some((index, estimate, _)) = best else {
+    let best = costs.min_by(|(i, .., a), (j, .., b)| a.total_cmp(b).then(rank(i).cmp(&rank(j))));
+    let Some((index, estimate, penalty, _)) = best else {
         return DispatchDecision::NoUpstream;
     };
+    let wait = estimate + penalty;
     let available =
         timing.time_left.mul_f64(settings.time_fraction).saturating_sub(timing.output_time);
-    let max_estimate = timing.latency_goal.mul_f64(settings.goal_factor);
-    if estimate > available || estimate > max_estimate.max(timing.latency_goal) {
-        let excess = estimate.saturating_sub(timing.latency_goal.min(available));
+    let max_wait = timing.latency_goal.mul_f64(settings.goal_factor);
+    if wait > available || wait > max_wait.max(timing.latency_goal) {
+        let excess = wait.saturating_sub(timing.latency_goal.min(available));
         return DispatchDecision::RetryLater(excess.max(Duration::from_millis(100)));
     }
     DispatchDecision::Send(index, estimate)
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -10,6 +10,7 @@
 mod recent_maximum;
 mod retry_budget;
 pub mod routing;
+mod token_pace;
 
 pub use api_key::{extract_api_key, is_credential_header, strip_query_keys};
 pub use attempt_history::{AttemptHistory, AttemptOutcome, RetryDecision};
@@ -20,3 +21,4 @@
 pub use model_call::{ModelCall, estimate_prompt_tokens};
 pub use recent_maximum::RecentMaximum;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use token_pace::TokenPace;
--- /dev/null
+++ b/src/request/token_pace.rs
@@ -0,0 +1,61 @@
+//! Pace at which the responses of a service have to be generated.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::request::RecentMaximum;
+
+/// Fraction of the earlier sums that is kept when a stream ends.
+const SUM_DECAY: f64 = 0.95;
+
+/// Expected output tokens after which the size of an event is known.
+const MIN_KNOWN_TOKENS: f64 = 1_000.0;
+
+#[derive(Clone, Copy, Debug, Default)]
+struct ServicePace {
+    needed_rate: f64,
+    largest: RecentMaximum,
+    /// Decaying sum of the output tokens that ended streams were expected to have.
+    expected_tokens: f64,
+    /// Decaying sum of the events of these streams.
+    events: f64,
+}
+
+/// Pace at which the responses of each service have to be generated, and the size of their events.
+#[derive(Clone, Debug, Default)]
+pub struct TokenPace {
+    services: BTreeMap<String, ServicePace>,
+}
+
+impl TokenPace {
+    fn service(&mut self, service: &str) -> &mut ServicePace {
+        self.services.entry(service.to_owned()).or_default()
+    }
+
+    /// Records a request whose response needs `rate` tokens a second.
+    pub fn record_request(&mut self, service: &str, rate: f64, now: Duration) {
+        let pace = self.service(service);
+        pace.needed_rate = pace.largest.record(rate, now);
+    }
+
+    /// Records a stream that ended whole after `events` events, where `tokens` output tokens were
+    /// expected.
+    pub fn record_stream(&mut self, service: &str, tokens: u64, events: u64) {
+        let pace = self.service(service);
+        pace.expected_tokens = pace.expected_tokens * SUM_DECAY + tokens as f64;
+        pace.events = pace.events * SUM_DECAY + events as f64;
+    }
+
+    /// Returns the rate that the longest recent responses of a service need to end in time, in
+    /// tokens a second; 0 without requests.
+    pub fn needed_rate(&self, service: &str) -> f64 {
+        self.services.get(service).map_or(0.0, |pace| pace.needed_rate)
+    }
+
+    /// Returns the output tokens in one event of a stream; `None` until enough streams ended.
+    pub fn tokens_per_event(&self, service: &str) -> Option<f64> {
+        let pace = self.services.get(service)?;
+        let known = pace.expected_tokens >= MIN_KNOWN_TOKENS && pace.events > 0.0;
+        known.then(|| pace.expected_tokens / pace.events)
+    }
+}
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -4,11 +4,13 @@
 #[macro_use]
 mod support;
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use carobglade::{
     AttemptHistory, AttemptOutcome, DispatchCandidate, DispatchDecision, DispatchSettings,
-    ErrorKind, EventSplitter, RequestTiming, RetryDecision, RouteKind, dispatch,
+    ErrorKind, EventSplitter, Incarnation, Load, LoadTracker, RequestTiming, RetryDecision,
+    RouteKind, TokenPace, UpstreamName, dispatch, name_hash,
 };
 
 const fn ms(value: u64) -> Duration {
@@ -31,6 +33,8 @@
         latency_goal: ms(800),
         time_left: ms(5000),
         output_time: ms(300),
+        token_rate: 0.0,
+        needed_rate: 0.0,
         service_time: ms(20),
     }
 }
@@ -104,6 +108,8 @@
         latency_goal: ms(100),
         time_left: ms(1500),
         output_time: ms(0),
+        token_rate: 0.0,
+        needed_rate: 0.0,
         service_time: ms(15),
     };
     assert_eq!(chosen_index(&[plain(9), plain(5)], &timing), 1);
@@ -168,3 +174,55 @@
         }
     }
 }
+
+/// Returns the decision on a request whose response needs `token_rate` tokens a second, at an engine
+/// that gives each response 10 where the longest need 30.
+fn decide_at_slow_engine(token_rate: f64) -> DispatchDecision {
+    let slow = DispatchCandidate { token_rate: Some(10.0), ..candidate(0) };
+    let timing = RequestTiming { token_rate, needed_rate: 30.0, ..timing() };
+    decide(&[slow], &timing)
+}
+
+#[test]
+fn a_slow_engine_is_spared_prompts_with_short_responses() {
+    assert!(matches!(decide_at_slow_engine(3.0), DispatchDecision::RetryLater(_)));
+    assert!(matches!(decide_at_slow_engine(30.0), DispatchDecision::Send(0, _)));
+}
+
+#[test]
+fn a_faster_engine_is_preferred_to_a_slow_one() {
+    let slow = DispatchCandidate { token_rate: Some(10.0), ..candidate(0) };
+    let fast = DispatchCandidate { token_rate: Some(40.0), ..candidate(3000) };
+    let timing = RequestTiming { token_rate: 3.0, needed_rate: 30.0, ..timing() };
+    assert_eq!(chosen_index(&[slow, fast], &timing), 1);
+}
+
+#[test]
+fn the_progress_of_streams_is_their_average_over_all_processes() {
+    let name: UpstreamName = "engine".parse().unwrap();
+    let mut loads = LoadTracker::default();
+    assert_eq!(loads.total_load(&name, ms(0)).tokens_per_stream(), None);
+    loads.record_stream_start(&name, ms(0));
+    loads.record_stream_start(&name, ms(0));
+    for i in 1..=50 {
+        loads.record_tokens(&name, 4.0, ms(100 * i));
+    }
+    let peer = BTreeMap::from([(
+        name_hash("engine"),
+        Load { token_rate: 20, stream_millis: 2_000, ..Load::default() },
+    )]);
+    loads.apply_report(&"peer".parse().unwrap(), Incarnation(1), peer, ms(5000));
+    let rate = loads.total_load(&name, ms(5000)).tokens_per_stream().unwrap();
+    assert!((14.0..16.0).contains(&rate), "{rate} tokens a second");
+}
+
+#[test]
+fn events_have_no_known_size_before_streams_have_ended() {
+    let mut pace = TokenPace::default();
+    assert_eq!(pace.tokens_per_event("plans"), None);
+    for _ in 0..20 {
+        pace.record_stream("plans", 120, 40);
+    }
+    let size = pace.tokens_per_event("plans").unwrap();
+    assert!((size - 3.0).abs() < 0.01, "{size} tokens in an event");
+}
--- a/tests/regression/simulated_engine.rs
+++ b/tests/regression/simulated_engine.rs
@@ -47,6 +47,11 @@
         self.queue.push_back(request);
     }
 
+    /// Returns the number of responses that get a token in each step.
+    pub fn running_count(&self) -> usize {
+        self.running.len()
+    }
+
     /// Runs one step: reads queued prompts, then generates a token of each response.
     pub fn step(&mut self) -> Vec<EngineEvent> {
         let mut left = PREFILL_CHUNK;
--- a/tests/regression/starved_large_requests.rs
+++ b/tests/regression/starved_large_requests.rs
@@ -4,7 +4,8 @@
 
 use carobglade::{
     DispatchCandidate, DispatchDecision, DispatchSettings, LoadTracker, RateLimiter,
-    RateLimiterSettings, RecentMaximum, RequestTiming, TenantName, Tokens, UpstreamName, dispatch,
+    RateLimiterSettings, RecentMaximum, RequestTiming, TenantName, TokenPace, Tokens, UpstreamName,
+    dispatch,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -16,6 +17,7 @@
 const MIN_RELATIVE_SHARE: f64 = 0.5;
 
 const DURATION: Duration = Duration::from_secs(60);
+const SERVICE: &str = "plans";
 const KV_CAPACITY: u64 = 140_000;
 
 /// A kind of request: arrivals a second, prompt and output tokens, and times.
@@ -27,6 +29,12 @@
     timeout: Duration,
 }
 
+impl Kind {
+    fn token_rate(&self, request: &Request) -> f64 {
+        request.output as f64 / (self.timeout - self.goal).as_secs_f64()
+    }
+}
+
 /// Short responses to long prompts that are wanted soon.
 const PLANS: Kind = Kind {
     rate: 9.0,
@@ -66,6 +74,7 @@
 fn decide(
     loads: &LoadTracker,
     engine: &UpstreamName,
+    needed_rate: f64,
     kind: &Kind,
     request: &Request,
     now: Duration,
@@ -74,6 +83,7 @@
     let candidate = DispatchCandidate {
         prompt_backlog: load.prompt_backlog,
         prefill_tokens: request.prompt,
+        token_rate: load.tokens_per_stream(),
         running: load.running,
         slots: 64,
         memory: (load.tokens, KV_CAPACITY),
@@ -84,6 +94,8 @@
         latency_goal: kind.goal,
         time_left: kind.timeout,
         output_time: Duration::from_millis(14) * request.output as u32,
+        token_rate: kind.token_rate(request),
+        needed_rate,
         service_time: Duration::ZERO,
     };
     match dispatch(&[candidate], &timing, &DispatchSettings::default(), 0) {
@@ -99,21 +111,26 @@
     let mut rng = StdRng::seed_from_u64(502);
     let name: UpstreamName = "engine".parse().unwrap();
     let (mut loads, mut engine) = (LoadTracker::default(), SimulatedEngine::default());
+    let mut pace = TokenPace::default();
     let mut requests: Vec<(bool, Request)> = Vec::new();
     while engine.now < DURATION {
         let started = engine.now;
-        for event in engine.step() {
+        let events = engine.step();
+        loads.record_tokens(&name, engine.running_count() as f64, engine.now);
+        for event in events {
             let now = engine.now;
             match event {
                 EngineEvent::FirstToken(i) => {
                     let request = requests[i].1;
                     loads.record_first_event(&name, request.prompt);
+                    loads.record_stream_start(&name, now);
                     loads.record_latency(&name, now - request.sent_at, request.estimate);
                 }
                 EngineEvent::Ended(i, in_time) => {
                     let request = &mut requests[i].1;
                     request.served = in_time;
                     loads.record_end(&name, 0, request.prompt + request.output);
+                    loads.record_stream_end(&name, now);
                 }
             }
         }
@@ -131,11 +148,14 @@
                 };
                 let now = engine.now;
                 let index = requests.len();
-                let estimate = decide(&loads, &name, kind, &request, now);
+                pace.record_request(SERVICE, kind.token_rate(&request), now);
+                let needed_rate = pace.needed_rate(SERVICE);
+                let estimate = decide(&loads, &name, needed_rate, kind, &request, now);
                 let estimated = estimate.unwrap_or_default();
                 requests.push((is_brief, Request { estimate: estimated, ..request }));
                 if estimate.is_some() {
-                    loads.record_start(&name, request.prompt, request.prompt + request.output);
+                    let tokens = request.prompt + request.output;
+                    loads.record_start(&name, request.prompt, tokens);
                     engine.push(EngineRequest {
                         index,
                         prompt: request.prompt as f64,
