Dispatch: the pace of a service is that of 99 in 100 responses, not of the longest

The rate that an engine owes its streams was the maximum of recent requests. A single request with an endless maximum output would have made every engine look slow for half a minute and shed the short requests of all tenants, and its duration would have overflowed. Found by reading, before it was used.

The rate is now a running 0.99 quantile, moved by a tenth at most by a request, and the penalty is bounded before it becomes a duration. The new test sends one request without bound; it did not compile before, as the signature changed.

--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -135,9 +135,10 @@
             return Duration::ZERO;
         };
         let slowness = (timing.needed_rate / rate.max(MIN_TOKEN_RATE) - 1.0).max(0.0);
-        let penalty = settings.slow_penalty.mul_f64(slowness).min(settings.max_penalty);
+        let penalty = settings.slow_penalty.as_secs_f64() * slowness;
         let shortness = 1.0 - timing.token_rate / timing.needed_rate.max(MIN_TOKEN_RATE);
-        penalty.mul_f64(shortness.clamp(0.0, 1.0))
+        let penalty = penalty.min(settings.max_penalty.as_secs_f64()) * shortness.clamp(0.0, 1.0);
+        Duration::from_secs_f64(penalty)
     }
 
     fn cost(&self, estimate: Duration, timing: &RequestTiming, settings: &DispatchSettings) -> f64 {
--- a/src/request/token_pace.rs
+++ b/src/request/token_pace.rs
@@ -1,9 +1,13 @@
 //! Pace at which the responses of a service have to be generated.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
-use crate::request::RecentMaximum;
+/// Fraction of the requests that need at most the rate kept, so that the few largest requests of
+/// one caller do not decide it.
+const QUANTILE: f64 = 0.99;
+
+/// Step by which the rate kept follows a request, as a fraction.
+const QUANTILE_STEP: f64 = 0.1;
 
 /// Fraction of the earlier sums that is kept when a stream ends.
 const SUM_DECAY: f64 = 0.95;
@@ -14,7 +18,6 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct ServicePace {
     needed_rate: f64,
-    largest: RecentMaximum,
     /// Decaying sum of the output tokens that ended streams were expected to have.
     expected_tokens: f64,
     /// Decaying sum of the events of these streams.
@@ -33,9 +36,15 @@
     }
 
     /// Records a request whose response needs `rate` tokens a second.
-    pub fn record_request(&mut self, service: &str, rate: f64, now: Duration) {
-        let pace = self.service(service);
-        pace.needed_rate = pace.largest.record(rate, now);
+    pub fn record_request(&mut self, service: &str, rate: f64) {
+        let needed = &mut self.service(service).needed_rate;
+        *needed = if *needed == 0.0 {
+            rate
+        } else if rate > *needed {
+            (*needed * (1.0 + QUANTILE_STEP * QUANTILE)).min(rate)
+        } else {
+            (*needed * (1.0 - QUANTILE_STEP * (1.0 - QUANTILE))).max(rate)
+        };
     }
 
     /// Records a stream that ended whole after `events` events, where `tokens` output tokens were
@@ -46,8 +55,8 @@
         pace.events = pace.events * SUM_DECAY + events as f64;
     }
 
-    /// Returns the rate that the longest recent responses of a service need to end in time, in
-    /// tokens a second; 0 without requests.
+    /// Returns the rate that 99 of 100 recent responses of a service need at most to end in time,
+    /// in tokens a second; 0 without requests.
     pub fn needed_rate(&self, service: &str) -> f64 {
         self.services.get(service).map_or(0.0, |pace| pace.needed_rate)
     }
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -226,3 +226,17 @@
     let size = pace.tokens_per_event("plans").unwrap();
     assert!((size - 3.0).abs() < 0.01, "{size} tokens in an event");
 }
+
+/// A caller that asks for an endless response does not make all engines of a service look slow.
+#[test]
+fn a_single_response_without_bound_does_not_decide_the_pace() {
+    let mut pace = TokenPace::default();
+    (0..500).for_each(|i| pace.record_request("plans", f64::from(i % 30)));
+    let before = pace.needed_rate("plans");
+    pace.record_request("plans", u64::MAX as f64);
+    let after = pace.needed_rate("plans");
+    assert!(before > 20.0 && after < before * 1.2, "{before} and {after} tokens a second");
+    let endless = RequestTiming { token_rate: 1e22, needed_rate: 1e22, ..timing() };
+    let slow = DispatchCandidate { token_rate: Some(0.0), ..candidate(0) };
+    assert_eq!(chosen_index(&[slow], &endless), 0);
+}
--- a/tests/regression/starved_large_requests.rs
+++ b/tests/regression/starved_large_requests.rs
@@ -148,7 +148,7 @@
                 };
                 let now = engine.now;
                 let index = requests.len();
-                pace.record_request(SERVICE, kind.token_rate(&request), now);
+                pace.record_request(SERVICE, kind.token_rate(&request));
                 let needed_rate = pace.needed_rate(SERVICE);
                 let estimate = decide(&loads, &name, needed_rate, kind, &request, now);
                 let estimated = estimate.unwrap_or_default();
