--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -225,6 +225,10 @@
     }
 }
 
+fn millis_since_arrival(edge: &Edge, request: &CallerRequest) -> u64 {
+    edge.now().saturating_sub(request.arrival).as_millis() as u64
+}
+
 /// Forwards a stream in a separate task, which also ends when the caller disconnects or at the
 /// deadline.
 fn relay_stream(
@@ -253,13 +257,14 @@
         let ended = tokio::select! {
             ended = tokio::time::timeout(limit, forwarding) => ended.unwrap_or(Err(AttemptOutcome::TimedOut)),
             () = tx.closed() => {
-                let (position, took) = (position.borrow(), edge.now().saturating_sub(request.arrival).as_millis() as u64);
+                let took = millis_since_arrival(&edge, &request);
+                let position = position.borrow();
                 log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = position.upstream, last = position.last_id.unwrap_or(0), took = took; "The caller left its stream.");
                 return;
             }
         };
         let position = position.into_inner();
-        let took = edge.now().saturating_sub(request.arrival).as_millis() as u64;
+        let took = millis_since_arrival(&edge, &request);
         match ended {
             Ok(()) => {
                 if let Some(events) = position.last_id {
