--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -53,7 +53,8 @@
         }
     }
 
-    /// Removes the prompt from the backlog of the upstream once the first event arrived.
+    /// Removes the prompt from the backlog of the upstream once the first event arrived, and starts
+    /// to record the progress of the stream.
     fn record_first_event(&mut self) {
         let prompt = std::mem::take(&mut self.prompt);
         let mut loads = self.edge.loads.borrow_mut();
