--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -195,13 +195,14 @@
     let started = edge.now();
     let mut load_guard = LoadGuard::new(edge, request, &choice.entry.name);
     let limit = response_timeout(request, choice).min(request.remaining_time(started));
+    let mut head_status = None;
     let opened = tokio::time::timeout(
         limit,
-        send_and_receive(edge, request, choice, last_id, &mut load_guard),
+        send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut head_status),
     )
     .await;
     let result = opened.unwrap_or(Err(AttemptOutcome::TimedOut.into()));
-    record_attempt(edge, request, choice, started, &result);
+    record_attempt(edge, request, choice, started, head_status, &result);
     match result? {
         ReceivedResponse::Full(response) => Ok(AttemptResponse::Full(response)),
         ReceivedResponse::Stream(response, splitter, events) => {
@@ -248,6 +249,7 @@
     request: &CallerRequest,
     choice: &Choice,
     started: Duration,
+    head_status: Option<u16>,
     result: &Result<ReceivedResponse, AttemptFailure>,
 ) {
     let name = &choice.entry.name;
@@ -263,7 +265,7 @@
     };
     let failed = matches!(result, Err(failure) if failure.outcome != AttemptOutcome::Misdirected);
     loads.record_result(name, failed);
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, end = end, took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64, running = choice.running, load = choice.load_tokens; "An upstream was tried.");
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, end = end, status = head_status.unwrap_or(0), took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64, running = choice.running, load = choice.load_tokens; "An upstream was tried.");
     let transport_failed =
         matches!(result, Err(AttemptFailure { outcome: AttemptOutcome::TransportError, .. }));
     if transport_failed {
@@ -282,6 +284,7 @@
     choice: &Choice,
     last_id: Option<u64>,
     load_guard: &mut LoadGuard,
+    head_status: &mut Option<u16>,
 ) -> Result<ReceivedResponse, AttemptFailure> {
     let upstream_headers = UpstreamHeaders {
         upstream: choice.entry.name.to_string(),
@@ -298,6 +301,7 @@
     };
     let mut response = edge.pool.send(&choice.entry.name, choice.entry.address, outgoing).await?;
     let status = response.status;
+    *head_status = Some(status);
     let kind =
         ResponseKind::classify(status, &response.headers, &request.caller_headers.request_id);
     if kind == ResponseKind::WrongRequest {
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -88,6 +88,14 @@
         self.caller_headers.output_hint.map_or(max_output, |hint| hint.0.min(max_output))
     }
 
+    /// Returns the ids of the parts of the prompt that other requests may share, separated by commas.
+    /// The last part belongs to this request alone.
+    pub fn shared_parts(&self) -> String {
+        let segments = self.caller_headers.prefix_segments.as_slice();
+        let shared = segments.split_last().map_or(segments, |(_, shared)| shared);
+        shared.iter().map(|segment| segment.id.as_str()).collect::<Vec<_>>().join(",")
+    }
+
     /// Returns the rate at which the response has to be generated after its first token to end
     /// within the route's timeout, in tokens a second.
     pub fn token_rate(&self) -> f64 {
