--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -11,6 +11,7 @@
 use crate::choose::Choice;
 use crate::edge::Edge;
 use crate::pool::{IncomingResponse, OutgoingRequest};
+use crate::quarantine;
 use crate::request::CallerRequest;
 
 /// Maximum size of a response that is not streamed.
@@ -152,6 +153,11 @@
         }
     }
 
+    /// Reports whether the response tells its end by itself, not by the end of its connection.
+    pub fn is_delimited(&self) -> bool {
+        self.response.is_delimited()
+    }
+
     /// Returns the id of the last event that was returned, if any.
     pub fn last_id(&self) -> Option<u64> {
         self.splitter.last_id()
@@ -245,7 +251,7 @@
 /// Records the result of an attempt in the loads and in the log; a transport error marks the
 /// request as a suspect in a crash of the upstream.
 fn record_attempt(
-    edge: &Edge,
+    edge: &Rc<Edge>,
     request: &CallerRequest,
     choice: &Choice,
     started: Duration,
@@ -268,6 +274,9 @@
     log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, end = end, status = head_status.unwrap_or(0), took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64, running = choice.running, load = choice.load_tokens; "An upstream was tried.");
     let transport_failed =
         matches!(result, Err(AttemptFailure { outcome: AttemptOutcome::TransportError, .. }));
+    if transport_failed && head_status.is_some_and(|status| (200..300).contains(&status)) {
+        quarantine::record_broken_start(edge, &request.prompt, &choice.entry);
+    }
     if transport_failed {
         let crash = format!("{name}#{}", choice.entry.started_ms);
         edge.suspects.borrow_mut().record_crash(
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -10,9 +10,9 @@
 use carob_net::Clock;
 use carobglade::{
     DutyLeases, DutyLeasesSettings, HubSelector, HubSelectorSettings, Incarnation, Load,
-    LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, RateLimiter, RateLimiterSettings,
-    RecentMaximum, RetryBudget, RetryBudgetSettings, Suspects, TokenPace, Tokens, UpstreamName,
-    UsageRelay, VmName, VmProfile,
+    LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, PromptQuarantine, RateLimiter,
+    RateLimiterSettings, RecentMaximum, RetryBudget, RetryBudgetSettings, Suspects, TokenPace,
+    Tokens, UpstreamName, UsageRelay, VmName, VmProfile,
 };
 use tokio::sync::Notify;
 
@@ -98,6 +98,8 @@
     pub token_pace: RefCell<TokenPace>,
     /// Requests that were in flight when an upstream crashed.
     pub suspects: RefCell<Suspects>,
+    /// Parts of prompts that crash upstreams.
+    pub quarantine: RefCell<PromptQuarantine>,
     /// Retry budget of each service.
     pub retry_budgets: RefCell<BTreeMap<String, RetryBudget>>,
     /// Duties that this process holds.
@@ -132,6 +134,8 @@
     pub open_connections: InFlightCounter,
     /// Wakes requests that wait for a model, an adapter or an upstream.
     pub capacity_changed: Notify,
+    /// Wakes requests when a part of prompts is blocked.
+    pub quarantine_changed: Notify,
     /// Wakes the planner before its interval ends.
     pub planner_wakeup: Notify,
     /// Wakes the sender of messages to other vms before its interval ends.
@@ -174,6 +178,7 @@
             demand: RefCell::default(),
             token_pace: RefCell::default(),
             suspects: RefCell::default(),
+            quarantine: RefCell::default(),
             retry_budgets: RefCell::default(),
             duty_leases: RefCell::new(DutyLeases::new(duty_settings)),
             hubs: RefCell::new(hubs),
@@ -191,6 +196,7 @@
             active_requests: InFlightCounter::default(),
             open_connections: InFlightCounter::default(),
             capacity_changed: Notify::new(),
+            quarantine_changed: Notify::new(),
             planner_wakeup: Notify::new(),
             gossip_wakeup: Notify::new(),
             relay_wakeup: Notify::new(),
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -17,6 +17,7 @@
 };
 use crate::choose::choose_upstream;
 use crate::edge::{Edge, InFlightGuard};
+use crate::quarantine::{self, SurvivalTimer};
 use crate::request::{CallerRequest, charge, charge_retry, read_request, refund};
 
 use crate::response::{ResponseBody, error_response, forwarded_response};
@@ -81,13 +82,14 @@
         let mut pace = edge.token_pace.borrow_mut();
         pace.record_request(&request.service, request.token_rate());
     }
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), route = request.route.name.as_str(), service = request.service.as_str(), tenant = request.tenant.as_ref().map_or("", |t| t.name.as_str()), model = request.caller_headers.model.as_ref().map_or("", |m| m.as_str()), parts = request.shared_parts().as_str(), version = request.config.version, tokens = request.charged_tokens().0, prompt = request.prompt_tokens(), output = request.expected_output(), level = remaining_tokens(edge, &request), left = request.remaining_time(edge.now()).as_millis() as u64; "A request was admitted.");
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), route = request.route.name.as_str(), service = request.service.as_str(), tenant = request.tenant.as_ref().map_or("", |t| t.name.as_str()), model = request.caller_headers.model.as_ref().map_or("", |m| m.as_str()), parts = request.prompt.to_string().as_str(), version = request.config.version, tokens = request.charged_tokens().0, prompt = request.prompt_tokens(), output = request.expected_output(), level = remaining_tokens(edge, &request), left = request.remaining_time(edge.now()).as_millis() as u64; "A request was admitted.");
     let progress = Cell::new(AttemptHistory::default());
     let limit = request.remaining_time(edge.now());
     let outcome = tokio::select! {
         result = try_upstreams(edge, &request, &progress, Vec::new(), None) => result,
         () = tokio::time::sleep(limit) => Err(timeout_error(progress.get())),
         () = aborted_by_shutdown(edge, &progress) => Err(shutdown_error(progress.get())),
+        err = quarantine::wait_until_blocked(edge, &request.prompt) => Err(hide_not_run(err, &progress)),
     };
     match outcome {
         Ok(AttemptResponse::Full(response)) => {
@@ -158,6 +160,7 @@
         let choice = choose_upstream(edge, request, &tried)
             .await
             .map_err(|err| hide_not_run(err, progress))?;
+        quarantine::check(edge, &request.prompt).map_err(|err| hide_not_run(err, progress))?;
         tried.push(choice.entry.name.clone());
         if progress.get().may_have_run {
             charge_retry(edge, request);
@@ -296,15 +299,20 @@
         return Ok(());
     }
     let mut attempts = AttemptHistory { sent: progress.sent.max(1), may_have_run: true };
+    let mut survival = SurvivalTimer::start(edge);
     loop {
         match source.next().await {
             Ok(Some(events)) => {
+                survival.record_events(edge, &request.prompt);
                 position.borrow_mut().last_id = source.last_id();
                 if !tx.send(events).await {
                     return Ok(());
                 }
             }
-            Ok(None) => return Ok(()),
+            Ok(None) => {
+                survival.record_end(edge, &request.prompt, source.is_delimited());
+                return Ok(());
+            }
             Err(outcome) => {
                 let next = attempts.decide(request.route.kind, request.route.max_attempts, outcome);
                 let last_id = source.last_id();
@@ -319,6 +327,7 @@
                 drop(source);
                 source = resume_stream(edge, request, tx, failed_upstream, last_id, &mut attempts)
                     .await?;
+                survival = SurvivalTimer::start(edge);
                 *position.borrow_mut() = StreamPosition::of(&source);
             }
         }
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod peers;
 mod pool;
 mod process;
+mod quarantine;
 mod request;
 mod response;
 mod settings;
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -29,6 +29,8 @@
     active_requests: Gauge<u64>,
     connections: Gauge<u64>,
     duties: Gauge<u64>,
+    blocked_parts: Gauge<u64>,
+    block_changes: Counter<u64>,
     recent_counts: Mutex<BTreeMap<&'static str, u64>>,
 }
 
@@ -43,6 +45,8 @@
     pub connections: u64,
     /// Duties that the process holds.
     pub duties: u64,
+    /// Parts of prompts that are blocked.
+    pub blocked_parts: u64,
 }
 
 impl Metrics {
@@ -76,6 +80,11 @@
             active_requests: gauge("active_requests", "Requests under way"),
             connections: gauge("caller_connections", "Connections of callers"),
             duties: gauge("duties", "Duties that the process holds"),
+            blocked_parts: gauge("blocked_parts", "Parts of prompts that are blocked"),
+            block_changes: counter(
+                "block_changes",
+                "Parts of prompts blocked or lifted, by reason",
+            ),
             recent_counts: Mutex::default(),
             registry,
         })
@@ -102,6 +111,7 @@
         self.active_requests.record(state.active_requests, &[]);
         self.connections.record(state.connections, &[]);
         self.duties.record(state.duties, &[]);
+        self.blocked_parts.record(state.blocked_parts, &[]);
     }
 
     /// Counts a refused request.
@@ -109,6 +119,11 @@
         self.refusals.add(1, &[KeyValue::new("kind", kind.response().code)]);
     }
 
+    /// Counts a part of prompts that was blocked or lifted.
+    pub fn record_block_change(&self, reason: &'static str) {
+        self.block_changes.add(1, &[KeyValue::new("reason", reason)]);
+    }
+
     /// Counts a retry.
     pub fn record_retry(&self) {
         self.retries.add(1, &[]);
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -6,7 +6,7 @@
 use carob_platform::KeyedRecord;
 use carobglade::{
     AdapterId, Fingerprint, GossipScope, Incarnation, Load, LogReading, PlacementUpdate,
-    ReporterState, TenantUsage, UsageReport, VmName, name_hash,
+    QuarantineReport, ReporterState, TenantUsage, UsageReport, VmName, name_hash,
 };
 use serde::{Deserialize, Serialize};
 
@@ -155,10 +155,13 @@
     /// Encoded after the message.
     #[serde(skip)]
     extension: Extension,
+    /// Parts of prompts that crash upstreams; encoded after the extension.
+    #[serde(skip)]
+    pub quarantine: QuarantineReport,
 }
 
 impl Message {
-    /// Encodes the message and its extension.
+    /// Encodes the message and what follows it.
     ///
     /// # Errors
     ///
@@ -166,10 +169,11 @@
     pub fn encode(&self) -> postcard::Result<Vec<u8>> {
         let mut bytes = postcard::to_allocvec(self)?;
         bytes.extend(postcard::to_allocvec(&self.extension)?);
+        bytes.extend(postcard::to_allocvec(&self.quarantine)?);
         Ok(bytes)
     }
 
-    /// Decodes a message, with its extension if there is one.
+    /// Decodes a message, with what follows it if there is anything.
     ///
     /// # Errors
     ///
@@ -179,7 +183,11 @@
         if rest.is_empty() {
             return Ok(message);
         }
-        Ok(Message { extension: postcard::from_bytes(rest)?, ..message })
+        let (extension, rest) = postcard::take_from_bytes(rest)?;
+        if rest.is_empty() {
+            return Ok(Message { extension, ..message });
+        }
+        Ok(Message { extension, quarantine: postcard::from_bytes(rest)?, ..message })
     }
 
     /// Builds the message that this vm sends in the role `sender`.
@@ -276,6 +284,7 @@
             since: u64::MAX,
             leaving: is_drained(edge),
             extension: Extension::default(),
+            quarantine: QuarantineReport::default(),
         }
     }
 
@@ -337,6 +346,7 @@
         self.updates = placement.recent_updates(scope, now, UPDATE_REPEAT_TIME);
         self.used = placement.recent_uses(scope, now, SEND_INTERVAL + MIN_SEND_INTERVAL);
         self.suspects = edge.suspects.borrow().recent_crashes(edge.clock.unix_millis());
+        self.quarantine = edge.quarantine.borrow().report(now);
     }
 
     /// Returns the latest changes of the upstream list.
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -9,6 +9,7 @@
 use super::message::{Message, SenderRole, VERSION};
 use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_digest, send_to};
 use crate::edge::Edge;
+use crate::quarantine;
 use crate::view::PeerVm;
 
 /// Receives messages until the task is dropped.
@@ -101,6 +102,7 @@
     edge.loads.borrow_mut().apply_report(&message.vm, message.incarnation, message.loads(), now);
     let demand = message.demand.iter().copied().collect();
     edge.demand.borrow_mut().apply_report(&message.vm, demand, now);
+    quarantine::apply_report(edge, &message.quarantine);
     for (request, crash) in &message.suspects {
         edge.suspects.borrow_mut().record_crash(*request, crash, edge.clock.unix_millis());
     }
--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -139,6 +140,12 @@
         Some((sender, task.abort_handle()))
     }
 
+    /// Reports whether an address refuses connections, as that of a process that ended does.
+    pub async fn is_refused(&self, address: SocketAddr) -> bool {
+        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+        matches!(connecting, Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Sends a request to the upstream `name` at `address` and waits for the status and headers.
     ///
     /// # Errors
@@ -260,7 +267,17 @@
     )
 }
 
+/// Reports whether the headers tell where the body of a response ends.
+fn is_delimited(headers: &HeaderMap) -> bool {
+    headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
+}
+
 impl IncomingResponse {
+    /// Reports whether the response tells its end by itself, not by the end of its connection.
+    pub fn is_delimited(&self) -> bool {
+        is_delimited(&self.headers)
+    }
+
     /// Returns the next chunk, or `None` at the end of the body.
     ///
     /// # Errors
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -16,7 +16,7 @@
 use crate::listener::{self, Phase};
 use crate::metrics::{Metrics, ProcessState};
 use crate::settings::Settings;
-use crate::{follow, group, orders, peers};
+use crate::{follow, group, orders, peers, quarantine};
 
 /// Time until the load balancer stops sending new callers to a vm that is no longer ready.
 const READINESS_DELAY: Duration = Duration::from_millis(2600);
@@ -118,6 +118,7 @@
         edge.pool.close_expired();
         edge.loads.borrow_mut().decay_stats();
         edge.suspects.borrow_mut().expire(edge.clock.unix_millis());
+        quarantine::maintain(&edge);
         edge.rate_limiter.borrow_mut().settle_if_known(edge.now());
     }
 }
@@ -129,6 +130,7 @@
         active_requests: edge.active_requests.get(),
         connections: edge.open_connections.get(),
         duties: edge.duty_leases.borrow().held_count(now),
+        blocked_parts: edge.quarantine.borrow().blocked_count(now) as u64,
     }
 }
 
--- /dev/null
+++ b/crates/carob-edge/src/quarantine.rs
@@ -0,0 +1,125 @@
+//! Parts of prompts that crash upstreams: what is seen of them here, and which requests are refused.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use carobglade::{
+    BlockedPrompt, Error, ErrorKind, QuarantineReport, Result, SharedPrompt, UpstreamCrash,
+    UpstreamEntry, VerdictChange,
+};
+
+use crate::edge::Edge;
+
+/// Maximum retry time of a request that is refused for an hour or more.
+pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Time from its first event after which a stream has survived.
+const SURVIVAL_TIME: Duration = Duration::from_secs(1);
+/// Time between the vms of a fleet, one after the other, that let requests through again at the end
+/// of a block.
+const RELEASE_STEP: Duration = Duration::from_secs(2);
+
+/// Returns an error if the prompt has a blocked part.
+///
+/// # Errors
+///
+/// Returns `Quarantined`, which names the part.
+pub fn check(edge: &Edge, prompt: &SharedPrompt) -> Result<()> {
+    let blocked = edge.quarantine.borrow().blocked(prompt, edge.now());
+    blocked.map_or(Ok(()), |blocked| Err(blocked_error(&blocked)))
+}
+
+fn blocked_error(blocked: &BlockedPrompt) -> Error {
+    let message = format!("upstreams crashed on {} of the prompt", blocked.suspect);
+    Error::new(ErrorKind::Quarantined, message)
+        .with_retry_after(blocked.remaining.min(QUARANTINE_RETRY_AFTER))
+}
+
+/// Completes when a part of the prompt is blocked.
+pub async fn wait_until_blocked(edge: &Edge, prompt: &SharedPrompt) -> Error {
+    loop {
+        let changed = edge.quarantine_changed.notified();
+        if let Err(err) = check(edge, prompt) {
+            return err;
+        }
+        changed.await;
+    }
+}
+
+/// Records that the connection of a response broke after it had begun and before its first event.
+/// That counts as a crash if the upstream then refuses connections.
+pub fn record_broken_start(edge: &Rc<Edge>, prompt: &SharedPrompt, entry: &UpstreamEntry) {
+    let crash = UpstreamCrash { upstream: entry.name.clone(), started_ms: entry.started_ms };
+    let (edge, prompt, address) = (Rc::clone(edge), prompt.clone(), entry.address);
+    tokio::task::spawn_local(async move {
+        if !edge.pool.is_refused(address).await {
+            return;
+        }
+        log::warn!(target: "quarantine", upstream:% = crash.upstream, parts:% = prompt; "An upstream crashed at the start of a response.");
+        let changes = edge.quarantine.borrow_mut().record_crash(&prompt, &crash, edge.now());
+        report_changes(&edge, &changes);
+        edge.gossip_wakeup.notify_one();
+    });
+}
+
+/// Applies what another vm told.
+pub fn apply_report(edge: &Edge, report: &QuarantineReport) {
+    let changes = edge.quarantine.borrow_mut().apply_report(report, edge.now());
+    report_changes(edge, &changes);
+}
+
+fn report_changes(edge: &Edge, changes: &[VerdictChange]) {
+    for change in changes {
+        let crashes: Vec<&str> =
+            change.crashes.iter().map(|crash| crash.upstream.as_str()).collect();
+        let reason = change.reason.as_str();
+        edge.metrics.record_block_change(reason);
+        log::warn!(target: "quarantine", suspect:% = change.verdict.suspect, blocked = change.is_blocked(), reason = reason, crashes = crashes.join(",").as_str(), seconds = change.verdict.remaining.as_secs(), generation = change.verdict.generation; "The block of a part of prompts changed.");
+    }
+    if !changes.is_empty() {
+        edge.quarantine_changed.notify_waiters();
+        edge.gossip_wakeup.notify_one();
+    }
+}
+
+/// Forgets what no longer counts, and sets when this vm lets requests through again after a block.
+pub fn maintain(edge: &Edge) {
+    let view = edge.view.borrow();
+    let rank = view.peers.keys().filter(|peer| **peer < edge.vm).count();
+    let mut quarantine = edge.quarantine.borrow_mut();
+    quarantine.set_release_delay(RELEASE_STEP.saturating_mul(rank as u32));
+    quarantine.expire(edge.now());
+}
+
+/// Records once for each source of a stream that it survived its start.
+pub struct SurvivalTimer {
+    started: Duration,
+    recorded: bool,
+}
+
+impl SurvivalTimer {
+    /// Starts at the first event from an upstream.
+    pub fn start(edge: &Edge) -> Self {
+        SurvivalTimer { started: edge.now(), recorded: false }
+    }
+
+    /// Records further events.
+    pub fn record_events(&mut self, edge: &Edge, prompt: &SharedPrompt) {
+        if !self.recorded && edge.now().saturating_sub(self.started) >= SURVIVAL_TIME {
+            self.record(edge, prompt);
+        }
+    }
+
+    /// Records the end of the stream. An end that only the connection tells proves nothing: it may
+    /// be that of the upstream.
+    pub fn record_end(&mut self, edge: &Edge, prompt: &SharedPrompt, delimited: bool) {
+        if !self.recorded && delimited {
+            self.record(edge, prompt);
+        }
+    }
+
+    fn record(&mut self, edge: &Edge, prompt: &SharedPrompt) {
+        self.recorded = true;
+        let changes = edge.quarantine.borrow_mut().record_survival(prompt, edge.now());
+        report_changes(edge, &changes);
+    }
+}
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -6,16 +6,17 @@
 use bytes::{Bytes, BytesMut};
 use carob_platform::CallerHeaders;
 use carobglade::{
-    Error, ErrorKind, Fingerprint, PlatformConfig, PlatformRoute, PlatformTenant, Result, Tokens,
+    Error, ErrorKind, Fingerprint, PlatformConfig, PlatformRoute, PlatformTenant, PromptPart,
+    Result, SharedPrompt, Tokens,
 };
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
 use crate::edge::Edge;
+use crate::quarantine::{self, QUARANTINE_RETRY_AFTER};
 
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
-const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Maximum time for which a request waits for its tenant's tokens before it is refused.
 const MAX_QUOTA_WAIT: Duration = Duration::from_millis(250);
 
@@ -48,6 +49,8 @@
     pub deadline: Duration,
     /// Identifies the same request when it is sent again.
     pub fingerprint: Fingerprint,
+    /// The parts of the prompt that other requests may share, and the model.
+    pub prompt: SharedPrompt,
 }
 
 /// The route and the expected tokens of a request, as log lines tell them.
@@ -88,14 +91,6 @@
         self.caller_headers.output_hint.map_or(max_output, |hint| hint.0.min(max_output))
     }
 
-    /// Returns the ids of the parts of the prompt that other requests may share, separated by commas.
-    /// The last part belongs to this request alone.
-    pub fn shared_parts(&self) -> String {
-        let segments = self.caller_headers.prefix_segments.as_slice();
-        let shared = segments.split_last().map_or(segments, |(_, shared)| shared);
-        shared.iter().map(|segment| segment.id.as_str()).collect::<Vec<_>>().join(",")
-    }
-
     /// Returns the rate at which the response has to be generated after its first token to end
     /// within the route's timeout, in tokens a second.
     pub fn token_rate(&self) -> f64 {
@@ -161,6 +156,8 @@
     let caller = tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
     let path = format!("{caller}\0{target}");
     let fingerprint = Fingerprint::of(parts.method.as_str(), &path, &body);
+    let prompt = shared_prompt(&caller_headers);
+    quarantine::check(edge, &prompt)?;
     if edge.suspects.borrow().is_quarantined(fingerprint) {
         let message = "upstreams crashed each time this request ran";
         return Err(
@@ -179,10 +176,19 @@
         body,
         arrival,
         fingerprint,
+        prompt,
         caller_headers,
     })
 }
 
+/// Returns the parts that other requests may share: all but the last, which belongs to the request.
+fn shared_prompt(caller_headers: &CallerHeaders) -> SharedPrompt {
+    let segments = caller_headers.prefix_segments.as_slice();
+    let shared = segments.split_last().map_or(segments, |(_, shared)| shared);
+    let parts = shared.iter().map(|segment| PromptPart::from_id(&segment.id));
+    SharedPrompt::new(parts.collect(), caller_headers.model.clone())
+}
+
 /// Replaces a denial by `NotReady` when the configuration is stale: a route or key that is unknown
 /// here may exist in a newer configuration.
 fn deny_only_when_fresh(edge: &Edge, err: Error) -> Error {
--- a/crates/carobctl/src/explain.rs
+++ b/crates/carobctl/src/explain.rs
@@ -13,7 +13,8 @@
 use crate::log_lines::{Line, number_field, parse, text_field};
 
 /// Parts whose log lines tell the state of a process.
-const STATE_PARTS: [&str; 6] = ["config", "ready", "follow", "duty", "upstreams", "main"];
+const STATE_PARTS: [&str; 7] =
+    ["config", "ready", "follow", "duty", "upstreams", "quarantine", "main"];
 
 const START_MESSAGE: &str = "The process started.";
 const UNKNOWN_VM: &str = "?"; // for lines without a vm
@@ -38,7 +39,7 @@
 
 /// Returns the subject of a state line; a later line with the same key replaces the earlier.
 fn state_key(line: &Line) -> String {
-    let about = ["topic", "upstream"].map(|field| text_field(line, field));
+    let about = ["topic", "upstream", "suspect"].map(|field| text_field(line, field));
     format!("{}/{}", text_field(line, "part"), about.concat())
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -59,17 +59,19 @@
     TokenPool,
 };
 pub use process::{
-    AdapterId, Backoff, Claim, ClaimOutcome, ClaimRef, ConfigChange, ControlState, DutyChange,
-    DutyLeases, DutyLeasesSettings, EngineReport, EngineState, EntryChange, Fingerprint, Freshness,
-    FreshnessSettings, GossipScope, GossipSource, GroupAssignment, HubSelector,
-    HubSelectorSettings, Join, Load, LoadTracker, LoadedModel, LogEntry, LogReading, Member,
-    ModelDemand, ModelOrder, OrderIntent, OrderKind, OrderOutcome, OrderResolution, OrderTarget,
-    OrderTracker, OrderTrackerSettings, PEER_LOAD_TTL, PlacementGossip, PlacementUpdate,
-    QUARANTINE_THRESHOLD, RecentChanges, Record, Replay, ReplayPage, ReplayStatus, ReplicaPlanner,
-    ReplicaPlannerSettings, RequestOutcome, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, SlotChange,
-    SlotHolder, SlotTable, Snapshot, StateMachine, Suspects, Suspicion, UpstreamEntry,
-    UpstreamRegistry, UpstreamRegistrySettings, UpstreamRestart, UsageRelay, UsageReport, Verdict,
-    VmProfile, VmRef, name_hash, tenant_slots,
+    AdapterId, Backoff, BlockedPrompt, Claim, ClaimOutcome, ClaimRef, ConfigChange, ControlState,
+    DutyChange, DutyLeases, DutyLeasesSettings, EngineReport, EngineState, EntryChange, Evidence,
+    Fingerprint, Freshness, FreshnessSettings, GossipScope, GossipSource, GroupAssignment,
+    HubSelector, HubSelectorSettings, Join, Load, LoadTracker, LoadedModel, LogEntry, LogReading,
+    Member, ModelDemand, ModelOrder, OrderIntent, OrderKind, OrderOutcome, OrderResolution,
+    OrderTarget, OrderTracker, OrderTrackerSettings, PEER_LOAD_TTL, PlacementGossip,
+    PlacementUpdate, PromptQuarantine, PromptVerdict, QUARANTINE_THRESHOLD, QuarantineReport,
+    RecentChanges, Record, Replay, ReplayPage, ReplayStatus, ReplicaPlanner,
+    ReplicaPlannerSettings, RequestOutcome, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, SharedPrompt,
+    SlotChange, SlotHolder, SlotTable, Snapshot, StateMachine, Suspect, Suspects, Suspicion,
+    UpstreamCrash, UpstreamEntry, UpstreamRegistry, UpstreamRegistrySettings, UpstreamRestart,
+    UsageRelay, UsageReport, Verdict, VerdictChange, VerdictReason, VmProfile, VmRef, name_hash,
+    tenant_slots,
 };
 pub use request::claim::{
     ClaimDecision, ClaimPhase, ClaimState, KEY_RETENTION, RESPONSE_RETENTION, WinningClaim,
@@ -84,8 +86,8 @@
     is_credential_header, strip_query_keys,
 };
 pub use units::{
-    ByteSize, DataCentre, Incarnation, ModelName, Offset, TenantName, TokenRate, Tokens,
-    UpstreamName, VmName,
+    ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, TenantName, TokenRate,
+    Tokens, UpstreamName, VmName,
 };
 pub use version::{
     CallerLimits, Change, Config, ConfigProblem, ConfigWire, Difference, DifferenceKind, Engine,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -14,6 +14,7 @@
 mod order_tracker;
 pub mod placement;
 mod placement_gossip;
+mod prompt_quarantine;
 pub mod quota;
 mod record;
 mod replay;
@@ -40,6 +41,10 @@
 pub use placement_gossip::{
     AdapterId, GossipScope, GossipSource, PlacementGossip, PlacementUpdate,
 };
+pub use prompt_quarantine::{
+    BlockedPrompt, Evidence, PromptQuarantine, PromptVerdict, QuarantineReport, SharedPrompt,
+    Suspect, UpstreamCrash, VerdictChange, VerdictReason,
+};
 pub use record::{
     Claim, ClaimOutcome, ClaimRef, ConfigChange, Fingerprint, Join, LogEntry, OrderIntent,
     OrderKind, OrderResolution, Record, RequestOutcome, SlotChange, Snapshot, Suspicion,
--- /dev/null
+++ b/src/process/prompt_quarantine/evidence.rs
@@ -0,0 +1,284 @@
+//! Which parts of prompts were in requests whose responses had just begun when an upstream crashed.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::{self, Display};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{ModelName, PromptPart, UpstreamName};
+
+/// How long a crash counts.
+const CRASH_TTL: Duration = Duration::from_secs(600);
+/// How long a change is reported to other processes.
+const REPORT_TIME: Duration = Duration::from_secs(2);
+/// Maximum number of changes in a report.
+const MAX_REPORTED: usize = 60;
+/// Maximum number of suspects that are remembered.
+const MAX_SUSPECTS: usize = 512;
+/// Maximum number of crashes that are remembered for a suspect.
+const MAX_CRASHES: usize = 16;
+
+/// One crash of an upstream.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct UpstreamCrash {
+    /// The upstream.
+    pub upstream: UpstreamName,
+    /// Start of the run that ended, in Unix milliseconds.
+    pub started_ms: u64,
+}
+
+/// What may crash upstreams: a part of prompts with any model, or with one model.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Suspect {
+    /// The part.
+    pub part: PromptPart,
+    /// The model; none if the part crashes upstreams with any model.
+    pub model: Option<ModelName>,
+}
+
+impl Display for Suspect {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match &self.model {
+            None => write!(f, "part {}", self.part),
+            Some(model) => write!(f, "part {} with model {model}", self.part),
+        }
+    }
+}
+
+/// A crash that counts against a suspect, or no longer does.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// The suspect.
+    pub suspect: Suspect,
+    /// The crash.
+    pub crash: UpstreamCrash,
+    /// Position of the part in the prompt, from 0.
+    pub position: u8,
+    /// Whether a request with the suspect ran well after the crash.
+    pub cleared: bool,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct CrashState {
+    cleared: bool,
+    seen_at: Duration,
+    changed_at: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct SuspectRecord {
+    position: u8,
+    crashes: BTreeMap<UpstreamCrash, CrashState>,
+}
+
+impl SuspectRecord {
+    fn open_crashes(&self) -> BTreeSet<&UpstreamCrash> {
+        self.crashes.iter().filter(|(_, state)| !state.cleared).map(|(crash, _)| crash).collect()
+    }
+
+    fn open_count(&self) -> usize {
+        self.crashes.values().filter(|state| !state.cleared).count()
+    }
+
+    fn changed_at(&self) -> Duration {
+        self.crashes.values().map(|state| state.changed_at).max().unwrap_or_default()
+    }
+
+    /// Drops the oldest crash when there are too many.
+    fn limit_crashes(&mut self) {
+        if self.crashes.len() <= MAX_CRASHES {
+            return;
+        }
+        let oldest = self.crashes.iter().min_by_key(|(_, state)| state.seen_at);
+        if let Some(crash) = oldest.map(|(crash, _)| crash.clone()) {
+            self.crashes.remove(&crash);
+        }
+    }
+}
+
+/// A suspect and the crashes that count against it and are not explained yet.
+#[derive(Clone, Debug)]
+struct Candidate<'a> {
+    suspect: &'a Suspect,
+    /// Number of crashes that it needs.
+    threshold: usize,
+    position: u8,
+    crashes: BTreeSet<&'a UpstreamCrash>,
+}
+
+impl Candidate<'_> {
+    /// Returns a value that is the highest for the suspect that is taken first.
+    fn rank(&self) -> (Reverse<usize>, usize, u8, bool) {
+        let any_model = self.suspect.model.is_none();
+        (Reverse(self.threshold), self.crashes.len(), self.position, any_model)
+    }
+
+    /// Reports whether several later parts of prompts explain the crashes too, each of them more
+    /// than one: the suspect may only be what they have in common.
+    fn is_ambiguous(&self, all: &[Candidate<'_>]) -> bool {
+        let later = all
+            .iter()
+            .filter(|other| other.position > self.position && other.threshold <= self.threshold);
+        let explained: BTreeSet<&UpstreamCrash> =
+            later.flat_map(|other| other.crashes.iter().copied()).collect();
+        self.crashes.is_subset(&explained)
+    }
+}
+
+/// A suspect and the crashes that it explains.
+#[derive(Clone, Debug, PartialEq)]
+pub(super) struct Explanation {
+    pub suspect: Suspect,
+    pub crashes: Vec<UpstreamCrash>,
+}
+
+/// The crashes that count against each suspect.
+#[derive(Clone, Debug, Default)]
+pub(super) struct CrashEvidence {
+    suspects: BTreeMap<Suspect, SuspectRecord>,
+}
+
+impl CrashEvidence {
+    /// Adds evidence; returns whether it was news. A crash that was cleared stays so.
+    pub fn apply(&mut self, evidence: &Evidence, now: Duration) -> bool {
+        let record = self.suspects.entry(evidence.suspect.clone());
+        let record = record.or_insert_with(|| SuspectRecord {
+            position: evidence.position,
+            crashes: BTreeMap::new(),
+        });
+        let fresh = CrashState { cleared: evidence.cleared, seen_at: now, changed_at: now };
+        let news = match record.crashes.get_mut(&evidence.crash) {
+            Some(state) if state.cleared || !evidence.cleared => false,
+            Some(state) => {
+                *state = CrashState { seen_at: state.seen_at, ..fresh };
+                true
+            }
+            None => {
+                record.crashes.insert(evidence.crash.clone(), fresh);
+                true
+            }
+        };
+        record.limit_crashes();
+        news
+    }
+
+    /// Drops the suspects with the fewest crashes, and of these the oldest, when there are too many.
+    pub fn limit_suspects(&mut self) {
+        let excess = self.suspects.len().saturating_sub(MAX_SUSPECTS);
+        if excess == 0 {
+            return;
+        }
+        let records = self.suspects.iter();
+        let mut ranked: Vec<_> = records
+            .map(|(suspect, record)| (record.open_count(), record.changed_at(), suspect.clone()))
+            .collect();
+        ranked.sort();
+        for (_, _, suspect) in ranked.drain(..excess) {
+            self.suspects.remove(&suspect);
+        }
+    }
+
+    /// Reports whether no crash is known.
+    pub fn is_empty(&self) -> bool {
+        self.suspects.is_empty()
+    }
+
+    /// Clears all crashes of a suspect; returns whether any counted against it.
+    pub fn clear(&mut self, suspect: &Suspect, now: Duration) -> bool {
+        let Some(record) = self.suspects.get_mut(suspect) else {
+            return false;
+        };
+        let open = record.crashes.values_mut().filter(|state| !state.cleared);
+        open.fold(false, |_, state| {
+            *state = CrashState { cleared: true, changed_at: now, ..*state };
+            true
+        })
+    }
+
+    /// Returns the number of crashes that count against a suspect.
+    pub fn open_count(&self, suspect: &Suspect) -> usize {
+        self.suspects.get(suspect).map_or(0, SuspectRecord::open_count)
+    }
+
+    /// Returns the fewest suspects that explain the crashes; `threshold` is the number of crashes
+    /// that a suspect needs, which no suspect before it explains.
+    ///
+    /// Suspects with a low threshold come first, and of these the one with the most crashes. Of
+    /// several that were in the same requests the last part counts, since the parts before it are
+    /// shared with more requests.
+    pub fn explain(&self, threshold: impl Fn(&Suspect) -> usize) -> Vec<Explanation> {
+        let all = self.candidates(threshold);
+        let mut left = all.clone();
+        let mut explanations = Vec::new();
+        loop {
+            left.retain(|candidate| candidate.crashes.len() >= candidate.threshold);
+            let Some(best) = left.iter().max_by_key(|candidate| candidate.rank()).cloned() else {
+                return explanations;
+            };
+            left.retain(|candidate| candidate.suspect != best.suspect);
+            if best.is_ambiguous(&all) {
+                continue;
+            }
+            for candidate in &mut left {
+                candidate.crashes.retain(|crash| !best.crashes.contains(crash));
+            }
+            explanations.push(Explanation {
+                suspect: best.suspect.clone(),
+                crashes: best.crashes.into_iter().cloned().collect(),
+            });
+        }
+    }
+
+    /// Returns the suspects that more than one crash counts against.
+    fn candidates(&self, threshold: impl Fn(&Suspect) -> usize) -> Vec<Candidate<'_>> {
+        let records = self.suspects.iter().filter(|(_, record)| record.open_count() > 1);
+        let candidates = records.map(|(suspect, record)| Candidate {
+            suspect,
+            threshold: threshold(suspect),
+            position: record.position,
+            crashes: record.open_crashes(),
+        });
+        candidates.collect()
+    }
+
+    /// Reports whether all crashes that count against a suspect are in `explanations`.
+    pub fn is_explained(&self, suspect: &Suspect, explanations: &[Explanation]) -> bool {
+        let Some(record) = self.suspects.get(suspect) else {
+            return false;
+        };
+        let explained = |crash: &&UpstreamCrash| {
+            explanations.iter().any(|explanation| explanation.crashes.contains(crash))
+        };
+        record.open_crashes().iter().all(explained)
+    }
+
+    /// Returns the latest changes, for reports to other processes.
+    pub fn recent(&self, now: Duration) -> Vec<Evidence> {
+        let all = self.suspects.iter().flat_map(|(suspect, record)| {
+            let crashes = record.crashes.iter();
+            crashes.map(move |(crash, state)| (suspect, record.position, crash, state))
+        });
+        let mut fresh: Vec<_> = all
+            .filter(|(_, _, _, state)| now.saturating_sub(state.changed_at) < REPORT_TIME)
+            .collect();
+        fresh.sort_by_key(|(_, _, _, state)| Reverse(state.changed_at));
+        fresh.truncate(MAX_REPORTED);
+        let evidence = fresh.into_iter().map(|(suspect, position, crash, state)| Evidence {
+            suspect: suspect.clone(),
+            crash: crash.clone(),
+            position,
+            cleared: state.cleared,
+        });
+        evidence.collect()
+    }
+
+    /// Forgets crashes that no longer count.
+    pub fn expire(&mut self, now: Duration) {
+        for record in self.suspects.values_mut() {
+            record.crashes.retain(|_, state| now.saturating_sub(state.seen_at) < CRASH_TTL);
+        }
+        self.suspects.retain(|_, record| !record.crashes.is_empty());
+    }
+}
--- a/src/units.rs
+++ b/src/units.rs
@@ -100,6 +100,26 @@
     Tokens;
 }
 
+/// Identifies a part of a prompt that several requests may share.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PromptPart(u64);
+
+impl PromptPart {
+    /// Returns the part with the id `id`, a hexadecimal number. An id that is none, or is too long,
+    /// is replaced by its hash.
+    pub fn from_id(id: &str) -> Self {
+        let hash = |_| xxhash_rust::xxh3::xxh3_64(id.as_bytes());
+        PromptPart(u64::from_str_radix(id, 16).unwrap_or_else(hash))
+    }
+}
+
+impl Display for PromptPart {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
 impl Offset {
     /// First offset of a stream. A client of a log with another numbering converts its offsets.
     pub const FIRST: Offset = Offset(1);
--- /dev/null
+++ b/tests/prompt_quarantine.rs
@@ -0,0 +1,274 @@
+//! Which parts of prompts are blocked after crashes of upstreams, and when they are free again.
+
+use std::time::Duration;
+
+use carobglade::{
+    ModelName, PromptPart, PromptQuarantine, QuarantineReport, SharedPrompt, UpstreamCrash,
+    VerdictChange, VerdictReason,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const fn secs(value: u64) -> Duration {
+    Duration::from_secs(value)
+}
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn prompt_with(parts: &[&str], model: &str) -> SharedPrompt {
+    let parts = parts.iter().map(|id| PromptPart::from_id(id)).collect();
+    SharedPrompt::new(parts, Some(model.parse::<ModelName>().unwrap()))
+}
+
+fn prompt(parts: &[&str]) -> SharedPrompt {
+    prompt_with(parts, "large")
+}
+
+fn crash(number: u64) -> UpstreamCrash {
+    UpstreamCrash { upstream: format!("engine-{number}").parse().unwrap(), started_ms: number }
+}
+
+/// Records crashes `numbers` with the same prompt in flight; returns the changes of the last one.
+fn crash_on(
+    quarantine: &mut PromptQuarantine,
+    prompt: &SharedPrompt,
+    numbers: std::ops::Range<u64>,
+    now: Duration,
+) -> Vec<VerdictChange> {
+    let crashes = numbers.map(|number| quarantine.record_crash(prompt, &crash(number), now));
+    crashes.last().unwrap_or_default()
+}
+
+fn is_blocked(quarantine: &PromptQuarantine, parts: &[&str], now: Duration) -> bool {
+    quarantine.blocked(&prompt(parts), now).is_some()
+}
+
+#[test]
+fn a_part_is_blocked_after_three_crashes_and_the_parts_before_it_are_not() {
+    let mut quarantine = PromptQuarantine::default();
+    crash_on(&mut quarantine, &prompt(&["a", "b", "dead"]), 0..2, secs(1));
+    assert!(!is_blocked(&quarantine, &["a", "b", "dead"], secs(1)));
+    let changes = crash_on(&mut quarantine, &prompt(&["a", "b", "dead"]), 2..3, secs(2));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].verdict.suspect.to_string(), "part dead");
+    assert_eq!((changes[0].reason, changes[0].crashes.len()), (VerdictReason::Crashes, 3));
+    assert!(is_blocked(&quarantine, &["x", "dead"], secs(2)));
+    assert!(!is_blocked(&quarantine, &["a", "b"], secs(2)));
+    assert!(!is_blocked(&quarantine, &["a", "b", "c"], secs(2)));
+}
+
+#[test]
+fn one_crash_counts_once_however_many_requests_and_processes_saw_it() {
+    let mut quarantine = PromptQuarantine::default();
+    for number in [0, 0, 0, 1, 1] {
+        quarantine.record_crash(&prompt(&["a", "dead"]), &crash(number), secs(1));
+    }
+    assert!(!is_blocked(&quarantine, &["a", "dead"], secs(1)));
+}
+
+#[test]
+fn a_response_that_ends_well_clears_the_parts_of_its_prompt() {
+    let mut quarantine = PromptQuarantine::default();
+    for round in 0..5 {
+        crash_on(&mut quarantine, &prompt(&["a", "b"]), 2 * round..2 * round + 2, secs(round));
+        quarantine.record_survival(&prompt(&["a", "b"]), secs(round));
+    }
+    assert_eq!(quarantine.blocked_count(secs(9)), 0);
+}
+
+#[test]
+fn a_part_that_survives_is_free_at_once_in_all_processes() {
+    let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+    crash_on(&mut one, &prompt(&["a", "b"]), 0..3, secs(1));
+    other.apply_report(&one.report(secs(1)), secs(1));
+    assert!(is_blocked(&other, &["a", "b"], secs(1)));
+    let changes = one.record_survival(&prompt(&["a", "b"]), secs(2));
+    assert_eq!(changes[0].reason, VerdictReason::Survived);
+    let late_report = other.report(secs(2));
+    other.apply_report(&one.report(secs(2)), secs(2));
+    one.apply_report(&late_report, secs(2));
+    assert!(!is_blocked(&other, &["a", "b"], secs(2)));
+    assert!(!is_blocked(&one, &["a", "b"], secs(2)), "an older report blocked the part again");
+}
+
+#[test]
+fn two_parts_at_once_are_told_apart_from_what_they_share() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.record_survival(&prompt(&["a", "b", "sound"]), secs(1));
+    let prompts = [prompt(&["a", "b", "dead1"]), prompt(&["a", "b", "dead2"])];
+    for number in 0..6 {
+        quarantine.record_crash(&prompts[number as usize % 2], &crash(number), secs(1));
+        assert!(!is_blocked(&quarantine, &["a", "b", "sound"], secs(1)), "crash {number}");
+    }
+    assert!(is_blocked(&quarantine, &["a", "b", "dead1"], secs(1)));
+    assert!(is_blocked(&quarantine, &["a", "b", "dead2"], secs(1)));
+}
+
+#[test]
+fn a_part_is_blocked_before_the_parts_that_came_with_it_by_chance() {
+    let mut quarantine = PromptQuarantine::default();
+    crash_on(&mut quarantine, &prompt(&["a", "dead", "chance"]), 0..3, secs(1));
+    assert!(is_blocked(&quarantine, &["chance"], secs(1)), "the last part is taken first");
+    let changes = crash_on(&mut quarantine, &prompt(&["a", "dead", "other"]), 3..4, secs(2));
+    assert_eq!(changes.len(), 2, "{changes:?}");
+    assert!(is_blocked(&quarantine, &["a", "dead"], secs(2)));
+    assert!(!is_blocked(&quarantine, &["chance"], secs(2)));
+}
+
+#[test]
+fn a_part_that_crashes_one_model_only_is_blocked_for_that_model() {
+    let mut quarantine = PromptQuarantine::default();
+    let (small, large) = (prompt_with(&["a", "b"], "small"), prompt_with(&["a", "b"], "large"));
+    for number in 0..4 {
+        quarantine.record_crash(&large, &crash(number), secs(number));
+        quarantine.record_survival(&small, secs(number));
+        // Other requests of the caller survive on the model.
+        quarantine.record_survival(&prompt(&["a"]), secs(number));
+    }
+    assert!(quarantine.blocked(&large, secs(5)).is_some());
+    assert!(quarantine.blocked(&small, secs(5)).is_none());
+    assert!(quarantine.blocked(&prompt(&["a"]), secs(5)).is_none());
+}
+
+#[test]
+fn a_part_that_survived_lately_needs_more_crashes() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.record_survival(&prompt(&["a", "b"]), secs(1));
+    crash_on(&mut quarantine, &prompt(&["a", "b"]), 0..5, secs(2));
+    assert!(!is_blocked(&quarantine, &["a", "b"], secs(2)));
+    crash_on(&mut quarantine, &prompt(&["a", "b"]), 5..6, secs(3));
+    assert!(is_blocked(&quarantine, &["a", "b"], secs(3)));
+}
+
+#[test]
+fn a_process_in_which_a_part_survived_lifts_the_block_of_one_that_knows_less() {
+    let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+    other.record_survival(&prompt(&["a", "b"]), secs(1));
+    crash_on(&mut one, &prompt(&["a", "b"]), 0..3, secs(2));
+    other.apply_report(&one.report(secs(2)), secs(2));
+    one.apply_report(&other.report(secs(2)), secs(2));
+    assert!(!is_blocked(&one, &["a", "b"], secs(2)));
+    assert!(!is_blocked(&other, &["a", "b"], secs(2)));
+}
+
+#[test]
+fn a_block_ends_in_one_process_after_the_other_and_one_crash_renews_it() {
+    let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+    other.set_release_delay(secs(2));
+    let changes = crash_on(&mut one, &prompt(&["a", "dead"]), 0..3, secs(1));
+    let end = secs(1) + changes[0].verdict.remaining;
+    other.apply_report(&one.report(secs(1)), secs(1));
+    assert!(!is_blocked(&one, &["dead"], end + ms(10)));
+    assert!(is_blocked(&other, &["dead"], end + ms(10)));
+    one.expire(end);
+    let changes = crash_on(&mut one, &prompt(&["a", "dead"]), 9..10, end + ms(500));
+    assert!(is_blocked(&one, &["dead"], end + ms(500)));
+    assert!(changes[0].verdict.remaining > secs(3600), "the second block is longer");
+    other.apply_report(&one.report(end + ms(500)), end + ms(500));
+    assert!(is_blocked(&other, &["dead"], end + secs(10)));
+}
+
+#[test]
+fn invented_parts_take_bounded_memory_and_messages() {
+    let mut quarantine = PromptQuarantine::default();
+    for number in 0..300_u64 {
+        let ids: Vec<String> = (0..50).map(|i| format!("{:x}", number * 50 + i)).collect();
+        let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
+        quarantine.record_crash(&prompt(&ids), &crash(number), ms(number));
+        crash_on(
+            &mut quarantine,
+            &prompt(&ids[..1]),
+            10_000 + 3 * number..10_003 + 3 * number,
+            ms(number),
+        );
+    }
+    let report = quarantine.report(ms(300));
+    assert!(report.evidence.len() <= 60 && report.verdicts.len() <= 32);
+}
+
+/// A fleet of processes that exchange reports every `REPORT_INTERVAL`, some of which are lost.
+struct Fleet {
+    vms: Vec<PromptQuarantine>,
+    random: StdRng,
+    now: Duration,
+}
+
+const VMS: usize = 9;
+const REPORT_INTERVAL: Duration = ms(200);
+const MESSAGE_LOSS: f64 = 0.2;
+
+impl Fleet {
+    fn new(seed: u64) -> Self {
+        let vms = vec![PromptQuarantine::default(); VMS];
+        Fleet { vms, random: StdRng::seed_from_u64(seed), now: Duration::ZERO }
+    }
+
+    fn exchange(&mut self) {
+        let reports: Vec<QuarantineReport> =
+            self.vms.iter().map(|vm| vm.report(self.now)).collect();
+        for (to, vm) in self.vms.iter_mut().enumerate() {
+            for (from, report) in reports.iter().enumerate() {
+                if from != to && !self.random.random_bool(MESSAGE_LOSS) {
+                    vm.apply_report(report, self.now);
+                }
+            }
+        }
+        self.now += REPORT_INTERVAL;
+    }
+}
+
+/// Guards against crashes that are spread so that no vm sees more than one of them.
+#[test]
+fn crashes_seen_by_one_vm_each_are_added_up_everywhere() {
+    for seed in 0..50 {
+        let mut fleet = Fleet::new(seed);
+        for number in 0..3 {
+            let vm = &mut fleet.vms[2 * number as usize];
+            vm.record_crash(&prompt(&["a", "b", "dead"]), &crash(number), fleet.now);
+            fleet.exchange();
+        }
+        // A vm that has just started knows nothing of the crashes.
+        fleet.vms[8] = PromptQuarantine::default();
+        for _ in 0..10 {
+            fleet.exchange();
+        }
+        let now = fleet.now;
+        assert!(fleet.vms.iter().all(|vm| is_blocked(vm, &["dead"], now)), "seed {seed}");
+        assert!(!fleet.vms.iter().any(|vm| is_blocked(vm, &["a", "b", "c"], now)), "seed {seed}");
+    }
+}
+
+/// Guards against sound requests that are refused because upstreams crash for reasons of their own.
+#[test]
+fn crashes_alone_block_no_part() {
+    for seed in 0..50 {
+        let mut fleet = Fleet::new(seed);
+        let mut number = 0;
+        for _ in 0..150 {
+            // Requests of a few callers with sessions of their own; most end well.
+            for _ in 0..6 {
+                let session = format!("{:x}", fleet.random.random_range(100..180));
+                let caller = format!("{:x}", fleet.random.random_range(1..6));
+                let vm = fleet.random.random_range(0..VMS);
+                let (now, prompt) = (fleet.now, prompt(&[&caller, &session]));
+                fleet.vms[vm].record_survival(&prompt, now);
+            }
+            // One upstream in two seconds crashes, with a few responses that have just begun.
+            if fleet.random.random_bool(0.1) {
+                number += 1;
+                for _ in 0..fleet.random.random_range(0..4) {
+                    let session = format!("{:x}", fleet.random.random_range(100..180));
+                    let caller = format!("{:x}", fleet.random.random_range(1..6));
+                    let vm = fleet.random.random_range(0..VMS);
+                    let (now, prompt) = (fleet.now, prompt(&[&caller, &session]));
+                    fleet.vms[vm].record_crash(&prompt, &crash(number), now);
+                }
+            }
+            fleet.exchange();
+            let now = fleet.now;
+            assert!(fleet.vms.iter().all(|vm| vm.blocked_count(now) == 0), "seed {seed}, {now:?}");
+        }
+    }
+}
