Streams: one that ends with its connection before any event has failed

What callers saw: an upstream that crashed at the start of a response with neither a length nor chunks left an empty stream that looked complete (200).

Cause: the end of a connection was taken for the end of a whole response, also where nothing had been sent. Class: the end of the carrier taken for the end of the message.

Change: without a delimiter, a stream needs one event at least. It is also told at the border of the pool that such a connection is closed; hyper did so before. A stream that ends inside an event was and is broken off.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -342,7 +342,8 @@
 ) -> Result<Bytes, AttemptOutcome> {
     loop {
         let Some(chunk) = response.next_chunk().await? else {
-            return if splitter.has_partial() {
+            // Without a delimiter, no event may as well mean that the upstream crashed.
+            return if splitter.has_partial() || !response.is_delimited() {
                 Err(AttemptOutcome::TransportError)
             } else {
                 Ok(Bytes::new())
--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -10,7 +10,7 @@
 use bytes::Bytes;
 use carob_net::Clock;
 use carobglade::{AttemptOutcome, UpstreamName};
-use http::{HeaderMap, Method, Request, Response, Uri};
+use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -75,6 +75,7 @@
     pub status: u16,
     /// The headers as received.
     pub headers: HeaderMap,
+    delimited: bool,
     body: Incoming,
     connection: Option<PooledConnection>,
 }
@@ -244,10 +245,16 @@
     }
     let response = sender.try_send_request(request).await;
     let response = response.map_err(|mut err| err.take_message())?;
-    connection.idle_timeout = idle_timeout(&response);
+    connection.idle_timeout = idle_timeout(&response).filter(|_| is_delimited(&response));
+    let delimited = is_delimited(&response);
     let (parts, body) = response.into_parts();
-    let status = parts.status.as_u16();
-    Ok(IncomingResponse { status, headers: parts.headers, body, connection: Some(connection) })
+    Ok(IncomingResponse {
+        status: parts.status.as_u16(),
+        headers: parts.headers,
+        delimited,
+        body,
+        connection: Some(connection),
+    })
 }
 
 /// Returns how long the connection may be idle after a response; `None` when it must be closed.
@@ -267,15 +274,17 @@
     )
 }
 
-/// Reports whether the headers tell where the body of a response ends.
-fn is_delimited(headers: &HeaderMap) -> bool {
-    headers.contains_key("content-length") || headers.contains_key("transfer-encoding")
+/// Reports whether a response tells its end by itself. Another one ends with its connection.
+fn is_delimited(response: &Response<Incoming>) -> bool {
+    let has = |name: &str| response.headers().contains_key(name);
+    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&response.status());
+    bodiless || has("content-length") || has("transfer-encoding")
 }
 
 impl IncomingResponse {
     /// Reports whether the response tells its end by itself, not by the end of its connection.
     pub fn is_delimited(&self) -> bool {
-        is_delimited(&self.headers)
+        self.delimited
     }
 
     /// Returns the next chunk, or `None` at the end of the body.
