--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -11,8 +11,8 @@
 use carobglade::{
     DutyLeases, DutyLeasesSettings, HubSelector, HubSelectorSettings, Incarnation, Load,
     LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, PromptQuarantine, RateLimiter,
-    RateLimiterSettings, RecentMaximum, RetryBudget, RetryBudgetSettings, Suspects, TokenPace,
-    Tokens, UpstreamName, UsageRelay, VmName, VmProfile,
+    RateLimiterSettings, RecentMaximum, RetryBudget, RetryBudgetSettings, Suspect, Suspects,
+    TokenPace, Tokens, UpstreamName, UsageRelay, VmName, VmProfile,
 };
 use tokio::sync::Notify;
 
@@ -134,6 +134,8 @@
     pub open_connections: InFlightCounter,
     /// Wakes requests that wait for a model, an adapter or an upstream.
     pub capacity_changed: Notify,
+    /// Generations of the verdicts on parts of prompts that the log keeps.
+    pub kept_verdicts: RefCell<BTreeMap<Suspect, u32>>,
     /// Wakes requests when a part of prompts is blocked.
     pub quarantine_changed: Notify,
     /// Wakes the planner before its interval ends.
@@ -196,6 +198,7 @@
             active_requests: InFlightCounter::default(),
             open_connections: InFlightCounter::default(),
             capacity_changed: Notify::new(),
+            kept_verdicts: RefCell::default(),
             quarantine_changed: Notify::new(),
             planner_wakeup: Notify::new(),
             gossip_wakeup: Notify::new(),
--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use carob_platform::{CONFIG_KEY, KeyedRecord, decode_config, decode_upstream};
-use carobglade::{EntryChange, UpstreamName, VmName, VmProfile};
+use carobglade::{BlockRecord, EntryChange, UpstreamName, VmName, VmProfile};
 use serde::{Deserialize, Serialize};
 
 use super::RecordSink;
 use crate::edge::Edge;
+use crate::quarantine;
 use crate::view::PeerVm;
 
 /// Applies the operator's configuration.
@@ -123,7 +124,18 @@
     pub seat: VmProfile,
 }
 
-/// Updates the list of other vms.
+/// Applies a verdict on a part of prompts.
+fn apply_block(edge: &Edge, record: &KeyedRecord) -> bool {
+    match BlockRecord::decode(&record.value) {
+        Ok(block) => quarantine::apply_record(edge, &block),
+        Err(err) => {
+            log::warn!(target: "quarantine", key = record.key.as_str(), error:% = err; "Block record cannot be decoded.");
+        }
+    }
+    true
+}
+
+/// Updates the list of other vms, and the verdicts on parts of prompts that are kept beside it.
 pub(super) struct VmSink;
 
 impl RecordSink for VmSink {
@@ -134,6 +146,9 @@
     }
 
     fn on_record(&mut self, edge: &Edge, record: &KeyedRecord) -> bool {
+        if BlockRecord::is_key(&record.key) {
+            return apply_block(edge, record);
+        }
         let Ok(name) = record.key.parse::<VmName>() else {
             return false;
         };
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -26,7 +26,7 @@
     }
 }
 
-fn handle_datagram(edge: &Edge, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
+fn handle_datagram(edge: &Rc<Edge>, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
     let mut message = match Message::decode(bytes) {
         Ok(message) => message,
         Err(err) => {
@@ -97,7 +97,7 @@
     }
 }
 
-fn apply_loads(edge: &Edge, message: &Message) {
+fn apply_loads(edge: &Rc<Edge>, message: &Message) {
     let now = edge.now();
     edge.loads.borrow_mut().apply_report(&message.vm, message.incarnation, message.loads(), now);
     let demand = message.demand.iter().copied().collect();
--- a/crates/carob-edge/src/quarantine.rs
+++ b/crates/carob-edge/src/quarantine.rs
@@ -3,15 +3,22 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use carob_platform::{LogRequest, VM_TOPIC, encode_keyed_record};
 use carobglade::{
-    BlockedPrompt, Error, ErrorKind, QuarantineReport, Result, SharedPrompt, UpstreamCrash,
-    UpstreamEntry, VerdictChange,
+    Backoff, BlockRecord, BlockedPrompt, Error, ErrorKind, PromptVerdict, QuarantineReport, Result,
+    SharedPrompt, UpstreamCrash, UpstreamEntry, VerdictChange, VerdictReason,
 };
+use rand::Rng;
 
 use crate::edge::Edge;
 
 /// Maximum retry time of a request that is refused for an hour or more.
 pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
+/// Maximum delay before a verdict is written that other vms may have reached too.
+const MAX_KEEP_DELAY: Duration = Duration::from_secs(5);
+/// Time limit for writing a verdict to the log.
+const APPEND_TIMEOUT: Duration = Duration::from_millis(1200);
+const APPEND_MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// Time from its first event after which a stream has survived.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Time between the vms of a fleet, one after the other, that let requests through again at the end
@@ -58,13 +65,64 @@
         let changes = edge.quarantine.borrow_mut().record_crash(&prompt, &crash, edge.now());
         report_changes(&edge, &changes);
         edge.gossip_wakeup.notify_one();
+        keep_changes(&edge, &changes, Duration::ZERO);
     });
 }
 
 /// Applies what another vm told.
-pub fn apply_report(edge: &Edge, report: &QuarantineReport) {
+pub fn apply_report(edge: &Rc<Edge>, report: &QuarantineReport) {
     let changes = edge.quarantine.borrow_mut().apply_report(report, edge.now());
     report_changes(edge, &changes);
+    // Several vms may reach a verdict when each has seen one of the crashes.
+    keep_changes(edge, &changes, MAX_KEEP_DELAY.mul_f64(rand::rng().random()));
+}
+
+/// Applies a verdict that the log keeps.
+pub fn apply_record(edge: &Edge, record: &BlockRecord) {
+    let (now, unix_ms) = (edge.now(), edge.clock.unix_millis());
+    edge.kept_verdicts.borrow_mut().insert(record.suspect.clone(), record.generation);
+    let changes = edge.quarantine.borrow_mut().apply_record(record, now, unix_ms);
+    report_changes(edge, &changes);
+}
+
+/// Writes verdicts that this vm reached to the log after `delay`, for vms that start when no other
+/// one runs.
+fn keep_changes(edge: &Rc<Edge>, changes: &[VerdictChange], delay: Duration) {
+    for change in changes.iter().filter(|change| change.reason != VerdictReason::Reported) {
+        let (edge, verdict) = (Rc::clone(edge), change.verdict.clone());
+        tokio::task::spawn_local(async move {
+            tokio::time::sleep(delay).await;
+            keep_verdict(&edge, &verdict).await;
+        });
+    }
+}
+
+/// Writes a verdict to the log; retries until the log accepts it or another verdict holds.
+async fn keep_verdict(edge: &Edge, verdict: &PromptVerdict) {
+    let record = BlockRecord::new(verdict, edge.clock.unix_millis());
+    let bytes = encode_keyed_record(&record.key(), &record.encode());
+    let mut backoff = Backoff::default();
+    loop {
+        let holds = edge.quarantine.borrow().verdict(&verdict.suspect, edge.now());
+        let kept = edge.kept_verdicts.borrow().get(&verdict.suspect).copied();
+        if holds.is_none_or(|holds| holds.generation != verdict.generation)
+            || kept.is_some_and(|kept| kept >= verdict.generation)
+        {
+            return;
+        }
+        let call = LogRequest::append(VM_TOPIC, bytes.clone());
+        match edge.store.call(call, APPEND_TIMEOUT).await {
+            Ok(_) => {
+                log::info!(target: "quarantine", suspect:% = verdict.suspect, generation = verdict.generation; "A verdict was written to the log.");
+                return;
+            }
+            Err(err) => {
+                log::debug!(target: "quarantine", error:% = err; "Writing a verdict failed; retrying.");
+                let pause = backoff.record_failure(APPEND_MAX_BACKOFF, rand::rng().random());
+                tokio::time::sleep(pause).await;
+            }
+        }
+    }
 }
 
 fn report_changes(edge: &Edge, changes: &[VerdictChange]) {
@@ -103,7 +161,7 @@
     }
 
     /// Records further events.
-    pub fn record_events(&mut self, edge: &Edge, prompt: &SharedPrompt) {
+    pub fn record_events(&mut self, edge: &Rc<Edge>, prompt: &SharedPrompt) {
         if !self.recorded && edge.now().saturating_sub(self.started) >= SURVIVAL_TIME {
             self.record(edge, prompt);
         }
@@ -111,15 +169,16 @@
 
     /// Records the end of the stream. An end that only the connection tells proves nothing: it may
     /// be that of the upstream.
-    pub fn record_end(&mut self, edge: &Edge, prompt: &SharedPrompt, delimited: bool) {
+    pub fn record_end(&mut self, edge: &Rc<Edge>, prompt: &SharedPrompt, delimited: bool) {
         if !self.recorded && delimited {
             self.record(edge, prompt);
         }
     }
 
-    fn record(&mut self, edge: &Edge, prompt: &SharedPrompt) {
+    fn record(&mut self, edge: &Rc<Edge>, prompt: &SharedPrompt) {
         self.recorded = true;
         let changes = edge.quarantine.borrow_mut().record_survival(prompt, edge.now());
         report_changes(edge, &changes);
+        keep_changes(edge, &changes, Duration::ZERO);
     }
 }
--- a/crates/carobctl/src/main.rs
+++ b/crates/carobctl/src/main.rs
@@ -171,6 +171,17 @@
                     Command::new("check")
                         .about("Check the configuration that the log holds")
                         .arg(log_arg()),
+                )
+                .subcommand(
+                    Command::new("lift")
+                        .about("Lift the block of a part of prompts")
+                        .arg(
+                            Arg::new("part")
+                                .required(true)
+                                .value_name("PART")
+                                .help("Id of the part"),
+                        )
+                        .arg(log_arg()),
                 ),
         )
         .subcommand(
@@ -282,6 +293,10 @@
             let Some(path) = args.get_one::<PathBuf>("file") else { bail!("no file") };
             platform_commands::diff(*log, path).await
         }
+        "lift" => {
+            let Some(part) = args.get_one::<String>("part") else { bail!("no part") };
+            platform_commands::lift(*log, part).await
+        }
         _ => platform_commands::check(*log).await,
     }
 }
--- a/crates/carobctl/src/platform_commands.rs
+++ b/crates/carobctl/src/platform_commands.rs
@@ -9,9 +9,11 @@
 use carob_platform::{
     CONFIG_KEY, DUTY_GROUP, KeyedRecord, LogRequest, OPERATOR_TOPIC, UPSTREAM_TOPIC, VM_TOPIC,
     decode_config, decode_newest_page, decode_partition_owners, decode_upstream,
+    encode_keyed_record,
 };
-use carobglade::{PlatformConfig, UpstreamEntry};
+use carobglade::{BlockRecord, PlatformConfig, PromptPart, UpstreamEntry};
 use eyre::{Result, WrapErr, eyre};
+use http::{HeaderMap, Method};
 use serde_json::json;
 
 use crate::CommandOutcome;
@@ -121,6 +123,46 @@
     Ok(if missing.is_empty() { CommandOutcome::Done } else { CommandOutcome::Invalid })
 }
 
+/// Returns the verdicts on parts of prompts that the log keeps, by their keys.
+fn block_records(records: &[KeyedRecord]) -> BTreeMap<String, BlockRecord> {
+    let blocks = records.iter().filter(|record| BlockRecord::is_key(&record.key));
+    let decoded = blocks.filter_map(|r| Some((r.key.clone(), BlockRecord::decode(&r.value).ok()?)));
+    decoded.collect()
+}
+
+/// Lifts the blocks of a part of prompts, with any model.
+///
+/// # Errors
+///
+/// Returns an error when the log does not answer or refuses the record.
+pub async fn lift(log: SocketAddr, id: &str) -> Result<CommandOutcome> {
+    let part = PromptPart::from_id(id);
+    let records = read_newest(log, VM_TOPIC).await?;
+    let client = HttpClient::unpooled();
+    let blocks = block_records(&records).into_iter();
+    let blocks: Vec<_> =
+        blocks.filter(|(_, block)| block.suspect.part == part && block.strikes > 0).collect();
+    if blocks.is_empty() {
+        eprintln!("carobctl: part {id:?} is not blocked");
+        return Ok(CommandOutcome::Invalid);
+    }
+    for (key, block) in blocks {
+        let record = encode_keyed_record(&key, &block.lifted().encode());
+        let request = LogRequest::append(VM_TOPIC, record);
+        let url = format!("http://{log}{}", request.target);
+        let sent =
+            client.send(Method::POST, &url, HeaderMap::new(), request.body.into(), LOG_TIMEOUT);
+        let answer = sent.await.map_err(|err| eyre!("log {log}: {err}"))?;
+        let answer =
+            answer.read_to_end(LOG_TIMEOUT).await.map_err(|err| eyre!("log {log}: {err}"))?;
+        if answer.status != 200 {
+            return Err(eyre!("log {log} answered {} for {}", answer.status, block.suspect));
+        }
+        println!("lifted: {}", block.suspect);
+    }
+    Ok(CommandOutcome::Done)
+}
+
 /// Returns the names of the models of an upstream, each with its number of adapters if any.
 fn model_names(entry: &UpstreamEntry) -> String {
     let names = entry.models.iter().map(|loaded| match loaded.adapters.len() {
@@ -144,7 +186,13 @@
     let unreadable = entries.len() - upstreams.len();
     let version = config.as_ref().map(|config| config.version);
     let holders = duty_holders(log).await?;
-    let names: Vec<&String> = vms.iter().map(|record| &record.key).collect();
+    let vm_records = vms.iter().filter(|record| !BlockRecord::is_key(&record.key));
+    let names: Vec<&String> = vm_records.map(|record| &record.key).collect();
+    let blocked: Vec<String> = block_records(&vms)
+        .values()
+        .filter(|block| block.strikes > 0)
+        .map(|block| block.suspect.to_string())
+        .collect();
     if as_json {
         let upstream_values = upstreams.iter().map(|entry| {
             json!({ "name": entry.name.as_str(), "service": entry.service,
@@ -153,7 +201,7 @@
         });
         let upstream_values: Vec<serde_json::Value> = upstream_values.collect();
         let document = json!({ "version": version, "vms": names, "upstreams": upstream_values, "duties": holders,
-                               "unreadable": unreadable });
+                               "blocked": blocked, "unreadable": unreadable });
         println!("{document}");
         return Ok(CommandOutcome::Done);
     }
@@ -166,6 +214,7 @@
         let duties: Vec<String> = duties.iter().map(u32::to_string).collect();
         println!("duties of {vm}: {}", duties.join(" "));
     }
+    blocked.iter().for_each(|suspect| println!("blocked: {suspect}"));
     for entry in &upstreams {
         let state = if entry.draining { "leaves" } else { "ready" };
         println!(
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -42,8 +42,8 @@
     AdapterId, GossipScope, GossipSource, PlacementGossip, PlacementUpdate,
 };
 pub use prompt_quarantine::{
-    BlockedPrompt, Evidence, PromptQuarantine, PromptVerdict, QuarantineReport, SharedPrompt,
-    Suspect, UpstreamCrash, VerdictChange, VerdictReason,
+    BlockRecord, BlockedPrompt, Evidence, PromptQuarantine, PromptVerdict, QuarantineReport,
+    SharedPrompt, Suspect, UpstreamCrash, VerdictChange, VerdictReason,
 };
 pub use record::{
     Claim, ClaimOutcome, ClaimRef, ConfigChange, Fingerprint, Join, LogEntry, OrderIntent,
--- a/src/process/prompt_quarantine/mod.rs
+++ b/src/process/prompt_quarantine/mod.rs
@@ -6,6 +6,7 @@
 //! it, so only a part that no response has survived gathers crashes. Processes tell each other their
 //! evidence and their verdicts; all reach the same verdict from the same evidence.
 
+mod block_record;
 mod evidence;
 mod survivors;
 mod verdicts;
@@ -15,6 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
+pub use self::block_record::BlockRecord;
 use self::evidence::{CrashEvidence, Explanation};
 pub use self::evidence::{Evidence, Suspect, UpstreamCrash};
 use self::survivors::Survivors;
@@ -257,6 +259,21 @@
         changes
     }
 
+    /// Applies a verdict that the log keeps; returns the verdicts that changed.
+    pub fn apply_record(
+        &mut self,
+        record: &BlockRecord,
+        now: Duration,
+        unix_ms: u64,
+    ) -> Vec<VerdictChange> {
+        self.apply_verdict(&record.verdict(unix_ms), now)
+    }
+
+    /// Returns the verdict on a suspect, if there is one.
+    pub fn verdict(&self, suspect: &Suspect, now: Duration) -> Option<PromptVerdict> {
+        self.verdicts.get(suspect, now)
+    }
+
     /// Applies a verdict of another process. A block of a part that survived here, without the
     /// evidence that such a part needs, is lifted again.
     fn apply_verdict(&mut self, verdict: &PromptVerdict, now: Duration) -> Vec<VerdictChange> {
