--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carob_platform::{ResponseKind, UpstreamHeaders, strip_response_headers};
-use carobglade::{AttemptOutcome, EventSplitter, UpstreamName};
+use carob_platform::{ResponseKind, UpstreamHeaders, server_limit, strip_response_headers};
+use carobglade::{AttemptOutcome, EventSplitter, RequestRate, UpstreamName};
 use http::HeaderMap;
 
 use crate::choose::Choice;
@@ -201,14 +201,14 @@
     let started = edge.now();
     let mut load_guard = LoadGuard::new(edge, request, &choice.entry.name);
     let limit = response_timeout(request, choice).min(request.remaining_time(started));
-    let mut head_status = None;
+    let mut head = ResponseHead::default();
     let opened = tokio::time::timeout(
         limit,
-        send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut head_status),
+        send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut head),
     )
     .await;
     let result = opened.unwrap_or(Err(AttemptOutcome::TimedOut.into()));
-    record_attempt(edge, request, choice, started, head_status, &result);
+    record_attempt(edge, request, choice, started, head, &result);
     match result? {
         ReceivedResponse::Full(response) => Ok(AttemptResponse::Full(response)),
         ReceivedResponse::Stream(response, splitter, events) => {
@@ -233,6 +233,23 @@
     }
 }
 
+/// What the head of a response tells about the upstream.
+#[derive(Clone, Copy, Debug, Default)]
+struct ResponseHead {
+    /// The HTTP status; 0 while no response has begun.
+    status: u16,
+    /// The requests a second that the upstream takes, if it names a limit.
+    limit: Option<RequestRate>,
+}
+
+/// Returns the limit that an upstream names in a response; one that cannot be read counts as none.
+fn read_limit(name: &UpstreamName, headers: &HeaderMap) -> Option<RequestRate> {
+    server_limit(headers).unwrap_or_else(|err| {
+        log::warn!(target: "limits", upstream:% = name, error:% = err; "The limit of an upstream cannot be read.");
+        None
+    })
+}
+
 enum ReceivedResponse {
     Full(FullResponse),
     Stream(Box<IncomingResponse>, EventSplitter, Bytes),
@@ -255,7 +272,7 @@
     request: &CallerRequest,
     choice: &Choice,
     started: Duration,
-    head_status: Option<u16>,
+    head: ResponseHead,
     result: &Result<ReceivedResponse, AttemptFailure>,
 ) {
     let name = &choice.entry.name;
@@ -271,10 +288,10 @@
     };
     let failed = matches!(result, Err(failure) if failure.outcome != AttemptOutcome::Misdirected);
     loads.record_result(name, failed);
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, end = end, status = head_status.unwrap_or(0), took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64, running = choice.running, load = choice.load_tokens; "An upstream was tried.");
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, end = end, status = head.status, limit:% = head.limit.map(|limit| limit.to_string()).unwrap_or_default(), took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64, running = choice.running, load = choice.load_tokens; "An upstream was tried.");
     let transport_failed =
         matches!(result, Err(AttemptFailure { outcome: AttemptOutcome::TransportError, .. }));
-    if transport_failed && head_status.is_some_and(|status| (200..300).contains(&status)) {
+    if transport_failed && (200..300).contains(&head.status) {
         quarantine::record_broken_start(edge, &request.prompt, &choice.entry);
     }
     if transport_failed {
@@ -293,7 +310,7 @@
     choice: &Choice,
     last_id: Option<u64>,
     load_guard: &mut LoadGuard,
-    head_status: &mut Option<u16>,
+    head: &mut ResponseHead,
 ) -> Result<ReceivedResponse, AttemptFailure> {
     let upstream_headers = UpstreamHeaders {
         upstream: choice.entry.name.to_string(),
@@ -310,7 +327,7 @@
     };
     let mut response = edge.pool.send(&choice.entry.name, choice.entry.address, outgoing).await?;
     let status = response.status;
-    *head_status = Some(status);
+    *head = ResponseHead { status, limit: read_limit(&choice.entry.name, &response.headers) };
     let kind =
         ResponseKind::classify(status, &response.headers, &request.caller_headers.request_id);
     if kind == ResponseKind::WrongRequest {
--- a/src/units.rs
+++ b/src/units.rs
@@ -100,6 +100,34 @@
     Tokens;
 }
 
+/// Number of requests a second that an upstream takes; finite and not negative.
+#[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RequestRate(f64);
+
+impl RequestRate {
+    /// Returns the requests a second.
+    pub fn per_second(self) -> f64 {
+        self.0
+    }
+}
+
+impl Display for RequestRate {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RequestRate {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let rate = text.trim().parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0);
+        rate.map(RequestRate)
+            .ok_or_else(|| invalid(format!("rate {text:?} must be a decimal number, 0 or more")))
+    }
+}
+
 /// Identifies a part of a prompt that several requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
