LIMIT: vms take turns at an upstream that names a limit

What callers and operators saw: an engine that had named a limit of 1 a second got 12 requests in 4 s from vms that it had told (11 allowed), one of 1.4 got 14 (13 allowed).

Class: a word of an upstream about itself that is passed on and not acted on; and, as a limit for all vms together, one that no vm can keep alone.

Change: the header is decoded in platform/; what each upstream said last goes with the messages between vms. One vm, chosen by a hash among those alive, owns the schedule of an upstream and gives each request its turn; the others ask it in a datagram. A request that another upstream can take goes there; one that none can take in time is refused at once with the time of the next turn. Orders and reports are counted.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carob_platform::{ResponseKind, UpstreamHeaders, server_limit, strip_response_headers};
+use carob_platform::{ResponseKind, UpstreamHeaders, strip_response_headers};
 use carobglade::{AttemptOutcome, EventSplitter, RequestRate, UpstreamName};
 use http::HeaderMap;
 
@@ -13,6 +13,7 @@
 use crate::pool::{IncomingResponse, OutgoingRequest};
 use crate::quarantine;
 use crate::request::CallerRequest;
+use crate::turns;
 
 /// Maximum size of a response that is not streamed.
 const MAX_RESPONSE_BYTES: usize = 16 << 20;
@@ -242,14 +243,6 @@
     limit: Option<RequestRate>,
 }
 
-/// Returns the limit that an upstream names in a response; one that cannot be read counts as none.
-fn read_limit(name: &UpstreamName, headers: &HeaderMap) -> Option<RequestRate> {
-    server_limit(headers).unwrap_or_else(|err| {
-        log::warn!(target: "limits", upstream:% = name, error:% = err; "The limit of an upstream cannot be read.");
-        None
-    })
-}
-
 enum ReceivedResponse {
     Full(FullResponse),
     Stream(Box<IncomingResponse>, EventSplitter, Bytes),
@@ -327,7 +320,8 @@
     };
     let mut response = edge.pool.send(&choice.entry.name, choice.entry.address, outgoing).await?;
     let status = response.status;
-    *head = ResponseHead { status, limit: read_limit(&choice.entry.name, &response.headers) };
+    *head =
+        ResponseHead { status, limit: turns::read_limit(edge, &choice.entry, &response.headers) };
     let kind =
         ResponseKind::classify(status, &response.headers, &request.caller_headers.request_id);
     if kind == ResponseKind::WrongRequest {
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -11,6 +11,7 @@
 
 use crate::edge::Edge;
 use crate::request::CallerRequest;
+use crate::turns;
 
 /// Time between two output tokens of a busy engine.
 const TIME_PER_TOKEN: Duration = Duration::from_millis(14);
@@ -47,7 +48,10 @@
         let changed = edge.capacity_changed.notified();
         let eligible = eligible_upstreams(edge, request, tried);
         if !eligible.is_empty() {
-            return dispatch_request(edge, request, eligible);
+            if let Some(choice) = take_turn(edge, request, eligible).await? {
+                return Ok(choice);
+            }
+            continue;
         }
         if request.caller_headers.model.is_none()
             || edge.now() >= until
@@ -62,6 +66,38 @@
     }
 }
 
+/// Chooses one of `eligible` and waits for its turn there if the upstream names a limit. Returns
+/// `None` when there was no turn, so that the others are considered.
+///
+/// # Errors
+///
+/// Returns an error when no upstream can take the request in time.
+async fn take_turn(
+    edge: &Rc<Edge>,
+    request: &CallerRequest,
+    eligible: Vec<UpstreamEntry>,
+) -> Result<Option<Choice>> {
+    let max_wait = match turns::has_unlimited(edge, &eligible) {
+        true => Duration::ZERO,
+        false => max_turn_wait(edge, request),
+    };
+    let (open, next_turn) = turns::open_upstreams(edge, eligible, max_wait);
+    if let (true, Some(wait)) = (open.is_empty(), next_turn) {
+        let message = format!("upstreams take no more requests for {} ms", wait.as_millis());
+        return Err(Error::new(ErrorKind::UpstreamUnavailable, message).with_retry_after(wait));
+    }
+    let choice = dispatch_request(edge, request, open)?;
+    let has_turn = turns::wait_for_turn(edge, &choice.entry, max_wait).await;
+    let accepts = edge.view.borrow().upstreams.entry(&choice.entry.name).is_some();
+    Ok((has_turn && accepts).then_some(choice))
+}
+
+/// Returns how long a request waits for a turn where no other upstream can take it.
+fn max_turn_wait(edge: &Edge, request: &CallerRequest) -> Duration {
+    let half = request.remaining_time(edge.now()).mul_f64(MAX_WAIT_FRACTION);
+    half.min(request.route.latency_goal)
+}
+
 fn is_model_configured(request: &CallerRequest) -> bool {
     let engine = request.config.engine(&request.service);
     let model = request.caller_headers.model.as_ref();
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -1,6 +1,6 @@
 //! The shared state of the process, and the updates that affect several parts of it.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,14 +12,16 @@
     DutyLeases, DutyLeasesSettings, HubSelector, HubSelectorSettings, Incarnation, Load,
     LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, PromptQuarantine, RateLimiter,
     RateLimiterSettings, RecentMaximum, RetryBudget, RetryBudgetSettings, Suspect, Suspects,
-    TokenPace, Tokens, UpstreamName, UsageRelay, VmName, VmProfile,
+    TokenPace, Tokens, UpstreamLimits, UpstreamName, UsageRelay, VmName, VmProfile,
 };
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
 use crate::metrics::Metrics;
 use crate::pool::ConnectionPool;
 use crate::settings::Settings;
 use crate::store::StoreClient;
+use crate::turn_requests::TurnRequests;
 use crate::view::ClusterView;
 
 /// Fraction of `bounds.spare` that the retry budgets of all vms hold in reserve together.
@@ -134,6 +136,12 @@
     pub open_connections: InFlightCounter,
     /// Wakes requests that wait for a model, an adapter or an upstream.
     pub capacity_changed: Notify,
+    /// Limits that upstreams name.
+    pub limits: RefCell<UpstreamLimits>,
+    /// Turns at limited upstreams that other vms were asked for.
+    pub turn_requests: TurnRequests,
+    /// The socket for messages to other vms, once it is open.
+    pub peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Generations of the verdicts on parts of prompts that the log keeps.
     pub kept_verdicts: RefCell<BTreeMap<Suspect, u32>>,
     /// Wakes requests when a part of prompts is blocked.
@@ -198,6 +206,9 @@
             active_requests: InFlightCounter::default(),
             open_connections: InFlightCounter::default(),
             capacity_changed: Notify::new(),
+            limits: RefCell::default(),
+            turn_requests: TurnRequests::default(),
+            peer_socket: OnceCell::new(),
             kept_verdicts: RefCell::default(),
             quarantine_changed: Notify::new(),
             planner_wakeup: Notify::new(),
@@ -256,6 +267,7 @@
     pub fn on_upstream_removed(&self, name: &UpstreamName) {
         log::info!(target: "upstreams", upstream:% = name; "Upstream removed from the registry.");
         self.on_upstream_restarted(name);
+        self.limits.borrow_mut().remove(name);
         self.on_placement_changed();
     }
 
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -18,6 +18,8 @@
 mod response;
 mod settings;
 mod store;
+mod turn_requests;
+mod turns;
 mod view;
 
 pub use logging::start as start_logging;
--- a/crates/carob-edge/src/orders/mod.rs
+++ b/crates/carob-edge/src/orders/mod.rs
@@ -22,6 +22,7 @@
 use self::adapters::plan_adapters;
 use crate::edge::Edge;
 use crate::pool::OutgoingRequest;
+use crate::turns;
 
 /// Maximum time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
@@ -314,7 +315,9 @@
         headers,
         body: encode_order(order).into(),
     };
+    turns::count_request(edge, &upstream.name);
     let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
+    turns::read_limit(edge, upstream, &response.headers);
     response.read_to_end(MAX_REPORT_BYTES).await?;
     Ok(response.status)
 }
@@ -330,7 +333,9 @@
         body: bytes::Bytes::new(),
     };
     let read = async {
+        turns::count_request(edge, &upstream.name);
         let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
+        turns::read_limit(edge, upstream, &response.headers);
         let body = response.read_to_end(MAX_REPORT_BYTES).await?;
         Ok::<_, AttemptOutcome>((response.status, body))
     };
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -5,8 +5,8 @@
 
 use carob_platform::KeyedRecord;
 use carobglade::{
-    AdapterId, Fingerprint, GossipScope, Incarnation, Load, LogReading, PlacementUpdate,
-    QuarantineReport, ReporterState, TenantUsage, UsageReport, VmName, name_hash,
+    AdapterId, Fingerprint, GossipScope, Incarnation, LimitNotice, Load, LogReading,
+    PlacementUpdate, QuarantineReport, ReporterState, TenantUsage, UsageReport, VmName, name_hash,
 };
 use serde::{Deserialize, Serialize};
 
@@ -158,6 +158,9 @@
     /// Parts of prompts that crash upstreams; encoded after the extension.
     #[serde(skip)]
     pub quarantine: QuarantineReport,
+    /// Limits that upstreams name; encoded after the quarantine.
+    #[serde(skip)]
+    pub limits: Vec<LimitNotice>,
 }
 
 impl Message {
@@ -170,6 +173,7 @@
         let mut bytes = postcard::to_allocvec(self)?;
         bytes.extend(postcard::to_allocvec(&self.extension)?);
         bytes.extend(postcard::to_allocvec(&self.quarantine)?);
+        bytes.extend(postcard::to_allocvec(&self.limits)?);
         Ok(bytes)
     }
 
@@ -187,7 +191,11 @@
         if rest.is_empty() {
             return Ok(Message { extension, ..message });
         }
-        Ok(Message { extension, quarantine: postcard::from_bytes(rest)?, ..message })
+        let (quarantine, rest) = postcard::take_from_bytes(rest)?;
+        if rest.is_empty() {
+            return Ok(Message { extension, quarantine, ..message });
+        }
+        Ok(Message { extension, quarantine, limits: postcard::from_bytes(rest)?, ..message })
     }
 
     /// Builds the message that this vm sends in the role `sender`.
@@ -285,6 +293,7 @@
             leaving: is_drained(edge),
             extension: Extension::default(),
             quarantine: QuarantineReport::default(),
+            limits: Vec::new(),
         }
     }
 
@@ -347,6 +356,7 @@
         self.used = placement.recent_uses(scope, now, SEND_INTERVAL + MIN_SEND_INTERVAL);
         self.suspects = edge.suspects.borrow().recent_crashes(edge.clock.unix_millis());
         self.quarantine = edge.quarantine.borrow().report(now);
+        self.limits = edge.limits.borrow().notices(now);
     }
 
     /// Returns the latest changes of the upstream list.
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -43,7 +43,9 @@
 ///
 /// Returns an error when the address cannot be bound.
 pub async fn open(edge: &Edge) -> Result<Rc<UdpSocket>> {
-    Ok(Rc::new(UdpSocket::bind(edge.settings.peer_address()).await?))
+    let socket = Rc::new(UdpSocket::bind(edge.settings.peer_address()).await?);
+    let _ = edge.peer_socket.set(Rc::clone(&socket));
+    Ok(socket)
 }
 
 /// Sends the state of this vm to other vms periodically, and at once when there is news.
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -10,6 +10,7 @@
 use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_digest, send_to};
 use crate::edge::Edge;
 use crate::quarantine;
+use crate::turns::{self, TURN_VERSION};
 use crate::view::PeerVm;
 
 /// Receives messages until the task is dropped.
@@ -17,6 +18,9 @@
     let mut buf = vec![0; MAX_MESSAGE_BYTES];
     loop {
         match socket.recv_from(&mut buf).await {
+            Ok((len, from)) if buf[..len].starts_with(&[TURN_VERSION]) => {
+                turns::handle_datagram(&edge, &buf[1..len], from);
+            }
             Ok((len, from)) => handle_datagram(&edge, &socket, &buf[..len], from),
             Err(err) => {
                 log::debug!(target: "peers", error:% = err; "Receiving a peer message failed.");
@@ -103,6 +107,7 @@
     let demand = message.demand.iter().copied().collect();
     edge.demand.borrow_mut().apply_report(&message.vm, demand, now);
     quarantine::apply_report(edge, &message.quarantine);
+    turns::apply_notices(edge, &message.limits);
     for (request, crash) in &message.suspects {
         edge.suspects.borrow_mut().record_crash(*request, crash, edge.clock.unix_millis());
     }
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -119,6 +119,7 @@
         edge.loads.borrow_mut().decay_stats();
         edge.suspects.borrow_mut().expire(edge.clock.unix_millis());
         quarantine::maintain(&edge);
+        edge.limits.borrow_mut().expire(edge.now());
         edge.rate_limiter.borrow_mut().settle_if_known(edge.now());
     }
 }
--- /dev/null
+++ b/crates/carob-edge/src/turns.rs
@@ -0,0 +1,203 @@
+//! Turns of requests at upstreams that name a limit, across all vms.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use carob_platform::server_limit;
+use carobglade::{LimitNotice, RequestRate, Turn, UpstreamEntry, UpstreamName, VmName};
+use http::HeaderMap;
+use rand::Rng;
+use serde::{Deserialize, Serialize};
+
+use crate::edge::Edge;
+
+/// First byte of a datagram about turns, which no other message between vms begins with.
+pub const TURN_VERSION: u8 = 64;
+
+/// Time within which another vm answers a request for a turn.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time without turns after a request for one that was not answered, or while the vms are not known.
+const UNKNOWN_TURN_WAIT: Duration = Duration::from_millis(300);
+/// Intervals between turns, for each vm of the fleet, within which vms ask again.
+const SPREAD_FACTOR: f64 = 0.25;
+
+/// A datagram from one vm to another, after its first byte.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum TurnMessage {
+    /// Asks for a turn of a request that can wait for `max_wait`.
+    Request { number: u64, limit: LimitNotice, max_wait: Duration },
+    /// Answers a request.
+    Answer { number: u64, turn: Turn },
+    /// Tells of a request that needed no turn.
+    Sent { limit: LimitNotice },
+}
+
+/// Records the limit that an upstream names in a response, or that it names none. One that cannot
+/// be read changes nothing.
+pub fn read_limit(edge: &Edge, entry: &UpstreamEntry, headers: &HeaderMap) -> Option<RequestRate> {
+    let rate = match server_limit(headers) {
+        Ok(rate) => rate,
+        Err(err) => {
+            log::warn!(target: "limits", upstream:% = entry.name, error:% = err; "The limit of an upstream cannot be read.");
+            return None;
+        }
+    };
+    if edge.limits.borrow_mut().record(&entry.name, entry.started_ms, rate, edge.now()) {
+        report_change(edge, &entry.name, rate, "upstream");
+    }
+    rate
+}
+
+fn report_change(edge: &Edge, name: &UpstreamName, rate: Option<RequestRate>, source: &str) {
+    let limit = rate.map(|rate| rate.to_string()).unwrap_or_default();
+    log::info!(target: "limits", upstream:% = name, limit = limit.as_str(), source = source; "The limit of an upstream changed.");
+    edge.gossip_wakeup.notify_one();
+    edge.capacity_changed.notify_waiters();
+}
+
+/// Applies what another vm told of limits.
+pub fn apply_notices(edge: &Edge, notices: &[LimitNotice]) {
+    for notice in notices {
+        if edge.limits.borrow_mut().apply(notice, edge.now()) {
+            report_change(edge, &notice.upstream, notice.rate, "vm");
+        }
+    }
+}
+
+/// Returns the upstreams that may have a turn for a request that can wait for `max_wait`, and the
+/// time until the next turn of the others.
+pub fn open_upstreams(
+    edge: &Edge,
+    mut entries: Vec<UpstreamEntry>,
+    max_wait: Duration,
+) -> (Vec<UpstreamEntry>, Option<Duration>) {
+    let (limits, now) = (edge.limits.borrow(), edge.now());
+    let mut next_turn: Option<Duration> = None;
+    entries.retain(|entry| match limits.known_wait(&entry.name, max_wait, now) {
+        None => true,
+        Some(wait) => {
+            next_turn = Some(next_turn.map_or(wait, |next| next.min(wait)));
+            false
+        }
+    });
+    (entries, next_turn)
+}
+
+/// Reports whether one of `entries` names no limit.
+pub fn has_unlimited(edge: &Edge, entries: &[UpstreamEntry]) -> bool {
+    let limits = edge.limits.borrow();
+    entries.iter().any(|entry| limits.rate(&entry.name).is_none())
+}
+
+/// Waits for the turn of a request that can wait for `max_wait`; returns whether it has one.
+pub async fn wait_for_turn(edge: &Rc<Edge>, entry: &UpstreamEntry, max_wait: Duration) -> bool {
+    match request_turn(edge, &entry.name, max_wait).await {
+        Turn::After(wait) => {
+            if !wait.is_zero() {
+                tokio::time::sleep(wait).await;
+            }
+            true
+        }
+        Turn::Refused(wait) => {
+            let spread = rand::rng().random::<f64>() * edge.fleet_size() as f64 * SPREAD_FACTOR;
+            edge.limits.borrow_mut().record_refusal(&entry.name, wait, spread, edge.now());
+            if wait <= max_wait {
+                // The owner of the schedule is not known yet; it may be after this time.
+                tokio::time::sleep(wait).await;
+            }
+            false
+        }
+    }
+}
+
+async fn request_turn(edge: &Rc<Edge>, name: &UpstreamName, max_wait: Duration) -> Turn {
+    let now = edge.now();
+    let Some(limit) = edge.limits.borrow().notice(name, now) else {
+        return Turn::After(Duration::ZERO);
+    };
+    if !edge.view.borrow().vms_known {
+        return Turn::Refused(UNKNOWN_TURN_WAIT);
+    }
+    let owner = edge.hubs.borrow_mut().owner_of(name.as_str(), now);
+    if owner == edge.vm {
+        return edge.limits.borrow_mut().take_turn(name, max_wait, now);
+    }
+    let (number, answer) = edge.turn_requests.open();
+    edge.hubs.borrow_mut().record_request(&owner, now);
+    send_to_vm(edge, &owner, &TurnMessage::Request { number, limit, max_wait });
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, answer).await;
+    edge.turn_requests.close(number);
+    match answer {
+        Ok(Ok(turn)) => {
+            edge.hubs.borrow_mut().record_response(&owner);
+            turn
+        }
+        _ => {
+            log::debug!(target: "limits", upstream:% = name, vm:% = owner; "A request for a turn was not answered.");
+            Turn::Refused(UNKNOWN_TURN_WAIT)
+        }
+    }
+}
+
+/// Counts a request to an upstream that needs no turn, such as an order.
+pub fn count_request(edge: &Edge, name: &UpstreamName) {
+    let now = edge.now();
+    let Some(limit) = edge.limits.borrow().notice(name, now) else {
+        return;
+    };
+    let owner = edge.hubs.borrow_mut().owner_of(name.as_str(), now);
+    if owner == edge.vm {
+        edge.limits.borrow_mut().count(name, now);
+    } else {
+        send_to_vm(edge, &owner, &TurnMessage::Sent { limit });
+    }
+}
+
+fn send_to_vm(edge: &Edge, vm: &VmName, message: &TurnMessage) {
+    let address = edge.view.borrow().peers.get(vm).map(|peer| peer.address);
+    if let Some(address) = address {
+        send(edge, address, message);
+    }
+}
+
+fn send(edge: &Edge, address: SocketAddr, message: &TurnMessage) {
+    let Some(socket) = edge.peer_socket.get() else {
+        return;
+    };
+    match postcard::to_extend(message, vec![TURN_VERSION]) {
+        Ok(bytes) => {
+            edge.metrics.record_message("turn", bytes.len());
+            // A datagram that the socket does not accept is treated like one lost on the network.
+            if let Err(err) = socket.try_send_to(&bytes, address) {
+                log::debug!(target: "limits", to:% = address, error:% = err; "Sending a datagram failed.");
+            }
+        }
+        Err(err) => {
+            log::error!(target: "limits", error:% = err; "A message about turns cannot be encoded.");
+        }
+    }
+}
+
+/// Handles a datagram about turns without its first byte.
+pub fn handle_datagram(edge: &Edge, bytes: &[u8], from: SocketAddr) {
+    let message = match postcard::from_bytes(bytes) {
+        Ok(message) => message,
+        Err(err) => {
+            log::debug!(target: "limits", from:% = from, error:% = err; "A message about turns cannot be decoded.");
+            return;
+        }
+    };
+    match message {
+        TurnMessage::Request { number, limit, max_wait } => {
+            apply_notices(edge, std::slice::from_ref(&limit));
+            let turn = edge.limits.borrow_mut().take_turn(&limit.upstream, max_wait, edge.now());
+            send(edge, from, &TurnMessage::Answer { number, turn });
+        }
+        TurnMessage::Answer { number, turn } => edge.turn_requests.answer(number, turn),
+        TurnMessage::Sent { limit } => {
+            apply_notices(edge, std::slice::from_ref(&limit));
+            edge.limits.borrow_mut().count(&limit.upstream, edge.now());
+        }
+    }
+}
--- a/src/process/hub_selector.rs
+++ b/src/process/hub_selector.rs
@@ -160,6 +160,21 @@
         self.choose(|_| true, own, now).unwrap_or_else(|| self.vm.clone())
     }
 
+    /// Returns the vm that owns what `key` names, out of those that are alive. All vms name the same
+    /// one while they agree on who is alive.
+    pub fn owner_of(&mut self, key: &str, now: Duration) -> VmName {
+        self.update_exclusions(now);
+        let alive = self.known.iter().filter(|(_, known)| self.is_available(known, now));
+        let all = alive.map(|(vm, _)| vm).chain([&self.vm]);
+        let weight = |vm: &&VmName| xxhash_rust::xxh3::xxh3_64(format!("{vm}\0{key}").as_bytes());
+        all.max_by_key(weight).unwrap_or(&self.vm).clone()
+    }
+
+    fn is_available(&self, known: &KnownVm, now: Duration) -> bool {
+        let silent = now.saturating_sub(known.heard_at) >= self.settings.alive_timeout;
+        !silent && known.excluded_at.is_none()
+    }
+
     /// Records that this vm failed to read the log, so that another one reads it.
     pub fn record_read_failure(&mut self, now: Duration) {
         self.read_failed_at = Some(now);
@@ -172,10 +187,10 @@
         now: Duration,
     ) -> Option<VmName> {
         self.update_exclusions(now);
-        let alive = self.known.iter().filter(|(_, known)| {
-            let silent = now.saturating_sub(known.heard_at) >= self.settings.alive_timeout;
-            fits(&known.profile.data_centre) && !silent && known.excluded_at.is_none()
-        });
+        let alive = self
+            .known
+            .iter()
+            .filter(|(_, known)| fits(&known.profile.data_centre) && self.is_available(known, now));
         let others = alive.map(|(vm, known)| (vm, known.profile.cpu_capacity));
         let all = others.chain(own.as_ref().map(|own| (own, self.profile.cpu_capacity)));
         all.min_by_key(|(vm, cpu_capacity)| rank(vm, *cpu_capacity)).map(|(vm, _)| vm.clone())
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -23,6 +23,7 @@
 mod stream_progress;
 mod suspects;
 mod token_bucket;
+mod upstream_limits;
 mod upstream_registry;
 mod usage_relay;
 
@@ -56,6 +57,7 @@
 pub(crate) use stream_progress::StreamProgress;
 pub use suspects::{QUARANTINE_THRESHOLD, Suspects};
 pub(crate) use token_bucket::TokenBucket;
+pub use upstream_limits::{LimitNotice, Turn, UpstreamLimits};
 pub use upstream_registry::{
     EntryChange, LoadedModel, UpstreamEntry, UpstreamRegistry, UpstreamRegistrySettings,
 };
--- /dev/null
+++ b/tests/upstream_limits.rs
@@ -0,0 +1,243 @@
+//! Limits that upstreams name: who may send when, over all vms.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carobglade::{
+    HubSelector, HubSelectorSettings, RequestRate, Turn, UpstreamLimits, UpstreamName, VmName,
+    VmProfile,
+};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+
+const WINDOW: Duration = Duration::from_secs(4);
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn engine() -> UpstreamName {
+    "engine-1".parse().unwrap()
+}
+
+fn rate(text: &str) -> RequestRate {
+    text.parse().unwrap()
+}
+
+fn limited(text: &str, now: Duration) -> UpstreamLimits {
+    let mut limits = UpstreamLimits::default();
+    assert!(limits.record(&engine(), 1, Some(rate(text)), now));
+    limits
+}
+
+/// Returns the most arrivals in a window.
+fn most_arrivals(arrivals: &[Duration]) -> usize {
+    let in_window = |start: &Duration| {
+        arrivals.iter().filter(|at| **at >= *start && **at < *start + WINDOW).count()
+    };
+    arrivals.iter().map(in_window).max().unwrap_or_default()
+}
+
+/// The users' bound for a limit, in a window.
+fn bound(limit: f64) -> usize {
+    (limit * WINDOW.as_secs_f64() * 1.5 + 5.0) as usize
+}
+
+#[test]
+fn turns_follow_the_limit_and_start_after_an_interval() {
+    let mut limits = limited("2", ms(0));
+    let mut turn = |now| limits.take_turn(&engine(), ms(0), now);
+    assert_eq!(turn(ms(0)), Turn::Refused(ms(500)));
+    assert_eq!(turn(ms(500)), Turn::After(ms(0)));
+    assert_eq!(turn(ms(600)), Turn::Refused(ms(400)));
+    assert_eq!(turn(ms(5000)), Turn::After(ms(0)));
+    assert_eq!(turn(ms(5001)), Turn::Refused(ms(499)), "unused turns are not saved up");
+}
+
+#[test]
+fn requests_that_can_wait_get_turns_one_after_the_other() {
+    let mut limits = limited("2", ms(0));
+    let turns: Vec<Turn> = (0..4).map(|_| limits.take_turn(&engine(), ms(1600), ms(0))).collect();
+    let after = |millis| Turn::After(ms(millis));
+    assert_eq!(turns, [after(500), after(1000), after(1500), Turn::Refused(ms(2000))]);
+}
+
+macro_rules! limits_that_parse {
+    ($($name:ident: $text:literal => $expected:expr;)*) => {$(
+        #[test]
+        fn $name() {
+            let expected: Option<f64> = $expected;
+            assert_eq!($text.parse::<RequestRate>().ok().map(RequestRate::per_second), expected);
+        }
+    )*};
+}
+
+limits_that_parse! {
+    a_limit_may_be_whole: "3" => Some(3.0);
+    a_limit_may_have_a_fraction: " 1.25 " => Some(1.25);
+    a_limit_may_be_zero: "0" => Some(0.0);
+    a_limit_is_not_negative: "-1" => None;
+    a_limit_is_finite: "inf" => None;
+    a_limit_is_a_number: "many" => None;
+    a_limit_is_not_empty: "" => None;
+}
+
+#[test]
+fn an_upstream_that_takes_nothing_is_asked_now_and_then() {
+    let mut limits = limited("0", ms(0));
+    let mut arrivals = Vec::new();
+    for now in (0..60_000).step_by(10).map(ms) {
+        if limits.take_turn(&engine(), ms(0), now) == Turn::After(ms(0)) {
+            arrivals.push(now);
+        }
+    }
+    assert!((10..=13).contains(&arrivals.len()), "{arrivals:?}");
+}
+
+#[test]
+fn an_absurd_limit_is_none() {
+    let mut limits = UpstreamLimits::default();
+    assert!(!limits.record(&engine(), 1, Some(rate("1e300")), ms(1)));
+    assert!(limits.is_empty());
+}
+
+#[test]
+fn the_latest_word_of_an_upstream_holds_everywhere() {
+    let (mut one, mut other) = (limited("1", ms(1000)), UpstreamLimits::default());
+    let early = one.notices(ms(1100));
+    assert!(other.apply(&early[0], ms(1100)));
+    assert!(!other.apply(&early[0], ms(1100)), "no news");
+    one.record(&engine(), 1, None, ms(2000));
+    assert!(other.apply(&one.notices(ms(2100))[0], ms(2100)));
+    assert_eq!(other.rate(&engine()), None);
+    // A vm that has not heard of the end tells of the limit, 1.2 s old.
+    assert!(!other.apply(&early[0].clone(), ms(1100)), "the limit that ended is back");
+    // The next run of the upstream has said nothing of a limit.
+    let mut restarted = limited("1", ms(1000));
+    assert!(!restarted.record(&engine(), 2, None, ms(500)));
+    assert_eq!(restarted.rate(&engine()), None);
+}
+
+#[test]
+fn a_limit_that_rises_or_falls_holds_from_then_on() {
+    let mut limits = limited("1", ms(0));
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(0)), Turn::Refused(ms(1000)));
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(1000)), Turn::After(ms(0)));
+    assert!(limits.record(&engine(), 1, Some(rate("10")), ms(1000)));
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(2000)), Turn::After(ms(0)));
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(2100)), Turn::After(ms(0)));
+    assert!(limits.record(&engine(), 1, Some(rate("0.5")), ms(2100)));
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(2200)), Turn::After(ms(0)));
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(4000)), Turn::Refused(ms(200)));
+}
+
+/// A fleet in which every vm has more requests for one upstream than its limit, and vms die, start
+/// and are taken for dead at different times.
+struct Fleet {
+    vms: BTreeMap<VmName, (UpstreamLimits, HubSelector)>,
+    random: StdRng,
+}
+
+fn vm(i: usize) -> VmName {
+    format!("vm-{i}").parse().unwrap()
+}
+
+fn selector(i: usize, fleet: usize, now: Duration) -> HubSelector {
+    let profile = || VmProfile { data_centre: "rennes".parse().unwrap(), cpu_capacity: 25 };
+    let mut hubs = HubSelector::new(HubSelectorSettings::default(), vm(i), profile());
+    for other in (0..fleet).filter(|other| *other != i) {
+        hubs.add_listed(&vm(other), profile(), now);
+    }
+    hubs
+}
+
+impl Fleet {
+    fn new(size: usize, limit: &str, seed: u64) -> Self {
+        let vms = (0..size).map(|i| (vm(i), (limited(limit, ms(0)), selector(i, size, ms(0)))));
+        Fleet { vms: vms.collect(), random: StdRng::seed_from_u64(seed) }
+    }
+
+    /// Vms hear of each other, but for one message in five.
+    fn exchange(&mut self, now: Duration) {
+        let names: Vec<VmName> = self.vms.keys().cloned().collect();
+        for (_, hubs) in self.vms.values_mut() {
+            let heard = names.iter().filter(|_| !self.random.random_bool(0.2));
+            heard.for_each(|name| hubs.record_contact(name, now));
+        }
+    }
+
+    /// Asks the owner for a turn as the vm `name`; returns when the request is sent.
+    fn send(&mut self, name: &VmName, now: Duration) -> Option<Duration> {
+        let (limits, hubs) = self.vms.get_mut(name)?;
+        if limits.known_wait(&engine(), ms(0), now).is_some() {
+            return None;
+        }
+        let owner = hubs.owner_of("engine-1", now);
+        let spread = self.random.random::<f64>() * 2.0;
+        let turn = match self.vms.get_mut(&owner) {
+            Some((schedule, _)) => schedule.take_turn(&engine(), ms(0), now),
+            None => {
+                self.vms.get_mut(name)?.1.record_request(&owner, now);
+                Turn::Refused(ms(300))
+            }
+        };
+        match turn {
+            Turn::After(wait) => Some(now + wait),
+            Turn::Refused(wait) => {
+                self.vms.get_mut(name)?.0.record_refusal(&engine(), wait, spread, now);
+                None
+            }
+        }
+    }
+}
+
+fn check_fleet(size: usize, limit: &str) {
+    for seed in 0..8 {
+        let mut fleet = Fleet::new(size, limit, seed);
+        let mut arrivals = Vec::new();
+        for now in (0..60_000).step_by(20).map(ms) {
+            if now.as_millis() % 200 == 0 {
+                fleet.exchange(now);
+            }
+            // A vm dies every six seconds and is back two seconds later, knowing nothing.
+            let victim = vm(fleet.random.random_range(0..size));
+            if now.as_millis() % 6000 == 3000 {
+                fleet.vms.remove(&victim);
+            }
+            if now.as_millis() % 6000 == 5000 {
+                for i in 0..size {
+                    let fresh = || (limited(limit, now), selector(i, size, now));
+                    fleet.vms.entry(vm(i)).or_insert_with(fresh);
+                }
+            }
+            for i in 0..size {
+                arrivals.extend(fleet.send(&vm(i), now));
+            }
+        }
+        let per_second: f64 = limit.parse().unwrap();
+        let most = most_arrivals(&arrivals);
+        assert!(
+            most <= bound(per_second),
+            "{most} arrivals, limit {limit}, {size} vms, seed {seed}"
+        );
+        let fair = per_second * 60.0 * 0.5;
+        assert!(arrivals.len() as f64 >= fair, "{} arrivals, limit {limit}", arrivals.len());
+    }
+}
+
+macro_rules! fleets {
+    ($($name:ident: $size:literal $limit:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            check_fleet($size, $limit);
+        }
+    )*};
+}
+
+fleets! {
+    nine_vms_keep_a_limit_of_one: 9 "1";
+    nine_vms_keep_a_limit_below_one: 9 "0.5";
+    nine_vms_keep_a_limit_of_twelve: 9 "12.5";
+    seventy_vms_keep_a_limit_of_one: 70 "1.3";
+    seventy_vms_keep_a_limit_of_eight: 70 "8";
+}
