Pool: responses without end take bounded memory

What operators would see: an upstream that sends bytes without end until the caller closes made a vm grow to 1.2 GB (24 requests at once, loopback), on vms of 120 to 512 MB.

Cause: an event was kept until its blank line, without a bound; each response that is read whole could take 16 MiB, all of them any sum; the head of a response 400 KiB. Class: input without a bound from a side that may be faulty.

Change: an event that has not ended may take 64 KiB, a head and what is read ahead 64 KiB, a response that is read whole 8 MiB and all of them together 16 MiB; the log's answers have a budget of their own, so a faulty upstream does not keep a vm from reading it. Beyond that the connection closes, the failure counts against the upstream, the caller gets 502 or a stream that breaks off, a line names the bound.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::turns;
 
 /// Maximum size of a response that is not streamed.
-const MAX_RESPONSE_BYTES: usize = 16 << 20;
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
 /// Multiple of the estimated time to the first byte after which an upstream counts as silent.
 const SILENCE_FACTOR: u32 = 3;
 /// Time added to `SILENCE_FACTOR` times the estimate.
@@ -147,7 +147,7 @@
                 return Ok(None);
             };
             let known = self.splitter.event_count();
-            if let Some(events) = self.splitter.push(&chunk) {
+            if let Some(events) = push_chunk(&mut self.splitter, &self.name, &chunk)? {
                 self.load.record_events(self.splitter.event_count() - known);
                 return Ok(Some(events));
             }
@@ -329,11 +329,11 @@
     }
     if request.route.kind.is_stream() && (200..300).contains(&status) {
         let mut splitter = EventSplitter::resuming_after(last_id);
-        let events = receive_first_events(&mut response, &mut splitter).await?;
+        let events = receive_first_events(&mut response, &mut splitter, &choice.entry.name).await?;
         load_guard.record_first_event();
         return Ok(ReceivedResponse::Stream(Box::new(response), splitter, events));
     }
-    let body = response.read_to_end(MAX_RESPONSE_BYTES).await?;
+    let body = response.read_to_end(MAX_RESPONSE_BYTES, &edge.response_budget).await?;
     let full = FullResponse { status, headers: strip_response_headers(&response.headers), body };
     let failed = |outcome| Err(AttemptFailure { outcome, response: None });
     match kind {
@@ -347,9 +347,22 @@
     }
 }
 
+/// Appends a chunk to a stream; returns the events that it completes.
+fn push_chunk(
+    splitter: &mut EventSplitter,
+    name: &UpstreamName,
+    chunk: &[u8],
+) -> Result<Option<Bytes>, AttemptOutcome> {
+    splitter.push(chunk).map_err(|err| {
+        log::warn!(target: "pool", upstream:% = name, error:% = err; "An event is too long and is not read to its end.");
+        AttemptOutcome::TransportError
+    })
+}
+
 async fn receive_first_events(
     response: &mut IncomingResponse,
     splitter: &mut EventSplitter,
+    name: &UpstreamName,
 ) -> Result<Bytes, AttemptOutcome> {
     loop {
         let Some(chunk) = response.next_chunk().await? else {
@@ -360,7 +373,7 @@
                 Ok(Bytes::new())
             };
         };
-        if let Some(events) = splitter.push(&chunk) {
+        if let Some(events) = push_chunk(splitter, name, &chunk)? {
             return Ok(events);
         }
     }
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -19,6 +19,7 @@
 
 use crate::metrics::Metrics;
 use crate::pool::ConnectionPool;
+use crate::response_budget::ResponseBudget;
 use crate::settings::Settings;
 use crate::store::StoreClient;
 use crate::turn_requests::TurnRequests;
@@ -39,6 +40,9 @@
 /// Time for which sums over all vms are cached, so that a hub computes them once for many members.
 const TOTALS_MAX_AGE: Duration = Duration::from_millis(50);
 
+/// Maximum size of all responses of upstreams together that are being read whole.
+const MAX_RESPONSES_BYTES: usize = 16 << 20;
+
 /// Sums over all vms, keyed by name hash.
 #[derive(Clone, Debug, Default)]
 pub struct Totals {
@@ -116,6 +120,8 @@
     pub placement: RefCell<PlacementGossip>,
     /// Pooled connections to upstreams and to the log.
     pub pool: Rc<ConnectionPool>,
+    /// Memory for responses of upstreams that are read whole.
+    pub response_budget: Rc<ResponseBudget>,
     /// Client of the platform's log.
     pub store: StoreClient,
     /// Metrics of the process.
@@ -196,6 +202,7 @@
             totals: RefCell::default(),
             placement: RefCell::default(),
             pool,
+            response_budget: ResponseBudget::new(MAX_RESPONSES_BYTES),
             store,
             metrics,
             ready: Arc::new(AtomicBool::new(false)),
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -16,6 +16,7 @@
 mod quarantine;
 mod request;
 mod response;
+mod response_budget;
 mod settings;
 mod store;
 mod turn_requests;
--- a/crates/carob-edge/src/orders/mod.rs
+++ b/crates/carob-edge/src/orders/mod.rs
@@ -318,7 +318,7 @@
     turns::count_request(edge, &upstream.name);
     let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
     turns::read_limit(edge, upstream, &response.headers);
-    response.read_to_end(MAX_REPORT_BYTES).await?;
+    response.read_to_end(MAX_REPORT_BYTES, &edge.response_budget).await?;
     Ok(response.status)
 }
 
@@ -336,7 +336,7 @@
         turns::count_request(edge, &upstream.name);
         let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
         turns::read_limit(edge, upstream, &response.headers);
-        let body = response.read_to_end(MAX_REPORT_BYTES).await?;
+        let body = response.read_to_end(MAX_REPORT_BYTES, &edge.response_budget).await?;
         Ok::<_, AttemptOutcome>((response.status, body))
     };
     let Ok(Ok((200, body))) = tokio::time::timeout(RESPONSE_TIMEOUT, read).await else {
--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -18,7 +18,11 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::response_budget::ResponseBudget;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum size of the head of a response, and of what is read ahead of its body.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
 /// Time after which a connection with unacknowledged data is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle timeout of a connection whose upstream sends no `Keep-Alive` timeout.
@@ -132,7 +136,9 @@
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.ok()?.ok()?;
         set_options(&stream);
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let mut builder = http1::Builder::new();
+        builder.max_buf_size(MAX_BUFFER_BYTES);
+        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
         let task = tokio::task::spawn_local(async move {
             if let Err(err) = connection.await {
                 log::debug!(target: "pool", address:% = address, error:% = err; "Upstream connection ended with an error.");
@@ -313,11 +319,18 @@
     ///
     /// # Errors
     ///
-    /// Returns `TransportError` when the connection fails or the body is longer than `limit` bytes.
-    pub async fn read_to_end(&mut self, limit: usize) -> Result<Bytes, AttemptOutcome> {
+    /// Returns `TransportError` when the connection fails, or the body is longer than `limit` bytes
+    /// or than `budget` has room for.
+    pub async fn read_to_end(
+        &mut self,
+        limit: usize,
+        budget: &Rc<ResponseBudget>,
+    ) -> Result<Bytes, AttemptOutcome> {
+        let mut reserved = budget.reserve();
         let mut body = Vec::new();
         while let Some(chunk) = self.next_chunk().await? {
-            if body.len() + chunk.len() > limit {
+            if body.len() + chunk.len() > limit || !reserved.grow(chunk.len()) {
+                log::warn!(target: "pool", status = self.status, bytes = body.len(), limit = limit; "A response is too long and is not read to its end.");
                 return Err(AttemptOutcome::TransportError);
             }
             body.extend_from_slice(&chunk);
--- a/crates/carob-edge/src/store.rs
+++ b/crates/carob-edge/src/store.rs
@@ -11,8 +11,11 @@
 use http::{HeaderMap, HeaderValue, Method};
 
 use crate::pool::{ConnectionPool, OutgoingRequest};
+use crate::response_budget::ResponseBudget;
 
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+/// Maximum size of all responses together that are being read.
+const MAX_RESPONSES_BYTES: usize = 8 << 20;
 
 /// Why a call to the log failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -47,6 +50,7 @@
     clock: Rc<dyn Clock>,
     address: SocketAddr,
     name: UpstreamName,
+    budget: Rc<ResponseBudget>,
 }
 
 /// A response of the log.
@@ -61,7 +65,8 @@
     /// Creates a client of the log at `address`.
     pub fn new(pool: Rc<ConnectionPool>, clock: Rc<dyn Clock>, address: SocketAddr) -> Self {
         let name = address.to_string().parse().unwrap_or_default();
-        StoreClient { pool, clock, address, name }
+        let budget = ResponseBudget::new(MAX_RESPONSES_BYTES);
+        StoreClient { pool, clock, address, name, budget }
     }
 
     /// Makes a call and reads the response within `timeout`.
@@ -98,7 +103,7 @@
             body: call.body.into(),
         };
         let mut response = self.pool.send(&self.name, self.address, request).await?;
-        let body = response.read_to_end(MAX_RESPONSE_BYTES).await?;
+        let body = response.read_to_end(MAX_RESPONSE_BYTES, &self.budget).await?;
         Ok((response.status, body))
     }
 }
--- a/src/connection/event_splitter.rs
+++ b/src/connection/event_splitter.rs
@@ -1,13 +1,31 @@
 //! Splits a stream of server-sent events, so that only whole events are passed on.
 
+use std::fmt::{self, Display};
+
 use bytes::{Bytes, BytesMut};
 
+/// Maximum size of an event that has not ended.
+pub const MAX_EVENT_BYTES: usize = 64 << 10;
+
+/// Error for an event that has not ended after [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EventTooLong;
+
+impl Display for EventTooLong {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "an event has not ended after {MAX_EVENT_BYTES} bytes")
+    }
+}
+
+impl std::error::Error for EventTooLong {}
+
 /// Splits a byte stream into whole events and tracks their ids.
 ///
 /// ```
 /// use carobglade::EventSplitter;
 /// let mut splitter = EventSplitter::default();
-/// assert_eq!(splitter.push(b"id: 4\ndata: x\n\nid: 5\nda").unwrap(), "id: 4\ndata: x\n\n");
+/// let events = splitter.push(b"id: 4\ndata: x\n\nid: 5\nda").unwrap();
+/// assert_eq!(events.unwrap(), "id: 4\ndata: x\n\n");
 /// assert_eq!(splitter.last_id(), Some(4));
 /// assert!(splitter.has_partial());
 /// ```
@@ -26,13 +44,21 @@
     }
 
     /// Appends bytes and returns the events that they complete; `None` when they complete none.
-    pub fn push(&mut self, bytes: &[u8]) -> Option<Bytes> {
+    ///
+    /// # Errors
+    ///
+    /// Returns `EventTooLong` when an event has not ended after [`MAX_EVENT_BYTES`].
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Option<Bytes>, EventTooLong> {
         self.buf.extend_from_slice(bytes);
-        let end = self.last_event_end()?;
-        self.scanned_bytes = 0;
-        let whole = self.buf.split_to(end).freeze();
-        self.record_ids(&whole);
-        Some(whole)
+        let whole = self.last_event_end().map(|end| {
+            self.scanned_bytes = 0;
+            self.buf.split_to(end).freeze()
+        });
+        if self.buf.len() > MAX_EVENT_BYTES {
+            return Err(EventTooLong);
+        }
+        whole.iter().for_each(|whole| self.record_ids(whole));
+        Ok(whole)
     }
 
     /// Returns the position after the last blank line, or `None` without one.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,8 +41,8 @@
 mod version;
 
 pub use connection::{
-    CircuitBreaker, CircuitBreakerSettings, EventSplitter, InactivityTimeout,
-    InactivityTimeoutSettings,
+    CircuitBreaker, CircuitBreakerSettings, EventSplitter, EventTooLong, InactivityTimeout,
+    InactivityTimeoutSettings, MAX_EVENT_BYTES,
 };
 pub use error::{Error, ErrorKind, ErrorResponse, ExecutionState, Result};
 pub use process::fleet::{
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -9,8 +9,8 @@
 
 use carobglade::{
     AttemptHistory, AttemptOutcome, DispatchCandidate, DispatchDecision, DispatchSettings,
-    ErrorKind, EventSplitter, Incarnation, Load, LoadTracker, RequestTiming, RetryDecision,
-    RouteKind, TokenPace, UpstreamName, dispatch, name_hash,
+    ErrorKind, EventSplitter, EventTooLong, Incarnation, Load, LoadTracker, MAX_EVENT_BYTES,
+    RequestTiming, RetryDecision, RouteKind, TokenPace, UpstreamName, dispatch, name_hash,
 };
 
 const fn ms(value: u64) -> Duration {
@@ -163,7 +163,7 @@
             for chunk in
                 [&stream[..first_cut], &stream[first_cut..second_cut], &stream[second_cut..]]
             {
-                if let Some(events) = splitter.push(chunk) {
+                if let Some(events) = splitter.push(chunk).unwrap() {
                     assert!(events.ends_with(b"\n\n") || events.ends_with(b"\r\n\r\n"));
                     forwarded.extend_from_slice(&events);
                 }
@@ -175,6 +175,15 @@
     }
 }
 
+#[test]
+fn an_event_without_end_is_an_error() {
+    let mut splitter = EventSplitter::default();
+    let piece = vec![b'x'; MAX_EVENT_BYTES / 4];
+    let pushed: Vec<_> = (0..5).map(|_| splitter.push(&piece)).collect();
+    assert_eq!(pushed[3], Ok(None));
+    assert_eq!(pushed[4], Err(EventTooLong));
+}
+
 /// Returns the decision on a request whose response needs `token_rate` tokens a second, at an engine
 /// that gives each response 10 where the longest need 30.
 fn decide_at_slow_engine(token_rate: f64) -> DispatchDecision {
