--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -140,6 +140,8 @@
     pub active_requests: InFlightCounter,
     /// Open connections of callers.
     pub open_connections: InFlightCounter,
+    /// Orders to engines without a response yet.
+    pub orders_in_flight: InFlightCounter,
     /// Wakes requests that wait for a model, an adapter or an upstream.
     pub capacity_changed: Notify,
     /// Limits that upstreams name.
@@ -212,6 +214,7 @@
             shutdown_changed: Notify::new(),
             active_requests: InFlightCounter::default(),
             open_connections: InFlightCounter::default(),
+            orders_in_flight: InFlightCounter::default(),
             capacity_changed: Notify::new(),
             limits: RefCell::default(),
             turn_requests: TurnRequests::default(),
--- a/crates/carob-edge/src/group.rs
+++ b/crates/carob-edge/src/group.rs
@@ -7,13 +7,15 @@
 use carobglade::{DutyChange, GroupAssignment};
 
 use crate::edge::Edge;
-use crate::orders::holds_engine_duty;
+use crate::orders::{ORDER_TIMEOUT, holds_engine_duty};
 use crate::store::StoreError;
 
 const JOIN_INTERVAL: Duration = Duration::from_millis(450);
 /// Interval after a failed join while this process holds duties.
 const RETRY_INTERVAL: Duration = Duration::from_millis(150);
 const LEAVE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Interval at which a leaving vm looks for orders in flight.
+const ORDER_POLL_INTERVAL: Duration = Duration::from_millis(5);
 
 /// Joins the group periodically as long as this vm is a candidate; leaves when it is no longer one.
 pub async fn maintain_membership(edge: Rc<Edge>) {
@@ -91,8 +93,15 @@
     }
 }
 
-/// Leaves the group, so that another vm takes over the duties at once.
+/// Leaves the group, so that another vm takes over the duties at once. Before that, this vm stops
+/// giving orders and waits for those in flight, since the next holder does not wait for them.
 pub async fn leave(edge: &Edge) {
+    let changes = edge.duty_leases.borrow_mut().release_all(edge.now());
+    handle_duty_changes(edge, &changes);
+    let until = edge.now() + ORDER_TIMEOUT;
+    while edge.orders_in_flight.get() > 0 && edge.now() < until {
+        tokio::time::sleep(ORDER_POLL_INTERVAL).await;
+    }
     let call = LogRequest::leave(DUTY_GROUP, edge.vm.as_str());
     if let Err(err) = edge.store.call(call, LEAVE_TIMEOUT).await {
         log::warn!(target: "duty", error:% = err; "Leaving the duty group failed; the duties expire on their own.");
--- a/crates/carob-edge/src/orders/mod.rs
+++ b/crates/carob-edge/src/orders/mod.rs
@@ -26,7 +26,8 @@
 
 /// Maximum time between two plans.
 const PLAN_INTERVAL: Duration = Duration::from_millis(250);
-const RESPONSE_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time limit for the response to an order or a request for a report.
+pub const ORDER_TIMEOUT: Duration = Duration::from_millis(700);
 const MAX_REPORT_BYTES: usize = 1 << 20;
 /// Time from the announcement of an eviction to its order, so that vms stop routing requests there.
 const EVICTION_NOTICE: Duration = Duration::from_millis(150);
@@ -285,7 +286,8 @@
         holder: edge.vm.to_string(),
         fencing_token: duty.token,
     };
-    let sent = tokio::time::timeout(RESPONSE_TIMEOUT, post_order(edge, upstream, &order)).await;
+    let _in_flight = edge.orders_in_flight.increment();
+    let sent = tokio::time::timeout(ORDER_TIMEOUT, post_order(edge, upstream, &order)).await;
     let end = match sent {
         Ok(Ok(status)) => decode_order_status(status),
         Ok(Err(AttemptOutcome::Unsent)) => OrderOutcome::Refused,
@@ -339,7 +341,7 @@
         let body = response.read_to_end(MAX_REPORT_BYTES, &edge.response_budget).await?;
         Ok::<_, AttemptOutcome>((response.status, body))
     };
-    let Ok(Ok((200, body))) = tokio::time::timeout(RESPONSE_TIMEOUT, read).await else {
+    let Ok(Ok((200, body))) = tokio::time::timeout(ORDER_TIMEOUT, read).await else {
         return;
     };
     match decode_report(&body) {
--- a/src/process/duty_leases.rs
+++ b/src/process/duty_leases.rs
@@ -136,6 +136,14 @@
         duties.into_iter().map(DutyChange::Lost).collect()
     }
 
+    /// Gives up all duties before this process leaves the group; returns the duties lost.
+    pub fn release_all(&mut self, now: Duration) -> Vec<DutyChange> {
+        let duties: Vec<u32> = self.held.keys().copied().collect();
+        let loss = Loss { lost_at: now, expired_in: None };
+        duties.iter().for_each(|duty| self.release(*duty, loss));
+        duties.into_iter().map(DutyChange::Lost).collect()
+    }
+
     /// Records that an upstream refused an order for a duty because another process has a higher
     /// fencing token; the duty is dropped.
     pub fn record_fenced(&mut self, duty: u32, now: Duration) {
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -35,6 +35,18 @@
     assert_eq!(duties.fencing_token(2, ms(2600)), None);
 }
 
+#[test]
+fn a_process_that_leaves_gives_no_orders() {
+    let mut duties = DutyLeases::new(DutyLeasesSettings::default());
+    duties.apply_assignment(&assignment(4, &[2]), ms(0), ms(5));
+    assert_eq!(duties.fencing_token(2, ms(500)), Some(4));
+    assert_eq!(duties.release_all(ms(500)), [DutyChange::Lost(2)]);
+    assert_eq!(duties.fencing_token(2, ms(500)), None);
+    // It joins again: others may have given orders in between.
+    duties.apply_assignment(&assignment(6, &[2]), ms(900), ms(905));
+    assert_eq!(duties.fencing_token(2, ms(1400)), None);
+}
+
 #[test]
 fn the_lease_of_a_suspended_process_expires() {
     let mut duties = DutyLeases::new(DutyLeasesSettings::default());
