--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -88,7 +88,9 @@
     }
     let choice = dispatch_request(edge, request, open)?;
     let has_turn = turns::wait_for_turn(edge, &choice.entry, max_wait).await;
-    let accepts = edge.view.borrow().upstreams.entry(&choice.entry.name).is_some();
+    // The upstream may have announced in the meantime that it is leaving.
+    let view = edge.view.borrow();
+    let accepts = view.upstreams.entry(&choice.entry.name).is_some_and(|entry| !entry.draining);
     Ok((has_turn && accepts).then_some(choice))
 }
 
