--- a/src/process/prompt_quarantine/evidence.rs
+++ b/src/process/prompt_quarantine/evidence.rs
@@ -60,6 +60,7 @@
     pub cleared: bool,
 }
 
+/// Whether a crash counts against a suspect.
 #[derive(Clone, Copy, Debug)]
 struct CrashState {
     cleared: bool,
@@ -67,6 +68,7 @@
     changed_at: Duration,
 }
 
+/// The crashes of one suspect.
 #[derive(Clone, Debug)]
 struct SuspectRecord {
     position: u8,
@@ -185,16 +187,14 @@
         self.suspects.is_empty()
     }
 
-    /// Clears all crashes of a suspect; returns whether any counted against it.
-    pub fn clear(&mut self, suspect: &Suspect, now: Duration) -> bool {
+    /// Clears all crashes of a suspect.
+    pub fn clear(&mut self, suspect: &Suspect, now: Duration) {
         let Some(record) = self.suspects.get_mut(suspect) else {
-            return false;
+            return;
         };
-        let open = record.crashes.values_mut().filter(|state| !state.cleared);
-        open.fold(false, |_, state| {
+        for state in record.crashes.values_mut().filter(|state| !state.cleared) {
             *state = CrashState { cleared: true, changed_at: now, ..*state };
-            true
-        })
+        }
     }
 
     /// Returns the number of crashes that count against a suspect.
--- a/src/process/prompt_quarantine/verdicts.rs
+++ b/src/process/prompt_quarantine/verdicts.rs
@@ -29,6 +29,7 @@
     pub remaining: Duration,
 }
 
+/// Where one suspect stands.
 #[derive(Clone, Copy, Debug)]
 struct Standing {
     generation: u32,
--- a/src/process/upstream_limits.rs
+++ b/src/process/upstream_limits.rs
@@ -43,6 +43,7 @@
     Refused(Duration),
 }
 
+/// What a process knows of the limit of one upstream.
 #[derive(Clone, Copy, Debug)]
 struct KnownLimit {
     started_ms: u64,
@@ -73,6 +74,7 @@
     schedules: BTreeMap<UpstreamName, Duration>,
 }
 
+/// Returns the time between two turns.
 fn interval(rate: RequestRate) -> Duration {
     Duration::from_secs_f64(1.0 / rate.per_second().max(MIN_RATE))
 }
