--- a/src/process/replica_planner.rs
+++ b/src/process/replica_planner.rs
@@ -19,6 +19,9 @@
     pub min_demand: f64,
     /// Share of the weight store's load rate that the planner uses.
     pub store_share: f64,
+    /// Time for which a model without a replica waits for an engine that crashed to be back, before
+    /// a replica of a model with more demand is evicted for it.
+    pub return_time: Duration,
 }
 
 impl Default for ReplicaPlannerSettings {
@@ -28,6 +31,7 @@
             min_residency: Duration::from_secs(4),
             min_demand: 800.0,
             store_share: 0.9,
+            return_time: Duration::from_secs(4),
         }
     }
 }
@@ -61,6 +65,8 @@
 pub struct ReplicaPlanner {
     settings: ReplicaPlannerSettings,
     first_seen: BTreeMap<(UpstreamName, ModelName), Duration>,
+    /// Since when each model without a replica has had none.
+    missing_since: BTreeMap<ModelName, Duration>,
     /// The model that an engine makes room for, and until when the room is kept.
     reserved: BTreeMap<UpstreamName, (ModelName, Duration)>,
     /// Limits the decisions to load; a load that needs room first counts when the eviction is
@@ -91,6 +97,7 @@
     ) -> Vec<ModelOrder> {
         self.refill(engine, now);
         self.record_first_seen(engines, now);
+        self.record_missing(engine, engines, now);
         let mut round = PlanningRound::new(self.settings, engine, engines, demand);
         let mut orders = Vec::new();
         self.reserved.retain(|_, (_, until)| now < *until);
@@ -106,7 +113,9 @@
             }
         }
         while let Some(model) = round.most_needed() {
-            let Some(step) = round.step(&model, &self.first_seen, now) else {
+            let Some(step) =
+                round.step(&model, &self.first_seen, self.is_overdue(&model, now), now)
+            else {
                 round.skip(&model);
                 continue;
             };
@@ -154,6 +163,22 @@
         }
     }
 
+    /// Records since when each model has had no replica.
+    fn record_missing(&mut self, engine: &Engine, engines: &[EngineState], now: Duration) {
+        let is_missing = |model: &ModelName| engines.iter().all(|e| !e.models.contains_key(model));
+        self.missing_since.retain(|model, _| is_missing(model));
+        for model in engine.models.keys().filter(|model| is_missing(model)) {
+            self.missing_since.entry(model.clone()).or_insert(now);
+        }
+    }
+
+    /// Reports whether a model has been without a replica for so long that any replica of another
+    /// model may be evicted for it.
+    fn is_overdue(&self, model: &ModelName, now: Duration) -> bool {
+        let since = self.missing_since.get(model);
+        since.is_some_and(|since| now.saturating_sub(*since) >= self.settings.return_time)
+    }
+
     /// Reports whether a load may start now, and takes it from the budget. A load from cached
     /// weights always may.
     fn may_start_load(&mut self, from_store: bool) -> bool {
@@ -307,11 +332,12 @@
     }
 
     /// Returns the step towards another replica of a model: a load where the model fits, or the
-    /// eviction of least cost. Returns none if no eviction is worth it.
+    /// eviction of least cost. Returns none if no eviction is worth it; for an `overdue` model any is.
     fn step(
         &self,
         model: &ModelName,
         first_seen: &BTreeMap<(UpstreamName, ModelName), Duration>,
+        overdue: bool,
         now: Duration,
     ) -> Option<Step> {
         let open =
@@ -322,7 +348,6 @@
         if let Some(engine) = open.iter().filter(|e| self.fits(e, model)).min_by_key(cached_first) {
             return Some(Step::Load(engine.name.clone()));
         }
-        let missing = self.replica_counts.get(model).copied().unwrap_or(0) == 0;
         let pressure_after =
             self.pressure(model, self.replica_counts.get(model).copied().unwrap_or(0) + 1);
         let mut best: Option<(f64, bool, &EngineState, &ModelName)> = None;
@@ -337,8 +362,8 @@
                 let room =
                     self.free_memory(engine) + self.weights_of(victim) >= self.weights_of(model);
                 let worthwhile =
-                    missing || pressure_after > victim_pressure * self.settings.min_advantage;
-                if !room || (recent && !missing) || !worthwhile {
+                    overdue || pressure_after > victim_pressure * self.settings.min_advantage;
+                if !room || (recent && !overdue) || !worthwhile {
                     continue;
                 }
                 let cost = victim_pressure + self.engine_demand(engine) * 0.3;
--- a/tests/replica_planner.rs
+++ b/tests/replica_planner.rs
@@ -217,3 +217,53 @@
         simulation.max_loads_in(seconds(5))
     );
 }
+
+/// Engines that crash are back after some seconds with room for their models.
+///
+/// Guards against copies of the busiest model that are evicted for models that nobody asks for,
+/// while capacity is short because engines crashed.
+#[test]
+fn a_crash_costs_no_copies_of_the_busiest_model_on_other_engines() {
+    let mut simulation = Simulation::new();
+    simulation.run(seconds(6), &[(0, 72_000.0), (5, 40.0)]);
+    let crashed: Vec<EngineState> = simulation.states.drain(..3).collect();
+    let copies_left = simulation.copies(0);
+    assert!(copies_left >= 4, "{copies_left} copies");
+    for _ in 0..6 {
+        simulation.run(Duration::from_millis(500), &[(0, 72_000.0), (5, 40.0)]);
+        assert!(simulation.copies(0) >= copies_left, "{} copies", simulation.copies(0));
+    }
+    simulation.states.extend(crashed.into_iter().map(|state| EngineState {
+        cached_models: state.models.keys().cloned().collect(),
+        models: BTreeMap::new(),
+        busy: false,
+        ..state
+    }));
+    simulation.run(seconds(8), &[(0, 72_000.0), (5, 40.0)]);
+    assert!((0..MODELS).all(|i| simulation.copies(i) >= 1), "a model has no copy");
+}
+
+/// Guards against models that stay unreachable because an engine that crashed does not come back.
+#[test]
+fn the_models_of_engines_that_stay_away_are_loaded_elsewhere() {
+    let mut simulation = Simulation::new();
+    simulation.run(seconds(6), &[(0, 72_000.0)]);
+    simulation.states.drain(..2);
+    simulation.run(seconds(14), &[(0, 72_000.0)]);
+    assert!((0..MODELS).all(|i| simulation.copies(i) >= 1), "a model has no copy");
+}
+
+/// Guards against a busy model that has to wait after a crash although others need their copies
+/// less.
+#[test]
+fn a_busy_model_without_a_copy_does_not_wait() {
+    let mut simulation = Simulation::new();
+    let crashed = simulation.states.iter().position(|s| s.models.contains_key(&model(5))).unwrap();
+    simulation.states.remove(crashed);
+    for state in simulation.states.iter_mut().filter(|state| state.models.len() < 3) {
+        state.models.insert(model(0), 0);
+    }
+    assert_eq!(simulation.copies(5), 0);
+    simulation.run(Duration::from_millis(3500), &[(0, 20_000.0), (5, 60_000.0)]);
+    assert!(simulation.copies(5) >= 1, "no copy after an eviction and a load");
+}
