LOST: every admitted request has a last line, which says why a stream was not continued

What callers saw: streams and requests that ended without an answer. What the lines told: 'A stream was broken off' named neither how long the upstream had been silent, nor what was left of the deadline, nor why no other upstream took it; a request whose caller left before the first event, and a stream that was open when the process stopped, had no last line at all; a panic had no line.

Change: an admitted request is open until its end is logged; when it is dropped first, that is its last line ('A request ended without a response', or 'A stream was broken off' with end left, stopped or panicked). A broken stream names why, silent and left. A panic is logged. No decision changes.

--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -134,6 +134,8 @@
     pub drain_deadline: Cell<Option<Duration>>,
     /// Whether requests without a response are aborted because the process is about to exit.
     pub aborting: Cell<bool>,
+    /// Whether the process ended its shutdown; requests that are still open are dropped.
+    pub stopped: Cell<bool>,
     /// Wakes requests when `drain_deadline` or `aborting` is set.
     pub shutdown_changed: Notify,
     /// Requests in flight.
@@ -211,6 +213,7 @@
             stopping: Cell::new(false),
             drain_deadline: Cell::new(None),
             aborting: Cell::new(false),
+            stopped: Cell::new(false),
             shutdown_changed: Notify::new(),
             active_requests: InFlightCounter::default(),
             open_connections: InFlightCounter::default(),
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -1,6 +1,6 @@
 //! Handles a caller's request: admission, attempts at upstreams, retries and the response.
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +17,7 @@
 };
 use crate::choose::choose_upstream;
 use crate::edge::{Edge, InFlightGuard};
+use crate::open_request::OpenRequest;
 use crate::quarantine::{self, SurvivalTimer};
 use crate::request::{CallerRequest, charge, charge_retry, read_request, refund};
 
@@ -83,6 +84,7 @@
         pace.record_request(&request.service, request.token_rate());
     }
     log::info!(target: "request", id = request.caller_headers.request_id.as_str(), route = request.route.name.as_str(), service = request.service.as_str(), tenant = request.tenant.as_ref().map_or("", |t| t.name.as_str()), model = request.caller_headers.model.as_ref().map_or("", |m| m.as_str()), parts = request.prompt.to_string().as_str(), version = request.config.version, tokens = request.charged_tokens().0, prompt = request.prompt_tokens(), output = request.expected_output(), level = remaining_tokens(edge, &request), left = request.remaining_time(edge.now()).as_millis() as u64; "A request was admitted.");
+    let open = OpenRequest::new(edge, &request);
     let progress = Cell::new(AttemptHistory::default());
     let limit = request.remaining_time(edge.now());
     let outcome = tokio::select! {
@@ -93,14 +95,16 @@
     };
     match outcome {
         Ok(AttemptResponse::Full(response)) => {
+            open.close();
             record_response(edge, &request, response.status);
             Ok(full_response(response))
         }
         Ok(AttemptResponse::Stream(stream)) => {
             record_response(edge, &request, stream.status);
-            Ok(relay_stream(edge, request, *stream, progress.get(), active))
+            Ok(relay_stream(edge, request, open, *stream, progress.get(), active))
         }
         Err(err) => {
+            open.close();
             if !progress.get().may_have_run {
                 refund(edge, &request);
             }
@@ -214,29 +218,24 @@
     err
 }
 
-/// How far a stream was forwarded.
-struct StreamPosition {
-    /// The upstream that sends the stream.
-    upstream: UpstreamName,
-    /// Id of the last event that was received.
-    last_id: Option<u64>,
+/// How a stream failed, and why it was not continued.
+struct StreamFailure {
+    outcome: AttemptOutcome,
+    why: String,
 }
 
-impl StreamPosition {
-    fn of(source: &EventStream) -> Self {
-        StreamPosition { upstream: source.name.clone(), last_id: source.last_id() }
+impl StreamFailure {
+    fn new(outcome: AttemptOutcome, why: &str) -> Self {
+        StreamFailure { outcome, why: why.to_owned() }
     }
 }
 
-fn millis_since_arrival(edge: &Edge, request: &CallerRequest) -> u64 {
-    edge.now().saturating_sub(request.arrival).as_millis() as u64
-}
-
 /// Forwards a stream in a separate task, which also ends when the caller disconnects or at the
 /// deadline.
 fn relay_stream(
     edge: &Rc<Edge>,
     request: CallerRequest,
+    open: OpenRequest,
     stream: StartedStream,
     progress: AttemptHistory,
     active: InFlightGuard,
@@ -247,39 +246,25 @@
     tokio::task::spawn_local(async move {
         let _active = active;
         let limit = request.remaining_time(edge.now());
-        let position = RefCell::new(StreamPosition::of(&stream.remaining));
-        let forwarding = forward_events(
-            &edge,
-            &request,
-            &tx,
-            stream.events,
-            stream.remaining,
-            progress,
-            &position,
-        );
+        open.record_events(&stream.remaining.name, stream.remaining.last_id());
+        let forwarding =
+            forward_events(&edge, &request, &tx, stream.events, stream.remaining, progress, &open);
         let ended = tokio::select! {
-            ended = tokio::time::timeout(limit, forwarding) => ended.unwrap_or(Err(AttemptOutcome::TimedOut)),
-            () = tx.closed() => {
-                let took = millis_since_arrival(&edge, &request);
-                let position = position.borrow();
-                log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = position.upstream, last = position.last_id.unwrap_or(0), took = took; "The caller left its stream.");
-                return;
+            ended = tokio::time::timeout(limit, forwarding) => {
+                ended.unwrap_or(Err(StreamFailure::new(AttemptOutcome::TimedOut, "the deadline passed")))
             }
+            () = tx.closed() => return open.end_left(),
         };
-        let position = position.into_inner();
-        let took = millis_since_arrival(&edge, &request);
         match ended {
             Ok(()) => {
-                if let Some(events) = position.last_id {
+                if let Some(events) = open.last_id() {
                     let mut pace = edge.token_pace.borrow_mut();
                     pace.record_stream(&request.service, request.expected_output(), events);
                 }
-                log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = position.upstream, last = position.last_id.unwrap_or(0), took = took; "A stream ended whole.");
+                open.end_whole();
                 tx.finish().await;
             }
-            Err(outcome) => {
-                log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = position.upstream, last = position.last_id.unwrap_or(0), took = took, end = outcome.as_str(); "A stream was broken off.");
-            }
+            Err(failure) => open.end_broken(failure.outcome, &failure.why),
         }
     });
     response
@@ -293,8 +278,8 @@
     events: Bytes,
     mut source: EventStream,
     progress: AttemptHistory,
-    position: &RefCell<StreamPosition>,
-) -> std::result::Result<(), AttemptOutcome> {
+    open: &OpenRequest,
+) -> std::result::Result<(), StreamFailure> {
     if !events.is_empty() && !tx.send(events).await {
         return Ok(());
     }
@@ -304,7 +289,7 @@
         match source.next().await {
             Ok(Some(events)) => {
                 survival.record_events(edge, &request.prompt);
-                position.borrow_mut().last_id = source.last_id();
+                open.record_events(&source.name, source.last_id());
                 if !tx.send(events).await {
                     return Ok(());
                 }
@@ -317,18 +302,21 @@
                 let next = attempts.decide(request.route.kind, request.route.max_attempts, outcome);
                 let last_id = source.last_id();
                 edge.loads.borrow_mut().record_result(&source.name, true);
-                if next != RetryDecision::Retry
-                    || last_id.is_none()
-                    || !edge.withdraw_retry(&request.service)
-                {
-                    return Err(outcome);
+                if next != RetryDecision::Retry {
+                    return Err(StreamFailure::new(outcome, "no attempt is left"));
+                }
+                if last_id.is_none() {
+                    return Err(StreamFailure::new(outcome, "the events have no ids"));
+                }
+                if !edge.withdraw_retry(&request.service) {
+                    return Err(StreamFailure::new(outcome, "the retry budget is used up"));
                 }
                 let failed_upstream = source.name.clone();
                 drop(source);
                 source = resume_stream(edge, request, tx, failed_upstream, last_id, &mut attempts)
                     .await?;
                 survival = SurvivalTimer::start(edge);
-                *position.borrow_mut() = StreamPosition::of(&source);
+                open.record_events(&source.name, source.last_id());
             }
         }
     }
@@ -342,7 +330,7 @@
     failed_upstream: UpstreamName,
     last_id: Option<u64>,
     attempts: &mut AttemptHistory,
-) -> std::result::Result<EventStream, AttemptOutcome> {
+) -> std::result::Result<EventStream, StreamFailure> {
     log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = failed_upstream, last = last_id.unwrap_or(0); "Resuming the stream at another upstream.");
     let progress = Cell::new(*attempts);
     let outcome = try_upstreams(edge, request, &progress, vec![failed_upstream], last_id).await;
@@ -350,10 +338,14 @@
     match outcome {
         Ok(AttemptResponse::Stream(stream)) => {
             if !stream.events.is_empty() && !tx.send(stream.events).await {
-                return Err(AttemptOutcome::TransportError);
+                return Err(StreamFailure::new(AttemptOutcome::TransportError, "the caller left"));
             }
             Ok(stream.remaining)
         }
-        Ok(AttemptResponse::Full(_)) | Err(_) => Err(AttemptOutcome::TransportError),
+        Ok(AttemptResponse::Full(response)) => {
+            let why = format!("another upstream responded with status {}", response.status);
+            Err(StreamFailure::new(AttemptOutcome::TransportError, &why))
+        }
+        Err(err) => Err(StreamFailure::new(AttemptOutcome::TransportError, err.message())),
     }
 }
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -9,6 +9,7 @@
 mod listener;
 mod logging;
 mod metrics;
+mod open_request;
 mod orders;
 mod peers;
 mod pool;
--- a/crates/carob-edge/src/logging.rs
+++ b/crates/carob-edge/src/logging.rs
@@ -106,4 +106,7 @@
     let append = StdoutAppend { vm: vm.to_owned(), ..StdoutAppend::default() };
     let builder = logforth::starter_log::builder();
     builder.dispatch(|d| d.filter(filter).append(append)).apply();
+    std::panic::set_hook(Box::new(|panic| {
+        log::error!(target: "main", error:% = panic; "A task panicked.");
+    }));
 }
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -63,6 +63,7 @@
     wait_for_stop(&edge, &path).await?;
     membership.abort();
     let all_finished = shut_down(&edge, &phase, &accepting).await;
+    edge.stopped.set(true);
     log::info!(target: "main", whole = all_finished, active = edge.active_requests.get(); "The process stopped.");
     servers.into_iter().for_each(Server::stop);
     Ok(all_finished)
--- a/crates/carobctl/src/explain.rs
+++ b/crates/carobctl/src/explain.rs
@@ -111,7 +111,8 @@
 
     /// Reports whether a line says that the request ended.
     fn has_ended(&self) -> bool {
-        let ends = ["refused", "ended whole", "broken off", "left its stream"];
+        let ends =
+            ["refused", "ended whole", "broken off", "left its stream", "without a response"];
         self.lines.iter().any(|(_, line)| {
             let text = text_field(line, "text");
             ends.iter().any(|end| text.contains(end)) || text_field(line, "end") == "answered"
--- a/crates/carobctl/src/sizes.rs
+++ b/crates/carobctl/src/sizes.rs
@@ -45,6 +45,7 @@
     match text_field(line, "text") {
         "A stream ended whole." => Some("served".into()),
         "A stream was broken off." => Some(format!("broken off: {end}")),
+        "A request ended without a response." => Some(format!("no response: {end}")),
         "The caller left its stream." => Some("left by its caller".into()),
         "A request was refused." => Some(format!("refused: {}", text_field(line, "kind"))),
         "An upstream was tried." if end == "answered" => Some("served".into()),
