LOST: a silent upstream is given a second attempt beside it, and is not given up

What callers saw: beside sound upstreams that were silent for a second or two and went on, streams ended with their connection and requests got 504, seconds before their deadline.

Cause: two timers of ours ended the wait for an upstream (1.5 s between events of a stream that can be resumed; three times the estimate and 0.6 s before the first byte), and only then it was asked whether anything else could take the request. Where the retry budget, the attempts or the upstreams said no, the caller got nothing more. Class: giving up what one has before one has something better.

Change: a silence ends nothing. After the same times a second attempt starts beside the first (HedgeTimer, in src/request/), if the route allows it, an upstream is there and the retry budget has room; else the question is asked again every 250 ms. The first response, or the first events of either, win, and the other is closed before they are passed on. Without a second attempt the first goes on until the deadline. Requests that may run once are sent once, as before. A silence counts once in the failure rate that the choice of upstream weighs. handle.rs is split: attempts.rs, relay.rs.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -17,13 +17,6 @@
 
 /// Maximum size of a response that is not streamed.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
-/// Multiple of the estimated time to the first byte after which an upstream counts as silent.
-const SILENCE_FACTOR: u32 = 3;
-/// Time added to `SILENCE_FACTOR` times the estimate.
-const SILENCE_MARGIN: Duration = Duration::from_millis(600);
-/// Maximum time between two chunks of a stream that can be resumed.
-const MAX_EVENT_GAP: Duration = Duration::from_millis(1500);
-
 /// Counts a request in the load of its upstream until the guard is dropped.
 pub struct LoadGuard {
     edge: Rc<Edge>,
@@ -116,7 +109,6 @@
     response: Box<IncomingResponse>,
     splitter: EventSplitter,
     ended: bool,
-    event_timeout: Option<Duration>,
     load: LoadGuard,
 }
 
@@ -126,19 +118,13 @@
     /// # Errors
     ///
     /// Returns `TransportError` when the stream ends in the middle of an event or its connection
-    /// fails, and `TimedOut` when no data arrives within the event timeout.
+    /// fails.
     pub async fn next(&mut self) -> Result<Option<Bytes>, AttemptOutcome> {
         loop {
             if self.ended {
                 return Ok(None);
             }
-            let chunk = match self.event_timeout {
-                Some(limit) => {
-                    let chunk = tokio::time::timeout(limit, self.response.next_chunk()).await;
-                    chunk.map_err(|_| AttemptOutcome::TimedOut)??
-                }
-                None => self.response.next_chunk().await?,
-            };
+            let chunk = self.response.next_chunk().await?;
             let Some(chunk) = chunk else {
                 self.ended = true;
                 if self.splitter.has_partial() {
@@ -199,31 +185,23 @@
     choice: &Choice,
     last_id: Option<u64>,
 ) -> Result<AttemptResponse, AttemptFailure> {
-    let started = edge.now();
+    let mut record = AttemptRecord::new(edge, request, choice);
     let mut load_guard = LoadGuard::new(edge, request, &choice.entry.name);
-    let limit = response_timeout(request, choice).min(request.remaining_time(started));
-    let mut head = ResponseHead::default();
+    let limit = request.remaining_time(edge.now());
     let opened = tokio::time::timeout(
         limit,
-        send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut head),
+        send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut record.head),
     )
     .await;
     let result = opened.unwrap_or(Err(AttemptOutcome::TimedOut.into()));
-    record_attempt(edge, request, choice, started, head, &result);
+    record.finish(request, choice, &result);
     match result? {
         ReceivedResponse::Full(response) => Ok(AttemptResponse::Full(response)),
         ReceivedResponse::Stream(response, splitter, events) => {
-            let event_timeout = request.route.kind.is_repeatable().then_some(MAX_EVENT_GAP);
             let (status, headers) = (response.status, strip_response_headers(&response.headers));
             let name = choice.entry.name.clone();
-            let remaining = EventStream {
-                name,
-                response,
-                splitter,
-                ended: false,
-                event_timeout,
-                load: load_guard,
-            };
+            let remaining =
+                EventStream { name, response, splitter, ended: false, load: load_guard };
             Ok(AttemptResponse::Stream(Box::new(StartedStream {
                 status,
                 headers,
@@ -248,53 +226,91 @@
     Stream(Box<IncomingResponse>, EventSplitter, Bytes),
 }
 
-/// Returns how long to wait for a response before the request is retried at another upstream;
-/// `Duration::MAX` where the route does not allow a retry.
-fn response_timeout(request: &CallerRequest, choice: &Choice) -> Duration {
-    if !request.route.kind.is_repeatable() || request.route.max_attempts < 2 {
-        return Duration::MAX;
+/// The log line of an attempt. An attempt that is dropped before its end was given up, for another
+/// one that responded first or because the caller disconnected.
+struct AttemptRecord {
+    edge: Rc<Edge>,
+    id: String,
+    upstream: UpstreamName,
+    estimate: Duration,
+    running: u32,
+    load_tokens: u64,
+    started: Duration,
+    head: ResponseHead,
+    ended: bool,
+}
+
+impl AttemptRecord {
+    fn new(edge: &Rc<Edge>, request: &CallerRequest, choice: &Choice) -> Self {
+        AttemptRecord {
+            edge: Rc::clone(edge),
+            id: request.caller_headers.request_id.clone(),
+            upstream: choice.entry.name.clone(),
+            estimate: choice.estimate,
+            running: choice.running,
+            load_tokens: choice.load_tokens,
+            started: edge.now(),
+            head: ResponseHead::default(),
+            ended: false,
+        }
+    }
+
+    fn took(&self) -> Duration {
+        self.edge.now().saturating_sub(self.started)
+    }
+
+    fn log(&self, end: &str) {
+        let limit = self.head.limit.map(|limit| limit.to_string()).unwrap_or_default();
+        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, end = end, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
+    }
+
+    /// Records the result in the loads and in the log; a transport error marks the request as a
+    /// suspect in a crash of the upstream.
+    fn finish(
+        mut self,
+        request: &CallerRequest,
+        choice: &Choice,
+        result: &Result<ReceivedResponse, AttemptFailure>,
+    ) {
+        self.ended = true;
+        let mut loads = self.edge.loads.borrow_mut();
+        let end = match result {
+            Ok(ReceivedResponse::Stream(..)) => {
+                loads.record_latency(&self.upstream, self.took(), self.estimate);
+                "open"
+            }
+            Ok(ReceivedResponse::Full(_)) => "answered",
+            Err(failure) => failure.outcome.as_str(),
+        };
+        let failed =
+            matches!(result, Err(failure) if failure.outcome != AttemptOutcome::Misdirected);
+        loads.record_result(&self.upstream, failed);
+        drop(loads);
+        self.log(end);
+        let broken =
+            matches!(result, Err(failure) if failure.outcome == AttemptOutcome::TransportError);
+        if broken {
+            record_crash_suspect(&self.edge, request, choice, self.head.status);
+        }
     }
-    let expected = choice.estimate * SILENCE_FACTOR + SILENCE_MARGIN;
-    if request.route.kind.is_stream() { expected.max(request.route.latency_goal) } else { expected }
 }
 
-/// Records the result of an attempt in the loads and in the log; a transport error marks the
-/// request as a suspect in a crash of the upstream.
-fn record_attempt(
-    edge: &Rc<Edge>,
-    request: &CallerRequest,
-    choice: &Choice,
-    started: Duration,
-    head: ResponseHead,
-    result: &Result<ReceivedResponse, AttemptFailure>,
-) {
-    let name = &choice.entry.name;
-    let took = edge.now().saturating_sub(started);
-    let mut loads = edge.loads.borrow_mut();
-    let end = match result {
-        Ok(ReceivedResponse::Stream(..)) => {
-            loads.record_latency(name, took, choice.estimate);
-            "open"
+impl Drop for AttemptRecord {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.log("given_up");
         }
-        Ok(ReceivedResponse::Full(_)) => "answered",
-        Err(failure) => failure.outcome.as_str(),
-    };
-    let failed = matches!(result, Err(failure) if failure.outcome != AttemptOutcome::Misdirected);
-    loads.record_result(name, failed);
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, end = end, status = head.status, limit:% = head.limit.map(|limit| limit.to_string()).unwrap_or_default(), took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64, running = choice.running, load = choice.load_tokens; "An upstream was tried.");
-    let transport_failed =
-        matches!(result, Err(AttemptFailure { outcome: AttemptOutcome::TransportError, .. }));
-    if transport_failed && (200..300).contains(&head.status) {
-        quarantine::record_broken_start(edge, &request.prompt, &choice.entry);
     }
-    if transport_failed {
-        let crash = format!("{name}#{}", choice.entry.started_ms);
-        edge.suspects.borrow_mut().record_crash(
-            request.fingerprint,
-            &crash,
-            edge.clock.unix_millis(),
-        );
+}
+
+/// Records that the connection to an upstream broke while it may have run the request.
+fn record_crash_suspect(edge: &Rc<Edge>, request: &CallerRequest, choice: &Choice, status: u16) {
+    if (200..300).contains(&status) {
+        quarantine::record_broken_start(edge, &request.prompt, &choice.entry);
     }
+    let crash = format!("{}#{}", choice.entry.name, choice.entry.started_ms);
+    let unix_ms = edge.clock.unix_millis();
+    edge.suspects.borrow_mut().record_crash(request.fingerprint, &crash, unix_ms);
 }
 
 async fn send_and_receive(
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -136,6 +136,12 @@
     loaded.cloned().collect()
 }
 
+/// Reports whether an upstream that is not among `tried` could take the request without a wait for
+/// its model or adapter.
+pub fn has_candidate(edge: &Edge, request: &CallerRequest, tried: &[UpstreamName]) -> bool {
+    !eligible_upstreams(edge, request, tried).is_empty()
+}
+
 fn request_adapter(edge: &Edge, request: &CallerRequest) {
     let (Some(model), Some(adapter)) =
         (&request.caller_headers.model, &request.caller_headers.adapter)
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -347,6 +347,11 @@
         self.with_retry_budget(service, |budget| budget.withdraw(now))
     }
 
+    /// Gives back a retry that was taken from the budget of a service and not made.
+    pub fn refund_retry(&self, service: &str) {
+        self.with_retry_budget(service, RetryBudget::refund);
+    }
+
     fn with_retry_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut retries = self.retry_budgets.borrow_mut();
         let budget = retries.entry(service.to_owned()).or_insert_with(|| {
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -1,6 +1,7 @@
 //! The reverse proxy that runs on every entry vm, between callers and upstreams.
 
 mod attempt;
+mod attempts;
 mod choose;
 mod edge;
 mod follow;
@@ -15,6 +16,7 @@
 mod pool;
 mod process;
 mod quarantine;
+mod relay;
 mod request;
 mod response;
 mod response_budget;
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -19,6 +19,7 @@
     latency: Histogram<f64>,
     refusals: Counter<u64>,
     retries: Counter<u64>,
+    hedges: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
@@ -67,6 +68,7 @@
             latency: latency.with_boundaries(LATENCY_BUCKETS_SECONDS.to_vec()).build(),
             refusals: counter("refusals", "Requests refused, by kind"),
             retries: counter("retries", "Requests sent again"),
+            hedges: counter("hedges", "Requests sent to another upstream beside a silent one"),
             orders: counter("orders", "Orders sent to engines"),
             store_calls: counter("store_calls", "Calls to the platform's log"),
             store_failures: counter(
@@ -129,6 +131,11 @@
         self.retries.add(1, &[]);
     }
 
+    /// Counts a second attempt beside one whose upstream is silent.
+    pub fn record_hedge(&self) {
+        self.hedges.add(1, &[]);
+    }
+
     /// Counts an order to an engine; `kind` is `load` or `unload`.
     pub fn record_order(&self, kind: &'static str) {
         self.orders.add(1, &[KeyValue::new("kind", kind)]);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -81,9 +81,9 @@
 pub use request::routing::{RoutingPolicy, UpstreamCandidate, choose_upstream};
 pub use request::{
     AttemptHistory, AttemptOutcome, DispatchCandidate, DispatchDecision, DispatchSettings,
-    ModelCall, RecentMaximum, RequestClass, RequestTiming, RetryBudget, RetryBudgetSettings,
-    RetryDecision, TokenPace, dispatch, estimate_prompt_tokens, extract_api_key,
-    is_credential_header, strip_query_keys,
+    HedgeSettings, HedgeTimer, ModelCall, RecentMaximum, RequestClass, RequestTiming, RetryBudget,
+    RetryBudgetSettings, RetryDecision, TokenPace, dispatch, estimate_prompt_tokens,
+    extract_api_key, is_credential_header, strip_query_keys,
 };
 pub use units::{
     ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RequestRate, TenantName,
--- a/src/request/attempt_history.rs
+++ b/src/request/attempt_history.rs
@@ -15,7 +15,7 @@
     ServerError,
     /// The connection broke or the response was malformed; the request may have run.
     TransportError,
-    /// The upstream sent nothing within its time limit; the request may have run.
+    /// The upstream had not responded when the request's time was over; the request may have run.
     TimedOut,
 }
 
@@ -44,10 +44,12 @@
 /// Summary of the attempts made so far for one request.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct AttemptHistory {
-    /// Number of upstreams that the request was sent to.
-    pub sent: u32,
-    /// Whether the request may have run on one of these upstreams.
-    pub may_have_run: bool,
+    /// Number of upstreams that the request was sent to and whose attempt ended.
+    sent: u32,
+    /// Number of attempts that have not ended.
+    open: u32,
+    /// Whether the request may have run in an attempt that ended.
+    may_have_run: bool,
 }
 
 /// What to do after a failed attempt.
@@ -62,8 +64,38 @@
 }
 
 impl AttemptHistory {
+    /// Records the start of an attempt. Until it ends, the request may run at its upstream.
+    pub fn record_start(&mut self) {
+        self.open += 1;
+    }
+
+    /// Records that the response of an attempt has begun, and that the other open attempts were
+    /// abandoned for it.
+    pub fn record_response(&mut self) {
+        let abandoned = self.open.saturating_sub(1);
+        self.sent += abandoned;
+        self.may_have_run |= abandoned > 0;
+        self.open = self.open.min(1);
+    }
+
+    /// Returns the number of upstreams that the request was sent to.
+    pub fn sent(&self) -> u32 {
+        self.sent + self.open
+    }
+
+    /// Reports whether the request may have run, or may still run.
+    pub fn may_have_run(&self) -> bool {
+        self.may_have_run || self.open > 0
+    }
+
+    /// Reports whether another attempt may start beside the only one that is open.
+    pub fn allows_hedge(&self, kind: RouteKind, attempts: u32) -> bool {
+        kind.is_repeatable() && self.open == 1 && self.sent() < attempts
+    }
+
     /// Records an attempt that ended with `outcome`.
     pub fn record_outcome(&mut self, outcome: AttemptOutcome) {
+        self.open = self.open.saturating_sub(1);
         self.sent += u32::from(outcome != AttemptOutcome::Unsent);
         self.may_have_run |= !outcome.did_not_run();
     }
@@ -73,7 +105,7 @@
     /// A request that may have run is sent again only on a route whose requests are repeatable.
     pub fn decide(&self, kind: RouteKind, attempts: u32, outcome: AttemptOutcome) -> RetryDecision {
         let repeat = outcome.did_not_run() || kind.is_repeatable();
-        if repeat && self.sent < attempts && (kind.is_repeatable() || !self.may_have_run) {
+        if repeat && self.sent() < attempts && (kind.is_repeatable() || !self.may_have_run()) {
             return RetryDecision::Retry;
         }
         self.decide_without_retry(outcome)
@@ -83,10 +115,10 @@
     pub fn decide_without_retry(&self, outcome: AttemptOutcome) -> RetryDecision {
         match outcome {
             AttemptOutcome::ServerError => RetryDecision::ForwardResponse,
-            _ if self.may_have_run && outcome == AttemptOutcome::TimedOut => {
+            _ if self.may_have_run() && outcome == AttemptOutcome::TimedOut => {
                 RetryDecision::Fail(ErrorKind::Timeout)
             }
-            _ if self.may_have_run => RetryDecision::Fail(ErrorKind::UpstreamFailed),
+            _ if self.may_have_run() => RetryDecision::Fail(ErrorKind::UpstreamFailed),
             _ => RetryDecision::Fail(ErrorKind::UpstreamUnavailable),
         }
     }
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -6,6 +6,7 @@
 mod class;
 mod dispatch;
 pub mod fair_queue;
+mod hedge;
 mod model_call;
 mod recent_maximum;
 mod retry_budget;
@@ -18,6 +19,7 @@
 pub use dispatch::{
     DispatchCandidate, DispatchDecision, DispatchSettings, RequestTiming, dispatch,
 };
+pub use hedge::{HedgeSettings, HedgeTimer};
 pub use model_call::{ModelCall, estimate_prompt_tokens};
 pub use recent_maximum::RecentMaximum;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
--- a/src/request/retry_budget.rs
+++ b/src/request/retry_budget.rs
@@ -49,6 +49,11 @@
         self.balance.add(self.settings.ratio, self.settings.capacity);
     }
 
+    /// Gives back a retry that was taken and not made.
+    pub fn refund(&mut self) {
+        self.balance.add(1.0, self.settings.capacity);
+    }
+
     /// Takes one retry from the budget; returns false when the budget is used up.
     pub fn withdraw(&mut self, now: Duration) -> bool {
         self.balance.refill(self.settings.min_rate, self.settings.capacity, now);
--- a/src/version/platform_config.rs
+++ b/src/version/platform_config.rs
@@ -60,6 +60,11 @@
 }
 
 impl PlatformRoute {
+    /// Reports whether a request that may have run can be sent to another upstream.
+    pub fn allows_retries(&self) -> bool {
+        self.kind.is_repeatable() && self.max_attempts > 1
+    }
+
     /// Returns the service for a request in proportion to the weights; `spread` is uniformly
     /// distributed over requests. `None` when all weights are 0 or no service is set.
     pub fn service(&self, spread: u64) -> Option<&str> {
