--- a/crates/carob-lab/src/fake_engine/generate.rs
+++ b/crates/carob-lab/src/fake_engine/generate.rs
@@ -142,6 +142,7 @@
             std::future::pending::<()>().await;
         }
         tokio::time::sleep(Duration::from_millis(pace)).await;
+        self.wait_while_paused().await;
         lock(&self.state).report.incarnation == job.incarnation
     }
 
--- a/crates/carob-lab/src/fake_engine/mod.rs
+++ b/crates/carob-lab/src/fake_engine/mod.rs
@@ -105,6 +105,8 @@
     /// Addresses of the connections on which a request arrived.
     known_clients: BTreeSet<SocketAddr>,
     down_until: Duration,
+    /// The engine sends nothing until this time; then it goes on.
+    paused_until: Duration,
     faults: EngineFaults,
     random: SmallRng,
     requests_run: u64,
@@ -141,6 +143,7 @@
             silenced_clients: BTreeSet::new(),
             known_clients: BTreeSet::new(),
             down_until: Duration::ZERO,
+            paused_until: Duration::ZERO,
             faults: EngineFaults::default(),
             random: SmallRng::seed_from_u64(1),
             requests_run: 0,
@@ -168,6 +171,9 @@
             state.silenced_clients = state.known_clients.clone();
             return Reply::text(200, "ok");
         }
+        if request.path() == "/pause" {
+            return self.pause(&body);
+        }
         if request.path() == "/stats" {
             let state = lock(&self.state);
             return Reply::json(
@@ -188,6 +194,7 @@
         if silent {
             std::future::pending::<()>().await;
         }
+        self.wait_while_paused().await;
         if down {
             return Reply::stream(200).1;
         }
@@ -211,4 +218,29 @@
             Err(err) => Reply::text(400, &err.to_string()),
         }
     }
+
+    /// Makes the engine fall silent for the milliseconds that `body` holds. All connections stay
+    /// open, and what was asked meanwhile is answered afterwards.
+    fn pause(&self, body: &[u8]) -> Reply {
+        let text = String::from_utf8_lossy(body);
+        match text.parse::<u64>() {
+            Ok(millis) => {
+                let until = self.clock.now() + Duration::from_millis(millis);
+                lock(&self.state).paused_until = until;
+                Reply::text(200, "ok")
+            }
+            Err(err) => Reply::text(400, &format!("pause {text:?}: {err}")),
+        }
+    }
+
+    async fn wait_while_paused(&self) {
+        loop {
+            let until = lock(&self.state).paused_until;
+            let left = until.saturating_sub(self.clock.now());
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left).await;
+        }
+    }
 }
