--- a/crates/carob-entry/src/dispatch.rs
+++ b/crates/carob-entry/src/dispatch.rs
@@ -118,7 +118,7 @@
 type Loads = std::collections::BTreeMap<UpstreamName, u32>;
 
 /// Returns the upstreams that may receive a request now. Upstreams on which the request failed are
-/// included only if no other upstream has the model.
+/// included only if no other upstream has the model, and silent ones only if all with room are.
 fn candidates(
     shared: &SharedState,
     loads: &Loads,
@@ -138,6 +138,7 @@
     };
     let mut candidates = shared.upstreams.candidates(loaded, loads, remote, now);
     candidates.retain(|candidate| candidate.local_requests + candidate.peer_requests < limit);
+    shared.upstreams.prefer_active(&mut candidates, now);
     candidates
 }
 
--- a/crates/carob-entry/src/forward.rs
+++ b/crates/carob-entry/src/forward.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carob_net::{HttpClient, StreamingResponse};
+use carob_net::{HttpClient, StreamingResponse, watch_silence};
 use carobglade::{
     Error, ErrorKind, Fingerprint, InactivityTimeout, InactivityTimeoutSettings, Record, Result,
     Suspicion, UpstreamName, is_credential_header,
@@ -39,18 +39,18 @@
     pub id: String,
     /// Fingerprint of the request.
     pub request: Fingerprint,
-    /// Timeout for the head of the response.
+    /// Time for the head of the response, after which the upstream counts as silent.
     pub head_timeout: HeadTimeout,
 }
 
-/// Timeout for the head of a response.
+/// Time for the head of a response, after which the upstream counts as silent.
 #[derive(Clone, Copy, Debug)]
 pub enum HeadTimeout {
-    /// For a streamed response: the timeout follows the upstream's mean time to the first byte, and
+    /// For a streamed response: the time follows the upstream's mean time to the first byte, and
     /// grows with the number of prompt tokens, which the variant holds.
     Streamed(u64),
     /// For a response sent only when it is complete: the longest time that its generation may take,
-    /// which is added to the timeout of the settings.
+    /// which is added to the time of the settings.
     Buffered(Duration),
 }
 
@@ -97,7 +97,7 @@
     InactivityTimeout::new(settings, prompt)
 }
 
-/// Returns the timeout for the head of a response of `upstream`.
+/// Returns the time for the head of a response of `upstream`, after which it counts as silent.
 pub fn head_timeout(
     shared: &SharedState,
     upstream: &UpstreamName,
@@ -109,6 +109,49 @@
     }
 }
 
+/// Returns the time after which a wait is given up, for one after which an upstream counts as silent.
+pub fn longest_wait(shared: &SharedState, expected: Duration) -> Duration {
+    expected + millis(shared.settings.times.max_silence)
+}
+
+/// Records that `upstream` sends nothing on a request, although it should have within `expected`.
+pub fn record_silence(
+    shared: &SharedState,
+    upstream: &UpstreamName,
+    request_id: &str,
+    expected: Duration,
+) {
+    let millis = expected.as_millis();
+    log::info!("forward: upstream {upstream} silent for {millis} ms on request {request_id}");
+    shared.upstreams.record_silence(upstream, shared.now());
+}
+
+/// Waits for the next chunk of a response that no other upstream can continue. A silence longer
+/// than `expected` makes other requests prefer other upstreams, but does not end the wait.
+///
+/// # Errors
+///
+/// The errors of [`StreamingResponse::next_chunk`].
+pub async fn next_chunk(
+    shared: &SharedState,
+    upstream: &UpstreamName,
+    request_id: &str,
+    response: &mut StreamingResponse,
+    expected: Duration,
+) -> Result<Option<Bytes>> {
+    let mut silent = false;
+    let next = response.next_chunk(longest_wait(shared, expected));
+    let chunk = watch_silence(next, expected, || {
+        silent = true;
+        record_silence(shared, upstream, request_id, expected);
+    });
+    let chunk = chunk.await;
+    if silent && chunk.is_ok() {
+        shared.upstreams.record_progress(upstream);
+    }
+    chunk
+}
+
 /// Records that a request was in flight when `upstream` failed, and waits until the record is
 /// applied, so that the decision to retry takes it into account.
 pub async fn record_suspicion(shared: &SharedState, upstream: &UpstreamName, request: Fingerprint) {
@@ -152,12 +195,15 @@
     };
     let started = shared.now();
     let url = format!("http://{address}{}", outgoing.target);
-    let head_timeout = head_timeout(shared, upstream, outgoing.head_timeout);
+    let expected = head_timeout(shared, upstream, outgoing.head_timeout);
     let (method, headers, body) =
         (outgoing.method.clone(), outgoing.headers.clone(), outgoing.body.clone());
-    let response = client.send(method, &url, headers, body, head_timeout).await?;
-    if matches!(outgoing.head_timeout, HeadTimeout::Streamed(_)) {
-        shared.upstreams.record_first_byte(upstream, shared.now() - started);
+    let longest = longest_wait(shared, expected);
+    let response = client.send(method, &url, headers, body, longest).await?;
+    let took = shared.now() - started;
+    // The time of a silence tells nothing about the speed of the upstream.
+    if matches!(outgoing.head_timeout, HeadTimeout::Streamed(_)) && took <= expected {
+        shared.upstreams.record_first_byte(upstream, took);
     }
     check_request_id(&response, &outgoing.id)?;
     Ok(response)
--- a/crates/carob-entry/src/lib.rs
+++ b/crates/carob-entry/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod admin;
 mod append;
+mod attempts;
 mod caller_api;
 mod caller_request;
 mod dispatch;
--- a/crates/carob-entry/src/model_calls.rs
+++ b/crates/carob-entry/src/model_calls.rs
@@ -6,13 +6,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carob_net::{ChunkSender, Reply, StreamingResponse};
+use carob_net::{ChunkSender, Reply, StreamingResponse, watch_silence};
 use carobglade::{
     Config, Error, ErrorKind, Fingerprint, InactivityTimeout, ModelCall, Record, RequestClass,
-    Reservation, Result, Tenant, Tokens,
+    Reservation, Result, Tenant, Tokens, UpstreamName,
 };
 use serde_json::{Value, json};
+use tokio::sync::mpsc::UnboundedSender;
 
+use crate::attempts::{AttemptEvent, Attempts, FailedAttempt};
 use crate::caller_request::CallerRequest;
 use crate::dispatch;
 use crate::forward::{self, HeadTimeout, UpstreamRequest, forwarded_headers};
@@ -74,7 +76,7 @@
         self.shared.metrics.count_tokens(self.tenant.name.as_str(), used.0);
     }
 
-    fn requirements(&self, tried: &BTreeSet<carobglade::UpstreamName>) -> UpstreamRequirements {
+    fn requirements(&self, tried: &BTreeSet<UpstreamName>) -> UpstreamRequirements {
         UpstreamRequirements {
             tenant: self.tenant.name.clone(),
             class: self.class,
@@ -183,35 +185,75 @@
     Ok(())
 }
 
+/// An upstream's answer up to its first chunk.
+struct Answer {
+    permit: Permit,
+    response: StreamingResponse,
+    first: Option<Bytes>,
+}
+
 /// Sends the request until an upstream responds, a retry is not allowed, or `MAX_ATTEMPTS` is
-/// reached.
+/// reached. An attempt at a silent upstream goes on beside the next one until one of them responds.
 async fn call_with_retries(call: ActiveCall) -> Result<Reply> {
     let shared = Arc::clone(&call.shared);
     shared.request_queue.deposit_retry();
     let mut tried = BTreeSet::new();
-    let mut last = None;
-    for attempt in 0..MAX_ATTEMPTS {
-        if attempt > 0 && !may_retry(&shared, &call) {
-            break;
-        }
-        let permit = match dispatch::acquire_permit(&shared, call.requirements(&tried)).await {
-            Ok(permit) => permit,
-            Err(err) => {
-                return Err(last.map_or(err, |last: Error| last.with_retry_after(RETRY_AFTER)));
+    let mut last: Option<Error> = None;
+    let mut attempts = Attempts::default();
+    start_attempt(&call, &mut attempts, &tried);
+    let mut started = 1;
+    while let Some(event) = attempts.next().await {
+        let upstream = match event {
+            AttemptEvent::Answered(answer) => {
+                drop(attempts);
+                return forward_response(call, answer).await;
             }
-        };
-        let upstream = permit.upstream.clone();
-        match call_upstream(&call, &permit).await {
-            Ok((response, first)) => return forward_response(call, permit, response, first).await,
-            Err(err) => {
-                record_failure(&shared, &call, &permit, &err).await;
-                tried.insert(upstream);
-                last = Some(err);
+            AttemptEvent::Failed(FailedAttempt { upstream: Some(upstream), error }) => {
+                last = Some(error);
+                upstream
             }
+            AttemptEvent::Failed(FailedAttempt { upstream: None, error }) => {
+                last = Some(last.unwrap_or(error));
+                started = MAX_ATTEMPTS;
+                continue;
+            }
+            // The second attempt there uses a new connection; a third would tell nothing more.
+            AttemptEvent::Silent(upstream) if tried.contains(&upstream) => continue,
+            AttemptEvent::Silent(upstream) => upstream,
+        };
+        tried.insert(upstream);
+        if started < MAX_ATTEMPTS && may_retry(&shared, &call) {
+            start_attempt(&call, &mut attempts, &tried);
+            started += 1;
         }
     }
     let err = last.unwrap_or_else(|| Error::new(ErrorKind::UpstreamUnavailable, "no upstream"));
-    Err(err.with_retry_after(RETRY_AFTER))
+    Err(match err.retry_after() {
+        Some(_) => err,
+        None => err.with_retry_after(RETRY_AFTER),
+    })
+}
+
+/// Starts an attempt that waits for a permit and then for the first chunk of the response.
+fn start_attempt(
+    call: &ActiveCall,
+    attempts: &mut Attempts<Answer>,
+    tried: &BTreeSet<UpstreamName>,
+) {
+    let (shared, outgoing) = (Arc::clone(&call.shared), call.outgoing.clone());
+    let requirements = call.requirements(tried);
+    let silence = attempts.silence_sender();
+    attempts.start(async move {
+        let permit = dispatch::acquire_permit(&shared, requirements).await;
+        let permit = permit.map_err(|error| FailedAttempt { upstream: None, error })?;
+        match call_upstream(&shared, &outgoing, &permit, &silence).await {
+            Ok((response, first)) => Ok(Answer { permit, response, first }),
+            Err(error) => {
+                record_failure(&shared, &outgoing, &permit, &error).await;
+                Err(FailedAttempt { upstream: Some(permit.upstream.clone()), error })
+            }
+        }
+    });
 }
 
 fn may_retry(shared: &SharedState, call: &ActiveCall) -> bool {
@@ -224,14 +266,38 @@
 }
 
 /// Calls the upstream of a permit and waits for the first chunk of the response, so that a failure
-/// before the first chunk can be retried.
+/// before the first chunk can be retried. Tells `silence` if the upstream takes longer than expected.
 async fn call_upstream(
-    call: &ActiveCall,
+    shared: &SharedState,
+    outgoing: &UpstreamRequest,
     permit: &Permit,
+    silence: &UnboundedSender<UpstreamName>,
+) -> Result<(StreamingResponse, Option<Bytes>)> {
+    let upstream = &permit.upstream;
+    let expected = forward::head_timeout(shared, upstream, outgoing.head_timeout);
+    let mut silent = false;
+    let answer =
+        watch_silence(receive_first(shared, outgoing, upstream, expected), expected, || {
+            silent = true;
+            forward::record_silence(shared, upstream, &outgoing.id, expected);
+            // The receiver is gone only if the request ended.
+            let _ = silence.send(upstream.clone());
+        });
+    let answer = answer.await;
+    if silent && answer.is_ok() {
+        shared.upstreams.record_progress(upstream);
+    }
+    answer
+}
+
+async fn receive_first(
+    shared: &SharedState,
+    outgoing: &UpstreamRequest,
+    upstream: &UpstreamName,
+    expected: Duration,
 ) -> Result<(StreamingResponse, Option<Bytes>)> {
-    let shared = &call.shared;
-    let client = shared.upstreams.client(&permit.upstream);
-    let mut response = forward::open(shared, &client, &permit.upstream, &call.outgoing).await?;
+    let client = shared.upstreams.client(upstream);
+    let mut response = forward::open(shared, &client, upstream, outgoing).await?;
     if response.status == MODEL_NOT_LOADED_STATUS {
         return Err(Error::new(ErrorKind::UpstreamUnavailable, "the model is not loaded"));
     }
@@ -239,27 +305,27 @@
         let message = format!("upstream answered {}", response.status);
         return Err(Error::new(ErrorKind::UpstreamFailed, message));
     }
-    let timeout = forward::head_timeout(shared, &permit.upstream, call.outgoing.head_timeout);
-    let first = response.next_chunk(timeout).await?;
+    let first = response.next_chunk(forward::longest_wait(shared, expected)).await?;
     Ok((response, first))
 }
 
-async fn record_failure(shared: &SharedState, call: &ActiveCall, permit: &Permit, err: &Error) {
-    log::warn!("model: request {} failed on upstream {}: {err}", call.outgoing.id, permit.upstream);
+async fn record_failure(
+    shared: &SharedState,
+    outgoing: &UpstreamRequest,
+    permit: &Permit,
+    err: &Error,
+) {
+    log::warn!("model: request {} failed on upstream {}: {err}", outgoing.id, permit.upstream);
     shared.upstreams.record_result(&permit.upstream, Err(err.kind()), shared.now());
     if err.kind() == ErrorKind::UpstreamFailed {
-        forward::record_suspicion(shared, &permit.upstream, call.outgoing.request).await;
+        forward::record_suspicion(shared, &permit.upstream, outgoing.request).await;
     }
 }
 
 /// Forwards a response whose first chunk has arrived: a stream in a task of its own, other
 /// responses as a whole.
-async fn forward_response(
-    mut call: ActiveCall,
-    permit: Permit,
-    mut response: StreamingResponse,
-    first: Option<Bytes>,
-) -> Result<Reply> {
+async fn forward_response(mut call: ActiveCall, answer: Answer) -> Result<Reply> {
+    let Answer { permit, mut response, first } = answer;
     let shared = Arc::clone(&call.shared);
     let waited = shared.now() - call.started;
     shared.metrics.record_first_token(call.tenant.name.as_str(), call.class, waited);
@@ -273,11 +339,18 @@
     let mut body = first.unwrap_or_default().to_vec();
     let timeout = millis(shared.settings.times.between_chunks);
     loop {
-        match response.next_chunk(timeout).await {
+        let next = forward::next_chunk(
+            &shared,
+            &permit.upstream,
+            &call.outgoing.id,
+            &mut response,
+            timeout,
+        );
+        match next.await {
             Ok(Some(chunk)) => body.extend_from_slice(&chunk),
             Ok(None) => break,
             Err(err) => {
-                record_failure(&shared, &call, &permit, &err).await;
+                record_failure(&shared, &call.outgoing, &permit, &err).await;
                 return Err(err.with_retry_after(RETRY_AFTER));
             }
         }
@@ -317,8 +390,15 @@
             );
             return finish(&mut call, &permit, used);
         }
+        let waiting = forward::next_chunk(
+            &shared,
+            &permit.upstream,
+            &call.outgoing.id,
+            &mut response,
+            inactivity.limit(),
+        );
         next = tokio::select! {
-            chunk = response.next_chunk(inactivity.limit()) => chunk,
+            chunk = waiting => chunk,
             () = tx.closed() => Ok(None),
         };
         let now = shared.now();
@@ -327,7 +407,7 @@
     }
     let used = Tokens(call.model_call.prompt_tokens.0 + counter.tokens());
     if let Err(err) = next {
-        record_failure(&shared, &call, &permit, &err).await;
+        record_failure(&shared, &call.outgoing, &permit, &err).await;
         call.settle(used);
         return;
     }
--- a/crates/carob-entry/src/service_calls.rs
+++ b/crates/carob-entry/src/service_calls.rs
@@ -1,11 +1,12 @@
 //! Calls to plain services, including calls that must run at most once.
 
 use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
-use carob_net::{HttpClient, HttpResponse, Reply};
+use carob_net::{HttpClient, HttpResponse, Reply, watch_silence};
 use carobglade::{
     Claim, ClaimDecision, ClaimOutcome, ClaimRef, Config, Error, ErrorKind, Fingerprint, Record,
     RequestOutcome, Result, Route, Tenant, TenantName, UpstreamName, strip_query_keys,
@@ -13,6 +14,7 @@
 };
 use rand::Rng;
 
+use crate::attempts::{AttemptEvent, Attempts, FailedAttempt};
 use crate::caller_request::CallerRequest;
 use crate::forward::{self, HeadTimeout, UpstreamRequest, forwarded_headers};
 use crate::settings::millis;
@@ -83,45 +85,111 @@
     err.with_retry_after(Duration::from_secs(1))
 }
 
-/// Calls up to `MAX_ATTEMPTS` upstreams until one responds, within the retry budget.
+/// Calls up to `MAX_ATTEMPTS` upstreams until one responds, within the retry budget. A silent one
+/// goes on beside the next until one of them responds.
 async fn call_with_retries(
-    shared: &SharedState,
+    shared: &Arc<SharedState>,
     upstreams: &[UpstreamName],
     outgoing: &UpstreamRequest,
 ) -> Result<Reply> {
     shared.request_queue.deposit_retry();
     let mut last = no_upstream();
-    for (i, upstream) in usable_upstreams(shared, upstreams).iter().take(MAX_ATTEMPTS).enumerate() {
-        let now = shared.now();
-        if i > 0 && !shared.request_queue.withdraw_retry(now) {
-            break;
+    let mut untried = usable_upstreams(shared, upstreams).into_iter().take(MAX_ATTEMPTS);
+    let mut attempts = Attempts::default();
+    if let Some(upstream) = untried.next() {
+        start_attempt(shared, upstream, outgoing, &mut attempts);
+    }
+    while let Some(event) = attempts.next().await {
+        match event {
+            AttemptEvent::Answered(received) => return Ok(reply(received)),
+            AttemptEvent::Failed(failed) => last = failed.error,
+            AttemptEvent::Silent(_) => {}
         }
-        let client = shared.upstreams.client(upstream);
-        match call_upstream(shared, &client, upstream, outgoing).await {
-            Ok(received) => return Ok(reply(received)),
-            Err(err) => last = err,
+        if untried.len() > 0
+            && shared.request_queue.withdraw_retry(shared.now())
+            && let Some(upstream) = untried.next()
+        {
+            start_attempt(shared, upstream, outgoing, &mut attempts);
         }
     }
     Err(last)
 }
 
+fn start_attempt(
+    shared: &Arc<SharedState>,
+    upstream: UpstreamName,
+    outgoing: &UpstreamRequest,
+    attempts: &mut Attempts<HttpResponse>,
+) {
+    let (shared, outgoing) = (Arc::clone(shared), outgoing.clone());
+    let client = shared.upstreams.client(&upstream);
+    let silence = attempts.silence_sender();
+    attempts.start(async move {
+        // The receiver is gone only if the request ended.
+        let on_silence = || drop(silence.send(upstream.clone()));
+        let result = call_upstream(&shared, &client, &upstream, &outgoing, on_silence).await;
+        result.map_err(|error| FailedAttempt { upstream: Some(upstream.clone()), error })
+    });
+}
+
+/// Counts a request on an upstream until the guard is dropped.
+struct RunningRequest<'a> {
+    shared: &'a SharedState,
+    upstream: &'a UpstreamName,
+}
+
+impl<'a> RunningRequest<'a> {
+    fn begin(shared: &'a SharedState, upstream: &'a UpstreamName) -> Self {
+        shared.upstreams.begin_request(upstream);
+        RunningRequest { shared, upstream }
+    }
+}
+
+impl Drop for RunningRequest<'_> {
+    fn drop(&mut self) {
+        self.shared.upstreams.end_request(self.upstream);
+    }
+}
+
+/// Calls an upstream and reads its whole response. `on_silence` is called when the upstream first
+/// sends nothing for longer than expected.
 async fn call_upstream(
     shared: &SharedState,
     client: &HttpClient,
     upstream: &UpstreamName,
     outgoing: &UpstreamRequest,
+    on_silence: impl Fn(),
 ) -> Result<HttpResponse> {
-    shared.upstreams.begin_request(upstream);
-    let result = match forward::open(shared, client, upstream, outgoing).await {
-        Ok(response) => response.read_to_end(millis(shared.settings.times.first_byte)).await,
-        Err(err) => Err(err),
-    };
-    shared.upstreams.end_request(upstream);
+    let running = RunningRequest::begin(shared, upstream);
+    let silent = AtomicBool::new(false);
+    let result = receive_whole(shared, client, upstream, outgoing, || {
+        if !silent.swap(true, Ordering::Relaxed) {
+            let expected = millis(shared.settings.times.first_byte);
+            forward::record_silence(shared, upstream, &outgoing.id, expected);
+            on_silence();
+        }
+    });
+    let result = result.await;
+    drop(running);
     let result_kind = result.as_ref().map(|_| ()).map_err(Error::kind);
     shared.upstreams.record_result(upstream, result_kind, shared.now());
     result
 }
 
+async fn receive_whole(
+    shared: &SharedState,
+    client: &HttpClient,
+    upstream: &UpstreamName,
+    outgoing: &UpstreamRequest,
+    on_silence: impl Fn(),
+) -> Result<HttpResponse> {
+    let expected = millis(shared.settings.times.first_byte);
+    let head = forward::open(shared, client, upstream, outgoing);
+    let response = watch_silence(head, expected, &on_silence).await?;
+    let longest = forward::longest_wait(shared, expected);
+    response.read_to_end_watched(expected, longest, on_silence).await
+}
+
 fn reply(received: HttpResponse) -> Reply {
     let headers = forwarded_headers(&received.headers, None, "");
     Reply::new(received.status, "application/octet-stream", received.body).with_headers(headers)
@@ -262,7 +330,8 @@
 ) -> Result<HttpResponse> {
     let mut last = no_upstream();
     for upstream in usable_upstreams(shared, upstreams) {
-        match call_upstream(shared, &shared.unpooled_client, &upstream, outgoing).await {
+        let client = &shared.unpooled_client;
+        match call_upstream(shared, client, &upstream, outgoing, || {}).await {
             Err(err) if err.kind() == ErrorKind::UpstreamUnavailable => last = err,
             result => return result,
         }
--- a/crates/carob-entry/src/settings.rs
+++ b/crates/carob-entry/src/settings.rs
@@ -99,12 +99,16 @@
     /// Timeout for receiving the body of a request.
     #[serde(rename = "body")]
     pub body_timeout: u64,
-    /// Timeout for the first byte from an upstream, and for each chunk from a plain service.
+    /// Longest time to the first byte from an upstream, and to each chunk from a plain service, after
+    /// which the upstream counts as silent.
     #[serde(rename = "first")]
     pub first_byte: u64,
-    /// Timeout between two chunks from a model engine.
+    /// Time between two chunks from a model engine after which it counts as silent.
     #[serde(rename = "between")]
     pub between_chunks: u64,
+    /// Time for which a silent upstream is waited for, if no other one answers meanwhile.
+    #[serde(rename = "silence")]
+    pub max_silence: u64,
     /// Timeout for a caller that stops reading its response.
     #[serde(rename = "caller")]
     pub caller_stall: u64,
@@ -186,6 +190,7 @@
             body_timeout: 5_000,
             first_byte: 10_000,
             between_chunks: 3_000,
+            max_silence: 60_000,
             caller_stall: 10_000,
             claim_wait: 3_000,
             append_interval: 10,
@@ -262,6 +267,7 @@
             ("$.times.body", times.body_timeout, 100, 600_000),
             ("$.times.first", times.first_byte, 100, 600_000),
             ("$.times.between", times.between_chunks, 100, 600_000),
+            ("$.times.silence", times.max_silence, 100, 3_600_000),
             ("$.times.caller", times.caller_stall, 100, 600_000),
             ("$.times.claim", times.claim_wait, 100, 60_000),
             ("$.times.append", times.append_interval, 1, 5_000),
--- a/crates/carob-entry/src/state/request_queue.rs
+++ b/crates/carob-entry/src/state/request_queue.rs
@@ -32,7 +32,7 @@
     pub cost: Tokens,
     /// Fingerprint of the request.
     pub request: Fingerprint,
-    /// Upstreams on which the request failed. They are tried again only if no other upstream has
+    /// Upstreams on which the request failed or that have been silent on it. They are tried again only if no other upstream has
     /// the model.
     pub tried: BTreeSet<UpstreamName>,
 }
--- a/crates/carob-entry/src/state/upstream_tracker.rs
+++ b/crates/carob-entry/src/state/upstream_tracker.rs
@@ -30,7 +30,7 @@
     missed_polls: u32,
     /// Moving mean of the seconds to the head of a response.
     mean_first_byte: Option<f64>,
-    /// Client with the connection pool of the upstream, replaced after a timeout.
+    /// Client with the connection pool of the upstream, replaced after a silence.
     client: HttpClient,
 }
 
@@ -123,7 +123,8 @@
     }
 
     /// Sorts `names` into the order in which a call tries them: first those that the circuit
-    /// breaker allows, then by fewest requests in flight, and by `random` among equals.
+    /// breaker allows and that are not silent, then by fewest requests in flight, and by `random`
+    /// among equals.
     pub fn order_by_load(
         &self,
         mut names: Vec<UpstreamName>,
@@ -133,7 +134,9 @@
         let mut state = lock(&self.0);
         names.sort_by_cached_key(|name| {
             let upstream = state.entry(name);
-            (!upstream.breaker.allows_request(now), upstream.running, random())
+            let breaker = &upstream.breaker;
+            let avoided = (!breaker.allows_request(now), breaker.is_avoided(now));
+            (avoided, upstream.running, random())
         });
         names
     }
@@ -164,6 +167,18 @@
         candidates.collect()
     }
 
+    /// Drops the silent upstreams from `candidates`, unless all are silent.
+    pub fn prefer_active(&self, candidates: &mut Vec<UpstreamCandidate>, now: Duration) {
+        let state = lock(&self.0);
+        let active = |candidate: &UpstreamCandidate| {
+            let upstream = state.upstreams.get(&candidate.name);
+            !upstream.is_some_and(|upstream| upstream.breaker.is_avoided(now))
+        };
+        if candidates.iter().any(active) {
+            candidates.retain(active);
+        }
+    }
+
     /// Counts a request that is being sent.
     pub fn begin_request(&self, name: &UpstreamName) {
         lock(&self.0).entry(name).running += 1;
@@ -211,18 +226,28 @@
         *mean = Some(mean.map_or(time, |old| old + (time - old) * MEAN_WEIGHT));
     }
 
-    /// Records the result of a request.
+    /// Records that a request waits longer than expected. Later requests prefer other upstreams, and
+    /// use new connections to this one.
+    pub fn record_silence(&self, name: &UpstreamName, now: Duration) {
+        let mut state = lock(&self.0);
+        let upstream = state.entry(name);
+        upstream.breaker.record_silence(now);
+        upstream.client = HttpClient::pooled();
+    }
+
+    /// Records that an upstream sent something after a silence.
+    pub fn record_progress(&self, name: &UpstreamName) {
+        lock(&self.0).entry(name).breaker.record_progress();
+    }
+
+    /// Records the result of a request. A timeout is a silence, not a failure.
     pub fn record_result(&self, name: &UpstreamName, result: Result<(), ErrorKind>, now: Duration) {
         let mut state = lock(&self.0);
         let upstream = state.entry(name);
         match result {
             Ok(()) => upstream.breaker.record_success(),
-            Err(kind) => {
-                upstream.breaker.record_failure(now);
-                if kind == ErrorKind::Timeout {
-                    upstream.client = HttpClient::pooled();
-                }
-            }
+            Err(ErrorKind::Timeout) => upstream.breaker.record_silence(now),
+            Err(_) => upstream.breaker.record_failure(now),
         }
     }
 
--- a/crates/carob-net/src/client.rs
+++ b/crates/carob-net/src/client.rs
@@ -11,6 +11,8 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use crate::silence::watch_silence;
+
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 const MAX_RESPONSE_BYTES: usize = 64 << 20; // for bodies that are read to the end
@@ -68,9 +70,28 @@
     ///
     /// The errors of [`next_chunk`](Self::next_chunk), and `UpstreamFailed` when the body is longer
     /// than 64 MiB.
-    pub async fn read_to_end(mut self, idle_timeout: Duration) -> carobglade::Result<HttpResponse> {
+    pub async fn read_to_end(self, idle_timeout: Duration) -> carobglade::Result<HttpResponse> {
+        self.read_to_end_watched(idle_timeout, idle_timeout, || {}).await
+    }
+
+    /// Reads the rest of the body, with `idle_timeout` as in [`read_to_end`](Self::read_to_end).
+    /// Calls `on_silence` whenever a chunk takes longer than `expected`.
+    ///
+    /// # Errors
+    ///
+    /// The errors of [`read_to_end`](Self::read_to_end).
+    pub async fn read_to_end_watched(
+        mut self,
+        expected: Duration,
+        idle_timeout: Duration,
+        on_silence: impl Fn(),
+    ) -> carobglade::Result<HttpResponse> {
         let mut body = Vec::new();
-        while let Some(chunk) = self.next_chunk(idle_timeout).await? {
+        loop {
+            let next = watch_silence(self.next_chunk(idle_timeout), expected, &on_silence);
+            let Some(chunk) = next.await? else {
+                break;
+            };
             if body.len() + chunk.len() > MAX_RESPONSE_BYTES {
                 let message = format!("answer is longer than {MAX_RESPONSE_BYTES} bytes");
                 return Err(Error::new(ErrorKind::UpstreamFailed, message));
--- a/crates/carob-net/src/lib.rs
+++ b/crates/carob-net/src/lib.rs
@@ -16,6 +16,7 @@
 mod log_client;
 mod metrics;
 mod server;
+mod silence;
 
 pub use chunk_channel::{ChunkReceiver, ChunkSender, IncompleteBody, chunk_channel};
 pub use client::{HttpClient, HttpResponse, StreamingResponse};
@@ -25,3 +26,4 @@
 pub use log_client::{LogClient, LogPage};
 pub use metrics::MetricsRegistry;
 pub use server::{Reply, Request, ServeOptions, Server, serve};
+pub use silence::watch_silence;
--- a/tests/fleet.rs
+++ b/tests/fleet.rs
@@ -132,6 +132,26 @@
     assert!(breaker.allows_request(ms(1400)));
 }
 
+// Guards against: a silent upstream was refused further requests after it had gone on.
+#[test]
+fn silence_lets_other_upstreams_be_preferred_but_does_not_open_the_breaker() {
+    let mut breaker = CircuitBreaker::new(CircuitBreakerSettings::default());
+    for _ in 0..8 {
+        breaker.record_silence(ms(0));
+    }
+    assert!(breaker.allows_request(ms(0)), "silence opened the breaker");
+    assert!(breaker.is_avoided(ms(499)));
+    assert!(!breaker.is_avoided(ms(500)), "requests silent at once counted several times");
+    breaker.record_start();
+    assert!(breaker.is_avoided(ms(500)), "more than one trial request at a time");
+    breaker.record_silence(ms(600));
+    assert!(breaker.is_avoided(ms(1599)), "the pause did not double");
+    breaker.record_progress();
+    assert!(!breaker.is_avoided(ms(1599)));
+    breaker.record_silence(ms(2000));
+    assert!(!breaker.is_avoided(ms(2500)), "the pause did not start again");
+}
+
 fn candidate(i: usize, local_requests: u32, peer_requests: u32) -> UpstreamCandidate {
     UpstreamCandidate {
         name: format!("e{i}").parse().unwrap(),
