LOST: a second attempt that could not connect gives its retry back

A silent upstream that is met by a second attempt which sends nothing used up the retry budget all the same, so later silences found it empty. Found by reading; a first retry of that kind never used the budget (AttemptOutcome::Unsent).

--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -183,7 +183,12 @@
     /// Makes the second attempt that [`may_start_hedge`](Self::may_start_hedge) allowed.
     pub async fn hedge(&self, last_id: Option<u64>) -> AttemptEnd {
         let end = self.attempt(last_id).await;
-        if matches!(end, AttemptEnd::NotSent(_)) {
+        let unsent = match &end {
+            AttemptEnd::NotSent(_) => true,
+            AttemptEnd::Failed(failure) => failure.outcome == AttemptOutcome::Unsent,
+            AttemptEnd::Response(_) => false,
+        };
+        if unsent {
             self.edge.refund_retry(&self.request.service);
         }
         end
