Net: chunks of a response are sent at once

Cause: servers of carob-net, carob-entry's own among them, left Nagle's algorithm on, so the second small chunk of a response waited for the delayed acknowledgement of the first; callers of streams wait in the same way. Change: the listener sets TCP_NODELAY, which accepted connections inherit.

--- a/crates/carob-net/src/server.rs
+++ b/crates/carob-net/src/server.rs
@@ -248,6 +248,9 @@
     // The standard library sets SO_REUSEADDR, so that an address with connections in TIME_WAIT can
     // be bound again.
     let listener = std::net::TcpListener::bind(options.address)?;
+    // Accepted connections inherit the option. Without it, the second chunk of a response waits
+    // for the acknowledgement of the first.
+    socket2::SockRef::from(&listener).set_tcp_nodelay(true)?;
     let mut running = HttpServer::serve(service)
         .worker_threads(options.threads)
         .disable_signal()
