LOST: a second attempt keeps its own time, and what fails beside it is counted once

Class: state of one attempt kept for all of them.

Change: each open attempt has its own timer and silence; a wait for a second attempt starts anew when an attempt starts or ends; a second attempt under way goes on as the first when that fails; a retry that was taken and not used is given back however the attempt ends; no retry at the deadline. Silences of requests that allow no second attempt are logged and weighed too.

--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -38,39 +38,51 @@
 /// An attempt under way.
 pub type OpenAttempt<'a> = Pin<Box<dyn Future<Output = AttemptEnd> + 'a>>;
 
+/// An upstream that the request was sent to and that has not responded, or whose stream goes on.
+struct OpenUpstream {
+    name: UpstreamName,
+    timer: HedgeTimer,
+    /// Whether its present silence was recorded.
+    silent: bool,
+}
+
+/// A retry that was taken from the budget; given back on drop unless it was spent.
+struct RetryToken<'a> {
+    edge: &'a Edge,
+    service: &'a str,
+    spent: bool,
+}
+
+impl Drop for RetryToken<'_> {
+    fn drop(&mut self) {
+        if !self.spent {
+            self.edge.refund_retry(self.service);
+        }
+    }
+}
+
 /// The attempts of one request.
 pub struct Attempts<'a> {
     edge: &'a Rc<Edge>,
     request: &'a CallerRequest,
     /// Upstreams that are not tried again.
     tried: RefCell<Vec<UpstreamName>>,
-    /// Upstreams whose attempts are open.
-    open: RefCell<Vec<UpstreamName>>,
+    open: RefCell<Vec<OpenUpstream>>,
     history: Cell<AttemptHistory>,
-    timer: Cell<HedgeTimer>,
-    /// Whether the open attempt was already found to be silent.
-    silent: Cell<bool>,
-    /// Wakes the wait for a second attempt once the first was sent.
-    sent: Notify,
+    /// Wakes the wait for a second attempt when an attempt starts or ends.
+    changed: Notify,
 }
 
 impl<'a> Attempts<'a> {
-    /// Starts with the attempts in `history`; the upstreams in `tried` are skipped.
-    pub fn new(
-        edge: &'a Rc<Edge>,
-        request: &'a CallerRequest,
-        history: AttemptHistory,
-        tried: Vec<UpstreamName>,
-    ) -> Self {
+    /// Starts with the attempts in `history`.
+    pub fn new(edge: &'a Rc<Edge>, request: &'a CallerRequest, history: AttemptHistory) -> Self {
         Attempts {
             edge,
             request,
-            tried: RefCell::new(tried),
+            tried: RefCell::default(),
             open: RefCell::default(),
             history: Cell::new(history),
-            timer: Cell::new(HedgeTimer::new(HedgeSettings::default())),
-            silent: Cell::new(false),
-            sent: Notify::new(),
+            changed: Notify::new(),
         }
     }
 
@@ -79,20 +91,12 @@
         self.history.get()
     }
 
-    /// Changes the summary of the attempts.
-    pub fn update_history(&self, update: impl FnOnce(&mut AttemptHistory)) {
+    fn update_history(&self, update: impl FnOnce(&mut AttemptHistory)) {
         let mut history = self.history.get();
         update(&mut history);
         self.history.set(history);
     }
 
-    /// Changes the time of the next second attempt.
-    pub fn update_timer(&self, update: impl FnOnce(&mut HedgeTimer)) {
-        let mut timer = self.timer.get();
-        update(&mut timer);
-        self.timer.set(timer);
-    }
-
     /// Tries upstreams until one responds, a failure may not be retried or no upstream is
     /// available. `last_id` is the id of the last event that the caller already has.
     ///
@@ -100,10 +104,22 @@
     ///
     /// Returns the error for the caller.
     pub async fn first_response(&self, last_id: Option<u64>) -> Result<AttemptResponse> {
-        let mut open: FuturesUnordered<OpenAttempt<'_>> = FuturesUnordered::new();
-        open.push(Box::pin(self.attempt(last_id)));
+        self.first_response_of(Box::pin(self.attempt(last_id, None)), last_id).await
+    }
+
+    /// Goes on with an attempt under way as [`first_response`](Self::first_response) does.
+    ///
+    /// # Errors
+    ///
+    /// As [`first_response`](Self::first_response).
+    pub async fn first_response_of(
+        &self,
+        attempt: OpenAttempt<'_>,
+        last_id: Option<u64>,
+    ) -> Result<AttemptResponse> {
+        let mut open = FuturesUnordered::new();
+        open.push(attempt);
         loop {
-            let may_hedge = open.len() == 1 && self.request.route.allows_retries();
             tokio::select! {
                 biased;
                 Some(end) = open.next() => match end {
@@ -112,25 +128,26 @@
                         return Ok(response);
                     }
                     AttemptEnd::Failed(_) | AttemptEnd::NotSent(_) if !open.is_empty() => {
-                        self.update_timer(|timer| timer.record_failure(self.edge.now()));
+                        self.record_failed_hedge();
                     }
                     AttemptEnd::NotSent(err) => return Err(self.hide_not_run(err)),
                     AttemptEnd::Failed(failure) => match self.end_or_retry(failure) {
                         Some(end) => return end,
-                        None => open.push(Box::pin(self.attempt(last_id))),
+                        None => open.push(Box::pin(self.attempt(last_id, None))),
                     },
                 },
-                () = self.hedge_due(), if may_hedge => {
-                    if self.may_start_hedge() {
-                        open.push(Box::pin(self.hedge(last_id)));
+                () = self.hedge_due(), if open.len() == 1 => {
+                    if let Some(hedge) = self.start_hedge(last_id) {
+                        open.push(hedge);
                     }
                 }
             }
         }
     }
 
-    /// Chooses an upstream and sends the request there.
-    async fn attempt(&self, last_id: Option<u64>) -> AttemptEnd {
+    /// Chooses an upstream and sends the request there. `token` is the retry that a second attempt
+    /// spends.
+    async fn attempt(&self, last_id: Option<u64>, mut token: Option<RetryToken<'_>>) -> AttemptEnd {
         let (edge, request) = (self.edge, self.request);
         let tried = self.tried.borrow().clone();
         let choice = match choose_upstream(edge, request, &tried).await {
@@ -141,17 +158,22 @@
             return AttemptEnd::NotSent(err);
         }
         let name = choice.entry.name.clone();
-        self.tried.borrow_mut().push(name.clone());
         if self.history().may_have_run() {
             charge_retry(edge, request);
         }
         self.record_start(&name, choice.estimate);
+        if let Some(token) = &mut token {
+            token.spent = true;
+        }
         let result = send_attempt(edge, request, &choice, last_id).await;
-        self.open.borrow_mut().retain(|open| *open != name);
+        self.remove_open(&name);
         match result {
             Ok(response) => AttemptEnd::Response(response),
             Err(failure) => {
                 self.update_history(|history| history.record_outcome(failure.outcome));
+                if let Some(token) = &mut token {
+                    token.spent = failure.outcome != AttemptOutcome::Unsent;
+                }
                 AttemptEnd::Failed(failure)
             }
         }
@@ -160,90 +182,129 @@
     fn record_start(&self, name: &UpstreamName, estimate: Duration) {
         let route = &self.request.route;
         let goal = if route.kind.is_stream() { route.latency_goal } else { Duration::ZERO };
-        self.open.borrow_mut().push(name.clone());
+        let mut timer = HedgeTimer::new(HedgeSettings::default());
+        timer.record_start(estimate, goal, self.edge.now());
+        self.tried.borrow_mut().push(name.clone());
+        self.open.borrow_mut().push(OpenUpstream { name: name.clone(), timer, silent: false });
         self.update_history(AttemptHistory::record_start);
-        self.update_timer(|timer| timer.record_start(estimate, goal, self.edge.now()));
-        self.silent.set(false);
-        self.sent.notify_one();
+        self.changed.notify_one();
+    }
+
+    fn remove_open(&self, name: &UpstreamName) {
+        self.open.borrow_mut().retain(|open| open.name != *name);
+        self.changed.notify_one();
     }
 
-    /// Records that a stream goes on at `name`.
+    /// Records that a stream goes on at `name` alone.
     pub fn record_source(&self, name: &UpstreamName) {
+        let timer = HedgeTimer::new(HedgeSettings::default());
         *self.tried.borrow_mut() = vec![name.clone()];
-        *self.open.borrow_mut() = vec![name.clone()];
-        self.record_event();
+        *self.open.borrow_mut() = vec![OpenUpstream { name: name.clone(), timer, silent: false }];
+        self.record_event(name);
     }
 
-    /// Records events of the stream.
-    pub fn record_event(&self) {
-        self.update_timer(|timer| timer.record_event(self.edge.now()));
-        self.silent.set(false);
+    /// Records that the stream from `name` goes on. A second attempt beside it was given up.
+    pub fn record_event(&self, name: &UpstreamName) {
+        self.update_history(AttemptHistory::record_response);
+        let mut open = self.open.borrow_mut();
+        open.retain(|open| open.name == *name);
+        for source in open.iter_mut() {
+            source.timer.record_event(self.edge.now());
+            source.silent = false;
+        }
+        self.changed.notify_one();
     }
 
-    /// Makes the second attempt that [`may_start_hedge`](Self::may_start_hedge) allowed.
-    pub async fn hedge(&self, last_id: Option<u64>) -> AttemptEnd {
-        let end = self.attempt(last_id).await;
-        let unsent = match &end {
-            AttemptEnd::NotSent(_) => true,
-            AttemptEnd::Failed(failure) => failure.outcome == AttemptOutcome::Unsent,
-            AttemptEnd::Response(_) => false,
-        };
-        if unsent {
-            self.edge.refund_retry(&self.request.service);
-        }
-        end
+    /// Records that the stream from `name` failed with `outcome`.
+    pub fn record_broken(&self, name: &UpstreamName, outcome: AttemptOutcome) {
+        self.edge.loads.borrow_mut().record_result(name, true);
+        self.update_history(|history| history.record_outcome(outcome));
+        self.remove_open(name);
     }
 
-    /// Records that a stream goes on at `name` and that a second attempt was given up.
-    pub fn abandon_hedge(&self, name: &UpstreamName) {
-        self.update_history(AttemptHistory::record_response);
-        *self.open.borrow_mut() = vec![name.clone()];
+    /// Records that a second attempt failed beside one that is still open.
+    pub fn record_failed_hedge(&self) {
+        for open in self.open.borrow_mut().iter_mut() {
+            open.timer.record_failure(self.edge.now());
+        }
+        self.changed.notify_one();
     }
 
     /// Waits until the only open attempt has been silent for so long that another one may start
     /// beside it; forever if none may.
     pub async fn hedge_due(&self) {
-        while self.timer.get().due_at().is_none() {
-            self.sent.notified().await;
+        loop {
+            let now = self.edge.now();
+            match self.next_due() {
+                Some(due) if due > now => {
+                    tokio::select! {
+                        () = tokio::time::sleep(due - now) => {}
+                        () = self.changed.notified() => {}
+                    }
+                }
+                Some(_) if self.allows_hedge() => return,
+                Some(_) => {
+                    self.record_silence("no attempt is left");
+                    self.changed.notified().await;
+                }
+                None => self.changed.notified().await,
+            }
         }
-        let due = self.timer.get().due_at().unwrap_or_default();
-        tokio::time::sleep(due.saturating_sub(self.edge.now())).await;
-        let route = &self.request.route;
-        if !self.history().allows_hedge(route.kind, route.max_attempts) {
-            self.record_silence("no attempt is left");
-            std::future::pending::<()>().await;
+    }
+
+    /// Returns when the only open attempt counts as silent.
+    fn next_due(&self) -> Option<Duration> {
+        match self.open.borrow().as_slice() {
+            [open] => open.timer.due_at(),
+            _ => None,
         }
     }
 
-    /// Takes a retry from the budget and reports whether a second attempt may start now; otherwise
-    /// the question is due again later.
-    pub fn may_start_hedge(&self) -> bool {
-        let (edge, request) = (self.edge, self.request);
-        let why = if !has_candidate(edge, request, &self.tried.borrow()) {
-            "no other upstream can take the request"
-        } else if !edge.withdraw_retry(&request.service) {
-            "the retry budget is used up"
-        } else {
-            ""
+    fn allows_hedge(&self) -> bool {
+        let route = &self.request.route;
+        self.history().allows_hedge(route.kind, route.max_attempts)
+    }
+
+    /// Starts a second attempt if an upstream and the retry budget allow it now; otherwise the
+    /// question is due again later.
+    pub fn start_hedge(&self, last_id: Option<u64>) -> Option<OpenAttempt<'_>> {
+        let token = match self.take_hedge_token() {
+            Ok(token) => token,
+            Err(why) => {
+                self.record_silence(why);
+                self.record_failed_hedge();
+                return None;
+            }
         };
-        self.record_silence(why);
-        if why.is_empty() {
-            edge.metrics.record_hedge();
-            return true;
+        self.record_silence("");
+        self.edge.metrics.record_hedge();
+        Some(Box::pin(self.attempt(last_id, Some(token))))
+    }
+
+    /// Takes a retry from the budget for a second attempt.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no second attempt can start.
+    fn take_hedge_token(&self) -> std::result::Result<RetryToken<'_>, &'static str> {
+        let (edge, service) = (self.edge, self.request.service.as_str());
+        if !has_candidate(edge, self.request, &self.tried.borrow()) {
+            return Err("no other upstream can take the request");
         }
-        self.update_timer(|timer| timer.record_failure(edge.now()));
-        false
+        if !edge.withdraw_retry(service) {
+            return Err("the retry budget is used up");
+        }
+        Ok(RetryToken { edge, service, spent: false })
     }
 
     /// Records once for each silence that the upstream of the open attempt is silent; `why` says
     /// why no other attempt starts.
     fn record_silence(&self, why: &str) {
-        if self.silent.replace(true) {
-            return;
-        }
-        for name in self.open.borrow().iter() {
-            self.edge.loads.borrow_mut().record_result(name, true);
-            log::info!(target: "request", id = self.request.caller_headers.request_id.as_str(), upstream:% = name, why = why; "An upstream is silent.");
+        let mut open = self.open.borrow_mut();
+        for open in open.iter_mut().filter(|open| !open.silent) {
+            open.silent = true;
+            self.edge.loads.borrow_mut().record_result(&open.name, true);
+            log::info!(target: "request", id = self.request.caller_headers.request_id.as_str(), upstream:% = open.name, why = why; "An upstream is silent.");
         }
     }
 
@@ -272,9 +333,13 @@
     }
 
     /// Reports whether a retry is allowed. An attempt that sent nothing does not use the retry
-    /// budget, because it caused no load.
+    /// budget, because it caused no load; one that ended at the deadline leaves no time for another.
     fn may_retry(&self, outcome: AttemptOutcome) -> bool {
-        outcome == AttemptOutcome::Unsent || self.edge.withdraw_retry(&self.request.service)
+        match outcome {
+            AttemptOutcome::Unsent => true,
+            AttemptOutcome::TimedOut => false,
+            _ => self.edge.withdraw_retry(&self.request.service),
+        }
     }
 
     /// Turns an error into `UpstreamFailed` when an attempt may have run, because other kinds would
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -122,24 +122,33 @@
     request: &CallerRequest,
     tried: &[UpstreamName],
 ) -> Vec<UpstreamEntry> {
-    let now = edge.now();
     let view = edge.view.borrow();
-    let placement = edge.placement.borrow();
-    let untried =
-        view.upstreams.accepting(&request.service).filter(|entry| !tried.contains(&entry.name));
-    let loaded = untried.filter(|entry| match &request.caller_headers.model {
-        None => true,
-        Some(model) => {
-            placement.can_serve(entry, model, request.caller_headers.adapter.as_deref(), now)
-        }
-    });
-    loaded.cloned().collect()
+    let accepting = view.upstreams.accepting(&request.service);
+    accepting.filter(|entry| is_eligible(edge, request, tried, entry)).cloned().collect()
 }
 
 /// Reports whether an upstream that is not among `tried` could take the request without a wait for
 /// its model or adapter.
 pub fn has_candidate(edge: &Edge, request: &CallerRequest, tried: &[UpstreamName]) -> bool {
-    !eligible_upstreams(edge, request, tried).is_empty()
+    let view = edge.view.borrow();
+    let mut accepting = view.upstreams.accepting(&request.service);
+    accepting.any(|entry| is_eligible(edge, request, tried, entry))
+}
+
+fn is_eligible(
+    edge: &Edge,
+    request: &CallerRequest,
+    tried: &[UpstreamName],
+    entry: &UpstreamEntry,
+) -> bool {
+    if tried.contains(&entry.name) {
+        return false;
+    }
+    let Some(model) = &request.caller_headers.model else {
+        return true;
+    };
+    let adapter = request.caller_headers.adapter.as_deref();
+    edge.placement.borrow().can_serve(entry, model, adapter, edge.now())
 }
 
 fn request_adapter(edge: &Edge, request: &CallerRequest) {
--- a/crates/carob-edge/src/relay.rs
+++ b/crates/carob-edge/src/relay.rs
@@ -36,6 +36,8 @@
     End,
     /// The upstream was silent, and another one has continued the stream.
     Replaced(Box<StartedStream>),
+    /// The upstream failed.
+    Broken(AttemptOutcome),
 }
 
 /// Forwards a stream in a separate task, which also ends when the caller disconnects or at the
@@ -55,7 +57,7 @@
     tokio::task::spawn_local(async move {
         let _active = active;
         let limit = request.remaining_time(edge.now());
-        let attempts = Attempts::new(&edge, &request, history, Vec::new());
+        let attempts = Attempts::new(&edge, &request, history);
         let relay = Relay { edge: &edge, request: &request, open: &open, tx: &tx, attempts };
         let ended = tokio::select! {
             ended = tokio::time::timeout(limit, relay.run(events, remaining)) => {
@@ -97,19 +99,20 @@
             return Ok(());
         }
         loop {
-            let events = match self.next(&mut source).await {
-                Ok(Progress::Events(events)) => {
+            let mut second = None;
+            let events = match self.next(&mut source, &mut second).await {
+                Progress::Events(events) => {
                     survival.record_events(self.edge, &self.request.prompt);
                     self.open.record_events(&source.name, source.last_id());
                     events
                 }
-                Ok(Progress::End) => {
+                Progress::End => {
                     survival.record_end(self.edge, &self.request.prompt, source.is_delimited());
                     return Ok(());
                 }
-                Ok(Progress::Replaced(stream)) => self.replace(&mut source, &mut survival, *stream),
-                Err(outcome) => {
-                    let stream = self.resume(&source, outcome).await?;
+                Progress::Replaced(stream) => self.replace(&mut source, &mut survival, *stream),
+                Progress::Broken(outcome) => {
+                    let stream = self.resume(&source, outcome, second).await?;
                     self.replace(&mut source, &mut survival, stream)
                 }
             };
@@ -142,92 +145,64 @@
         self.open.record_events(&source.name, source.last_id());
     }
 
-    /// Waits for the next events of `source`. While it is silent, another upstream may be asked to
-    /// continue the stream; the first of the two that sends events goes on.
-    ///
-    /// # Errors
-    ///
-    /// Returns how the stream failed when no upstream continues it.
-    async fn next(&self, source: &mut EventStream) -> Result<Progress, AttemptOutcome> {
+    /// Waits for what comes next from `source`. While it is silent, a second attempt may start to
+    /// continue the stream at another upstream; the first of the two that sends events goes on.
+    /// `second` holds that attempt if `source` fails while it is under way.
+    async fn next<'a>(
+        &'a self,
+        source: &mut EventStream,
+        second: &mut Option<OpenAttempt<'a>>,
+    ) -> Progress {
         let (name, last_id) = (source.name.clone(), source.last_id());
-        let may_hedge = last_id.is_some() && self.request.route.allows_retries();
-        let mut second: Option<OpenAttempt<'_>> = None;
-        self.attempts.record_event();
+        self.attempts.record_event(&name);
         let mut next = pin!(source.next());
         loop {
             tokio::select! {
                 biased;
-                events = &mut next => match (events, second) {
-                    (Ok(Some(events)), second) => {
-                        if second.is_some() {
-                            self.attempts.abandon_hedge(&name);
+                events = &mut next => {
+                    let progress = match events {
+                        Ok(Some(events)) => Progress::Events(events),
+                        Ok(None) => Progress::End,
+                        Err(outcome) => return Progress::Broken(outcome),
+                    };
+                    *second = None;
+                    return progress;
+                }
+                end = wait_for(second), if second.is_some() => {
+                    *second = None;
+                    match end {
+                        AttemptEnd::Response(AttemptResponse::Stream(stream)) => {
+                            return Progress::Replaced(stream);
                         }
-                        return Ok(Progress::Events(events));
-                    }
-                    (Ok(None), _) => return Ok(Progress::End),
-                    (Err(outcome), None) => return Err(outcome),
-                    (Err(outcome), Some(second)) => {
-                        self.attempts.update_history(|history| history.record_outcome(outcome));
-                        return self.accept_second(second.await).ok_or(outcome);
-                    }
-                },
-                end = wait_for(&mut second), if second.is_some() => {
-                    second = None;
-                    if let Some(progress) = self.accept_second(end) {
-                        return Ok(progress);
+                        _ => self.attempts.record_failed_hedge(),
                     }
                 }
-                () = self.attempts.hedge_due(), if second.is_none() && may_hedge => {
-                    if self.attempts.may_start_hedge() {
-                        second = Some(Box::pin(self.attempts.hedge(last_id)));
-                    }
+                () = self.attempts.hedge_due(), if second.is_none() && last_id.is_some() => {
+                    *second = self.attempts.start_hedge(last_id);
                 }
             }
         }
     }
 
-    /// Returns the stream of a second attempt, if it has one.
-    fn accept_second(&self, end: AttemptEnd) -> Option<Progress> {
-        match end {
-            AttemptEnd::Response(AttemptResponse::Stream(stream)) => {
-                self.attempts.update_history(AttemptHistory::record_response);
-                Some(Progress::Replaced(stream))
-            }
-            AttemptEnd::Response(AttemptResponse::Full(_)) => {
-                let outcome = AttemptOutcome::ServerError;
-                self.attempts.update_history(|history| history.record_outcome(outcome));
-                self.attempts.update_timer(|timer| timer.record_failure(self.edge.now()));
-                None
-            }
-            AttemptEnd::Failed(_) | AttemptEnd::NotSent(_) => {
-                self.attempts.update_timer(|timer| timer.record_failure(self.edge.now()));
-                None
-            }
-        }
-    }
-
-    /// Continues a stream at another upstream after `source` failed with `outcome`.
+    /// Continues a stream at another upstream after `source` failed with `outcome`; `second` is an
+    /// attempt to do so that is under way.
     async fn resume(
         &self,
         source: &EventStream,
         outcome: AttemptOutcome,
+        second: Option<OpenAttempt<'_>>,
     ) -> Result<StartedStream, StreamFailure> {
-        let (edge, request, last_id) = (self.edge, self.request, source.last_id());
-        edge.loads.borrow_mut().record_result(&source.name, true);
-        self.attempts.update_history(|history| history.record_outcome(outcome));
-        let history = self.attempts.history();
-        let next = history.decide(request.route.kind, request.route.max_attempts, outcome);
-        if next != RetryDecision::Retry {
-            return Err(StreamFailure::new(outcome, "no attempt is left"));
-        }
-        if last_id.is_none() {
-            return Err(StreamFailure::new(outcome, "the events have no ids"));
-        }
-        if !edge.withdraw_retry(&request.service) {
-            return Err(StreamFailure::new(outcome, "the retry budget is used up"));
-        }
-        log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = source.name, last = last_id.unwrap_or(0); "Resuming the stream at another upstream.");
-        match self.attempts.first_response(last_id).await {
+        let (request, last_id) = (self.request, source.last_id());
+        self.attempts.record_broken(&source.name, outcome);
+        let continued = match second {
+            Some(second) => self.attempts.first_response_of(second, last_id).await,
+            None => {
+                self.check_resumable(source, outcome)?;
+                log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = source.name, last = last_id.unwrap_or(0); "Resuming the stream at another upstream.");
+                self.attempts.first_response(last_id).await
+            }
+        };
+        match continued {
             Ok(AttemptResponse::Stream(stream)) => Ok(*stream),
             Ok(AttemptResponse::Full(response)) => {
                 let why = format!("another upstream responded with status {}", response.status);
@@ -236,9 +211,33 @@
             Err(err) => Err(StreamFailure::new(outcome, err.message())),
         }
     }
+
+    /// Takes a retry from the budget for a stream whose `source` failed with `outcome`.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the stream cannot be continued.
+    fn check_resumable(
+        &self,
+        source: &EventStream,
+        outcome: AttemptOutcome,
+    ) -> Result<(), StreamFailure> {
+        let route = &self.request.route;
+        let next = self.attempts.history().decide(route.kind, route.max_attempts, outcome);
+        let why = if next != RetryDecision::Retry {
+            "no attempt is left"
+        } else if source.last_id().is_none() {
+            "the events have no ids"
+        } else if !self.edge.withdraw_retry(&self.request.service) {
+            "the retry budget is used up"
+        } else {
+            return Ok(());
+        };
+        Err(StreamFailure::new(outcome, why))
+    }
 }
 
-/// Waits for the end of an attempt, if there is one.
+/// Waits for the end of an attempt; forever if there is none.
 async fn wait_for(attempt: &mut Option<OpenAttempt<'_>>) -> AttemptEnd {
     match attempt {
         Some(attempt) => attempt.await,
