LOST: a late first event corrects the latency ratio that its estimate used

What callers saw: after a silence of all upstreams of a service, requests were refused as "upstreams are busy" for 12 s to 27 s though every upstream was idle again.

Cause: an estimate uses the latency ratio of the moment when its request is sent. `record_latency` multiplied observed / estimated with the ratio of the moment when the first event came. Requests that had waited through the silence side by side each raised it by 60 %, from 1 to its limit of 20 in one burst. Then nothing was sent any more, so nothing corrected it, and it decays by 2 % in half a second.

Change: the tracker keeps the ratios of the last 8 s, one for each decay (`DECAY_INTERVAL`), and an observation corrects the ratio of the time when its request was sent, to within half a second.

Evidence, tests/regression/silent_upstreams.rs, virtual time, refused after the silence, before and after: short prompts, 1 s: 19 until 0.68 s -> 7 until 0.23 s; 2 s: 485 until 12.4 s -> 23 until 0.58 s; 3 s: 485 until 12.4 s -> 24 until 0.63 s. Long prompts, 2 s: 200 until 12.8 s -> 9 until 0.54 s; 3 s: 450 until 27 s -> 10 until 0.56 s. The other tests of the library pass.

--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use carob_net::{BootClock, Reply, Request, ServeOptions, Server, serve};
+use carobglade::DECAY_INTERVAL;
 use eyre::{Result, WrapErr};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::watch;
@@ -26,7 +27,6 @@
 const ABORT_MARGIN: Duration = Duration::from_millis(400);
 /// Interval at which a shutdown checks for open requests and connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
-const MAINTENANCE_INTERVAL: Duration = Duration::from_millis(500);
 const STATE_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Runs the process until SIGTERM or SIGINT; returns whether every request was finished.
@@ -108,7 +108,7 @@
 async fn maintain(edge: Rc<Edge>) {
     let mut logged_at = edge.now();
     loop {
-        tokio::time::sleep(MAINTENANCE_INTERVAL).await;
+        tokio::time::sleep(DECAY_INTERVAL).await;
         if edge.now().saturating_sub(logged_at) >= STATE_LOG_INTERVAL {
             logged_at = edge.now();
             log_state(&edge);
--- a/src/process/load_tracker.rs
+++ b/src/process/load_tracker.rs
@@ -1,6 +1,6 @@
 //! Load of every upstream, from this process's own requests and the reports of its peers.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
 use super::StreamProgress;
@@ -12,6 +12,12 @@
 /// Weight of the old value in an exponential moving average.
 const SMOOTHING: f64 = 0.85;
 
+/// Time between two calls of [`LoadTracker::decay_stats`].
+pub const DECAY_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Number of past latency ratios that are kept, one for each `DECAY_INTERVAL`.
+const PAST_RATIOS: usize = 16;
+
 /// Average number of streams that tells how fast an upstream generates, in thousandths.
 const MIN_STREAM_MILLIS: u64 = 1_000;
 
@@ -72,6 +78,24 @@
     }
 }
 
+/// The latency ratios of an upstream at the latest calls of [`LoadTracker::decay_stats`], the newest
+/// first.
+#[derive(Clone, Debug, Default)]
+struct PastRatios(VecDeque<f64>);
+
+impl PastRatios {
+    fn push(&mut self, ratio: f64) {
+        self.0.push_front(ratio);
+        self.0.truncate(PAST_RATIOS);
+    }
+
+    /// Returns the ratio `age` ago, to within `DECAY_INTERVAL`; `None` if none was kept.
+    fn at_age(&self, age: Duration) -> Option<f64> {
+        let index = (age.as_millis() / DECAY_INTERVAL.as_millis()) as usize;
+        self.0.get(index).or(self.0.back()).copied()
+    }
+}
+
 #[derive(Clone, Debug)]
 struct PeerLoads {
     incarnation: Incarnation,
@@ -86,6 +110,7 @@
     streams: BTreeMap<UpstreamName, StreamProgress>,
     peers: BTreeMap<VmName, PeerLoads>,
     stats: BTreeMap<UpstreamName, UpstreamStats>,
+    past_ratios: BTreeMap<UpstreamName, PastRatios>,
 }
 
 /// Returns the hash that stands for a name in messages between processes.
@@ -210,10 +235,17 @@
     }
 
     /// Records that a first event came after `observed` where `estimated` was expected.
+    ///
+    /// The estimate was made with the latency ratio of the time when the request was sent, so the
+    /// observation corrects that ratio: requests that waited side by side tell the same once.
     pub fn record_latency(&mut self, name: &UpstreamName, observed: Duration, estimated: Duration) {
         let ratio = observed.as_secs_f64() / estimated.as_secs_f64().max(0.005);
         let stats = self.stats.entry(name.clone()).or_default();
-        let seen = stats.latency_ratio * ratio.clamp(0.2, 5.0);
+        let past = self.past_ratios.entry(name.clone()).or_default();
+        if past.0.is_empty() {
+            past.push(stats.latency_ratio);
+        }
+        let seen = past.at_age(observed).unwrap_or(stats.latency_ratio) * ratio.clamp(0.2, 5.0);
         stats.latency_ratio =
             (stats.latency_ratio * SMOOTHING + seen * (1.0 - SMOOTHING)).clamp(0.1, 20.0);
     }
@@ -225,17 +257,20 @@
         stats.failure_rate = stats.failure_rate * SMOOTHING + seen * (1.0 - SMOOTHING);
     }
 
-    /// Moves the statistics towards their defaults, so that a failing upstream is tried again.
+    /// Moves the statistics towards their defaults, so that a failing upstream is tried again; called
+    /// once in `DECAY_INTERVAL`.
     pub fn decay_stats(&mut self) {
-        for stats in self.stats.values_mut() {
+        for (name, stats) in &mut self.stats {
             stats.failure_rate *= SMOOTHING;
             stats.latency_ratio = 1.0 + (stats.latency_ratio - 1.0) * 0.98;
+            self.past_ratios.entry(name.clone()).or_default().push(stats.latency_ratio);
         }
     }
 
     /// Drops the statistics and the progress of the streams of an upstream that is gone or restarted.
     pub fn reset_stats(&mut self, name: &UpstreamName) {
         self.stats.remove(name);
+        self.past_ratios.remove(name);
         self.streams.remove(name);
     }
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -33,7 +33,7 @@
 pub use duty_leases::{DutyChange, DutyLeases, DutyLeasesSettings, GroupAssignment};
 pub use freshness::{Freshness, FreshnessSettings};
 pub use hub_selector::{HubSelector, HubSelectorSettings, VmProfile};
-pub use load_tracker::{Load, LoadTracker, PEER_LOAD_TTL, name_hash};
+pub use load_tracker::{DECAY_INTERVAL, Load, LoadTracker, PEER_LOAD_TTL, name_hash};
 pub use log_reading::{LogReading, RecentChanges};
 pub use model_demand::ModelDemand;
 pub use order_tracker::{
--- a/tests/regression/silent_upstreams.rs
+++ b/tests/regression/silent_upstreams.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use carobglade::{
-    DispatchCandidate, DispatchDecision, DispatchSettings, LoadTracker, RequestTiming,
-    UpstreamName, dispatch,
+    DECAY_INTERVAL, DispatchCandidate, DispatchDecision, DispatchSettings, LoadTracker,
+    RequestTiming, UpstreamName, dispatch,
 };
 
 const STEP: Duration = Duration::from_millis(5);
 const UPSTREAMS: usize = 4;
 const BASE_LATENCY: Duration = Duration::from_millis(45);
 const GOAL: Duration = Duration::from_millis(800);
-const DECAY_INTERVAL: Duration = Duration::from_millis(500);
 const SILENCE_START: Duration = Duration::from_secs(10);
 const DURATION: Duration = Duration::from_secs(40);
 
@@ -126,7 +125,7 @@
     refused
 }
 
-/// After a silence of all upstreams, every request was refused for 11 s though they had gone on.
+/// After a silence of all upstreams, every request was refused for 12 s though they had gone on.
 fn check_refusals_after_a_silence(traffic: &Traffic) {
     assert_eq!(refusals(traffic, Duration::ZERO), []);
     for millis in [500, 1000, 2000, 3000] {
