LOST: no TCP user timeout on connections to upstreams

What callers saw: 502 `upstream_failed` 2 s after a request with a long body, though the upstream was only silent and went on, with 3 s of the deadline left; such a request may not be repeated, so nothing else came.

Cause: TCP_USER_TIMEOUT of 2 s. Linux applies it to unacknowledged data, but also to a connection whose receive window stays full (probes of a zero window, also when they are acknowledged), and an upstream that is silent reads nothing. The end counted as a broken connection, so as a crash that the request was in flight in; three of those quarantine a request.

Change: no TCP user timeout on these connections. Each call has its own limit: requests their deadline (a silence starts a second attempt where that is allowed), orders and reports 0.7 s, calls to the log 1.2 s and more. A request that may not be repeated and whose upstream has vanished without a reset now waits for its deadline (504) instead of 2 s (502); both promise nothing.

--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -23,8 +23,6 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size of the head of a response, and of what is read ahead of its body.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
-/// Time after which a connection with unacknowledged data is closed.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Idle timeout of a connection whose upstream sends no `Keep-Alive` timeout.
 const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Fraction of the upstream's `Keep-Alive` timeout for which a connection is reused.
@@ -135,7 +133,11 @@
     ) -> Option<(SendRequest<Full<Bytes>>, AbortHandle)> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
         let stream = stream.ok()?.ok()?;
-        set_options(&stream);
+        // No TCP user timeout: it would also close the connection of an upstream that reads nothing of
+        // a long body for a while. The deadline of each call ends its wait.
+        if let Err(err) = stream.set_nodelay(true) {
+            log::debug!(target: "pool", error:% = err; "Failed to set a socket option on an upstream connection.");
+        }
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
         let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
@@ -216,19 +218,6 @@
     }
 }
 
-fn set_options(stream: &TcpStream) {
-    let socket = socket2::SockRef::from(stream);
-    let options = [
-        ("nodelay", socket.set_tcp_nodelay(true)),
-        ("user timeout", socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))),
-    ];
-    for (name, result) in options {
-        if let Err(err) = result {
-            log::debug!(target: "pool", option = name, error:% = err; "Failed to set a socket option on an upstream connection.");
-        }
-    }
-}
-
 fn build(request: OutgoingRequest) -> Option<Request<Full<Bytes>>> {
     let mut built =
         Request::builder().method(request.method).uri(request.target).body(Full::new(request.body));
