LOST: a caller's body is read while it arrives, until the deadline; late ones get 408

What callers saw: 400 for proper requests whose body took longer than `idle_timeout_ms` as a whole, also while bytes kept arriving; a change of the configuration that shortens the idle time makes it likely. 400 tells the caller not to come back, though the request did not run.

Change: `idle_timeout_ms` limits the pause between two parts of a body, the deadline the whole. What is late gets 408 `body_timeout`, not run (new kind `BodyTimeout`).

--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -148,9 +148,12 @@
     let checked = authorize(edge, &config, &parts.headers, &parts.uri, &caller_headers);
     let (route, tenant) = checked.map_err(|err| deny_only_when_fresh(edge, err))?;
     let limit = config.limits.body_bytes;
-    let body = read_body(body, limit, config.limits.idle_timeout).await?;
-    let target = origin_form(&parts.uri)?;
     let timeout = caller_headers.timeout.unwrap_or(route.timeout).min(route.timeout);
+    let deadline = arrival + timeout;
+    let reading = read_body(body, limit, config.limits.idle_timeout);
+    let body = tokio::time::timeout(deadline.saturating_sub(edge.now()), reading).await;
+    let body = body.unwrap_or_else(|_| Err(body_timeout("before the deadline")))?;
+    let target = origin_form(&parts.uri)?;
     let hash = xxhash_rust::xxh3::xxh3_64(caller_headers.request_id.as_bytes());
     let service = route.service(hash).unwrap_or_default().to_owned();
     let caller = tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
@@ -165,7 +168,7 @@
         );
     }
     Ok(CallerRequest {
-        deadline: arrival + timeout,
+        deadline,
         config,
         route,
         service,
@@ -239,26 +242,30 @@
     })
 }
 
-async fn read_body(mut body: Incoming, limit: usize, timeout: Duration) -> Result<Bytes> {
-    let reading = async {
-        let mut buf = BytesMut::new();
-        while let Some(frame) = body.frame().await {
-            let frame = frame.map_err(|err| {
-                request_error(ErrorKind::InvalidRequest, format!("the body broke off: {err}"))
-            })?;
-            let Ok(data) = frame.into_data() else {
-                continue;
-            };
-            if buf.len() + data.len() > limit {
-                let message = format!("the body is longer than {limit} bytes");
-                return Err(request_error(ErrorKind::TooLarge, message));
-            }
-            buf.extend_from_slice(&data);
+fn body_timeout(when: &str) -> Error {
+    request_error(ErrorKind::BodyTimeout, format!("the body did not arrive {when}"))
+}
+
+/// Reads a body whose parts come within `idle_timeout` of each other.
+async fn read_body(mut body: Incoming, limit: usize, idle_timeout: Duration) -> Result<Bytes> {
+    let mut buf = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(idle_timeout, body.frame()).await;
+        let Some(frame) = frame.map_err(|_| body_timeout("without a long pause"))? else {
+            return Ok(buf.freeze());
+        };
+        let frame = frame.map_err(|err| {
+            request_error(ErrorKind::InvalidRequest, format!("the body broke off: {err}"))
+        })?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if buf.len() + data.len() > limit {
+            let message = format!("the body is longer than {limit} bytes");
+            return Err(request_error(ErrorKind::TooLarge, message));
         }
-        Ok(buf.freeze())
-    };
-    let late = || request_error(ErrorKind::InvalidRequest, "the body did not arrive in time");
-    tokio::time::timeout(timeout, reading).await.unwrap_or_else(|_| Err(late()))
+        buf.extend_from_slice(&data);
+    }
 }
 
 /// Charges a request to the tenant, waiting for at most `MAX_QUOTA_WAIT` for its tokens.
--- a/src/error.rs
+++ b/src/error.rs
@@ -88,6 +88,8 @@
     ModelNotFound = 404 "model_not_found" "invalid_request_error" NotRun;
     /// The route does not allow the method.
     MethodNotAllowed = 405 "method_not_allowed" "invalid_request_error" NotRun;
+    /// The body of the request did not arrive in time.
+    BodyTimeout = 408 "body_timeout" "invalid_request_error" NotRun;
     /// A request with the same idempotency key is still running.
     InProgress = 409 "in_progress" "conflict_error" Unknown;
     /// A request with the same idempotency key started and its outcome is unknown.
