--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -134,6 +134,8 @@
     pub drain_deadline: Cell<Option<Duration>>,
     /// Whether requests without a response are aborted because the process is about to exit.
     pub aborting: Cell<bool>,
+    /// Whether the process ended its shutdown; requests that are still open are dropped.
+    pub stopped: Cell<bool>,
     /// Wakes requests when `drain_deadline` or `aborting` is set.
     pub shutdown_changed: Notify,
     /// Requests in flight.
@@ -211,6 +213,7 @@
             stopping: Cell::new(false),
             drain_deadline: Cell::new(None),
             aborting: Cell::new(false),
+            stopped: Cell::new(false),
             shutdown_changed: Notify::new(),
             active_requests: InFlightCounter::default(),
             open_connections: InFlightCounter::default(),
@@ -344,6 +347,11 @@
         self.with_retry_budget(service, |budget| budget.withdraw(now))
     }
 
+    /// Gives back a retry that was taken from the budget of a service and not made.
+    pub fn refund_retry(&self, service: &str) {
+        self.with_retry_budget(service, RetryBudget::refund);
+    }
+
     fn with_retry_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
         let mut retries = self.retry_budgets.borrow_mut();
         let budget = retries.entry(service.to_owned()).or_insert_with(|| {
