--- a/tests/regression/silent_upstreams.rs
+++ b/tests/regression/silent_upstreams.rs
@@ -148,3 +148,48 @@
 fn long_prompts_are_accepted_soon_after_a_silence_of_all_upstreams() {
     check_refusals_after_a_silence(&LONG);
 }
+
+/// Time between two events of a stream, each of one token.
+const EVENT_INTERVAL: Duration = Duration::from_millis(30);
+const STREAMS: usize = 8;
+
+/// Returns how long after a silence an engine that runs `STREAMS` streams refuses a short request.
+fn refused_as_slow(silence: Duration) -> Duration {
+    let name: UpstreamName = "engine".parse().unwrap();
+    let mut loads = LoadTracker::default();
+    (0..STREAMS).for_each(|_| loads.record_stream_start(&name, Duration::ZERO));
+    let awake = SILENCE_START + silence;
+    let mut refused = Duration::ZERO;
+    let mut now = Duration::ZERO;
+    while now < DURATION {
+        now += EVENT_INTERVAL;
+        if (SILENCE_START..awake).contains(&now) {
+            continue;
+        }
+        loads.record_tokens(&name, STREAMS as f64, now);
+        let token_rate = loads.total_load(&name, now).tokens_per_stream();
+        let candidate = DispatchCandidate {
+            prefill_tokens: 400,
+            token_rate,
+            slots: 64,
+            latency_ratio: 1.0,
+            ..DispatchCandidate::default()
+        };
+        let timing = RequestTiming { needed_rate: 25.0, ..timing() };
+        let decision = dispatch(&[candidate], &timing, &DispatchSettings::default(), 0);
+        if now >= SILENCE_START && !matches!(decision, DispatchDecision::Send(..)) {
+            refused = now - awake;
+        }
+    }
+    refused
+}
+
+/// An engine that had been silent counted as one whose responses are slow, and got no short requests
+/// for 2.6 s after it had gone on.
+#[test]
+fn an_engine_that_was_silent_is_not_slow() {
+    let silences = [1000, 2000, 3000].map(Duration::from_millis);
+    let refused = silences.map(refused_as_slow);
+    let longest = Duration::from_millis(300);
+    assert!(refused.iter().all(|refused| *refused <= longest), "refused for {refused:?}");
+}
