--- a/src/process/decaying_rate.rs
+++ b/src/process/decaying_rate.rs
@@ -19,6 +19,11 @@
         self.rate * (-passed / AVERAGING_SECONDS).exp()
     }
 
+    /// Leaves out a time: the rate at the end of `time` is the one at its start.
+    pub fn skip(&mut self, time: Duration) {
+        self.updated_at += time;
+    }
+
     /// Adds `amount` units.
     pub fn add(&mut self, amount: f64, now: Duration) {
         self.rate = self.rate_at(now) + amount / AVERAGING_SECONDS;
--- a/src/process/stream_progress.rs
+++ b/src/process/stream_progress.rs
@@ -4,7 +4,13 @@
 
 use super::DecayingRate;
 
+/// Longest time between two outputs that counts. Beyond it the upstream is silent.
+const MAX_GAP: Duration = Duration::from_millis(250);
+
 /// Progress of the streams that this process receives from one upstream.
+///
+/// While the upstream is silent, its rate falls, so that others are preferred. Once it goes on, the
+/// silence is left out but for `MAX_GAP`: it says little of how fast the upstream generates.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StreamProgress {
     /// Streams that have started and not ended.
@@ -14,6 +20,8 @@
     /// Seconds that streams ran, a second: the average number of streams.
     running: DecayingRate,
     updated_at: Duration,
+    /// Time of the last output.
+    received_at: Duration,
 }
 
 impl StreamProgress {
@@ -24,21 +32,42 @@
         self.updated_at = now;
     }
 
-    /// Records the start of a stream.
-    pub fn record_start(&mut self, now: Duration) {
+    /// Returns for how long the upstream has been silent.
+    fn silence(&self, now: Duration) -> Duration {
+        let gap = now.saturating_sub(self.received_at);
+        if self.count > 0 { gap.saturating_sub(MAX_GAP) } else { Duration::ZERO }
+    }
+
+    /// Brings the averages to `now`, when the upstream sent something.
+    fn update_on_output(&mut self, now: Duration) {
+        let silence = self.silence(now);
+        if !silence.is_zero() {
+            self.update(now.saturating_sub(silence));
+            self.tokens.skip(silence);
+            self.running.skip(silence);
+            self.updated_at = now;
+        }
+        self.received_at = now;
         self.update(now);
+    }
+
+    /// Records the start of a stream, with its first output.
+    pub fn record_start(&mut self, now: Duration) {
+        self.update_on_output(now);
         self.count += 1;
     }
 
     /// Records output tokens of a stream.
     pub fn record_tokens(&mut self, tokens: f64, now: Duration) {
-        self.update(now);
+        self.update_on_output(now);
         self.tokens.add(tokens, now);
     }
 
     /// Records the end of a stream.
     pub fn record_end(&mut self, now: Duration) {
-        self.update(now);
+        if self.silence(now).is_zero() {
+            self.update(now);
+        }
         self.count = self.count.saturating_sub(1);
     }
 
--- a/tests/regression/silent_upstreams.rs
+++ b/tests/regression/silent_upstreams.rs
@@ -193,3 +193,19 @@
     let longest = Duration::from_millis(300);
     assert!(refused.iter().all(|refused| *refused <= longest), "refused for {refused:?}");
 }
+
+/// An engine whose steps take very long is slow, not silent.
+#[test]
+fn an_engine_with_long_steps_is_slow() {
+    let name: UpstreamName = "engine".parse().unwrap();
+    let mut loads = LoadTracker::default();
+    (0..STREAMS).for_each(|_| loads.record_stream_start(&name, Duration::ZERO));
+    let step = EVENT_INTERVAL * 40;
+    let mut now = Duration::ZERO;
+    for _ in 0..20 {
+        now += step;
+        loads.record_tokens(&name, STREAMS as f64, now);
+    }
+    let rate = loads.total_load(&name, now).tokens_per_stream().unwrap();
+    assert!(rate < 8.0, "{rate} tokens a second");
+}
