ORDER: lines tell the version of an upstream's software and which stream a request resumes

Callers saw streams of two versions; no line named a version or a resumption. Requests are sent as before.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -281,7 +281,7 @@
     };
     let failed = matches!(result, Err(failure) if failure.outcome != AttemptOutcome::Misdirected);
     loads.record_result(name, failed);
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, end = end, status = head.status, limit:% = head.limit.map(|limit| limit.to_string()).unwrap_or_default(), took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64, running = choice.running, load = choice.load_tokens; "An upstream was tried.");
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name, version:% = choice.entry.version, end = end, status = head.status, limit:% = head.limit.map(|limit| limit.to_string()).unwrap_or_default(), took = took.as_millis() as u64, expected = choice.estimate.as_millis() as u64, running = choice.running, load = choice.load_tokens; "An upstream was tried.");
     let transport_failed =
         matches!(result, Err(AttemptFailure { outcome: AttemptOutcome::TransportError, .. }));
     if transport_failed && (200..300).contains(&head.status) {
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -82,7 +82,7 @@
         let mut pace = edge.token_pace.borrow_mut();
         pace.record_request(&request.service, request.token_rate());
     }
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), route = request.route.name.as_str(), service = request.service.as_str(), tenant = request.tenant.as_ref().map_or("", |t| t.name.as_str()), model = request.caller_headers.model.as_ref().map_or("", |m| m.as_str()), parts = request.prompt.to_string().as_str(), version = request.config.version, tokens = request.charged_tokens().0, prompt = request.prompt_tokens(), output = request.expected_output(), level = remaining_tokens(edge, &request), left = request.remaining_time(edge.now()).as_millis() as u64; "A request was admitted.");
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), route = request.route.name.as_str(), service = request.service.as_str(), tenant = request.tenant.as_ref().map_or("", |t| t.name.as_str()), model = request.caller_headers.model.as_ref().map_or("", |m| m.as_str()), parts = request.prompt.to_string().as_str(), version = request.config.version, resumes = request.resumes_label(), last = request.caller_headers.last_event.unwrap_or(0), tokens = request.charged_tokens().0, prompt = request.prompt_tokens(), output = request.expected_output(), level = remaining_tokens(edge, &request), left = request.remaining_time(edge.now()).as_millis() as u64; "A request was admitted.");
     let progress = Cell::new(AttemptHistory::default());
     let limit = request.remaining_time(edge.now());
     let outcome = tokio::select! {
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -20,6 +20,8 @@
 /// Maximum time for which a request waits for its tenant's tokens before it is refused.
 const MAX_QUOTA_WAIT: Duration = Duration::from_millis(250);
 
+/// Maximum size of a caller's text in a log line.
+const MAX_LABEL_BYTES: usize = 64;
 /// Fraction of the route's timeout in which a stream should end.
 const STREAM_TIME_FRACTION: f64 = 0.9;
 
@@ -74,6 +76,12 @@
         }
     }
 
+    /// Returns the start of the id that the request resumes, for log lines; empty if it names none.
+    pub fn resumes_label(&self) -> &str {
+        let resumes = self.caller_headers.resumes.as_deref().unwrap_or_default();
+        &resumes[..resumes.floor_char_boundary(MAX_LABEL_BYTES)]
+    }
+
     /// Returns the time until the deadline.
     pub fn remaining_time(&self, now: Duration) -> Duration {
         self.deadline.saturating_sub(now)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -86,8 +86,8 @@
     is_credential_header, strip_query_keys,
 };
 pub use units::{
-    ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RequestRate, TenantName,
-    TokenRate, Tokens, UpstreamName, VmName,
+    ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RequestRate, SoftwareVersion,
+    TenantName, TokenRate, Tokens, UpstreamName, VmName,
 };
 pub use version::{
     CallerLimits, Change, Config, ConfigProblem, ConfigWire, Difference, DifferenceKind, Engine,
--- a/src/process/upstream_registry.rs
+++ b/src/process/upstream_registry.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::{DataCentre, ModelName, UpstreamName};
+use crate::{DataCentre, ModelName, SoftwareVersion, UpstreamName};
 
 /// A model that is loaded on an upstream.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -26,6 +26,8 @@
     pub address: SocketAddr,
     /// The data centre that the upstream runs in.
     pub data_centre: DataCentre,
+    /// Version of the upstream's software.
+    pub version: SoftwareVersion,
     /// Requests that the upstream runs at once.
     pub slots: u32,
     /// Whether the upstream announced that it is leaving.
--- a/src/units.rs
+++ b/src/units.rs
@@ -100,6 +100,33 @@
     Tokens;
 }
 
+const MAX_VERSION_BYTES: usize = 64;
+
+/// Version of an upstream's software; the default stands for an upstream that names none. Versions
+/// are only compared for equality.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct SoftwareVersion(String);
+
+impl Display for SoftwareVersion {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(&self.0)
+    }
+}
+
+impl FromStr for SoftwareVersion {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        if text.is_empty() || text.len() > MAX_VERSION_BYTES || text.chars().any(char::is_control) {
+            return Err(invalid(format!(
+                "version {text:?} must be 1 to {MAX_VERSION_BYTES} bytes without control characters"
+            )));
+        }
+        Ok(SoftwareVersion(text.to_owned()))
+    }
+}
+
 /// Number of requests a second that an upstream takes; finite and not negative.
 #[derive(Clone, Copy, Debug, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
 #[serde(transparent)]
--- a/tests/order_tracker.rs
+++ b/tests/order_tracker.rs
@@ -70,6 +70,7 @@
             service: "planning".into(),
             address: "127.0.0.1:1".parse().unwrap(),
             data_centre: "rennes".parse().unwrap(),
+            version: "v1".parse().unwrap(),
             slots: 64,
             draining: false,
             models: self.loaded_models(),
--- a/tests/placement_gossip.rs
+++ b/tests/placement_gossip.rs
@@ -23,6 +23,7 @@
         service: "planning".into(),
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: "rennes".parse().unwrap(),
+        version: "v1".parse().unwrap(),
         slots: 64,
         draining: false,
         models: vec![LoadedModel { name: model(), adapters: vec!["a1".into()] }],
--- a/tests/upstream_registry.rs
+++ b/tests/upstream_registry.rs
@@ -17,6 +17,7 @@
         service: "planning".into(),
         address: "127.0.0.1:7".parse().unwrap(),
         data_centre: "rennes".parse().unwrap(),
+        version: "v1".parse().unwrap(),
         slots: 8,
         draining: false,
         models: vec![LoadedModel { name: "large".parse().unwrap(), adapters: vec!["a1".into()] }],
