--- a/src/error.rs
+++ b/src/error.rs
@@ -115,6 +115,8 @@
     UpstreamUnavailable = 503 "upstream_unavailable" "server_error" NotRun;
     /// The model is not loaded yet.
     ModelLoading = 503 "model_loading" "server_error" NotRun;
+    /// The version of the upstream that began the stream is not known, or no upstream has it.
+    StreamNotResumable = 503 "stream_not_resumable" "server_error" NotRun;
     /// The call needs the platform log, which does not respond.
     LogUnavailable = 503 "log_unavailable" "server_error" NotRun;
     /// The process cannot confirm that its configuration is in force.
--- a/src/process/hub_selector.rs
+++ b/src/process/hub_selector.rs
@@ -163,11 +163,18 @@
     /// Returns the vm that owns what `key` names, out of those that are alive. All vms name the same
     /// one while they agree on who is alive.
     pub fn owner_of(&mut self, key: &str, now: Duration) -> VmName {
+        self.owners_of(key, 1, now).pop().unwrap_or_else(|| self.vm.clone())
+    }
+
+    /// Returns up to `count` vms that own what `key` names, like [`owner_of`](Self::owner_of).
+    pub fn owners_of(&mut self, key: &str, count: usize, now: Duration) -> Vec<VmName> {
         self.update_exclusions(now);
         let alive = self.known.iter().filter(|(_, known)| self.is_available(known, now));
         let all = alive.map(|(vm, _)| vm).chain([&self.vm]);
-        let weight = |vm: &&VmName| xxhash_rust::xxh3::xxh3_64(format!("{vm}\0{key}").as_bytes());
-        all.max_by_key(weight).unwrap_or(&self.vm).clone()
+        let weight = |vm: &VmName| xxhash_rust::xxh3::xxh3_64(format!("{vm}\0{key}").as_bytes());
+        let mut weighted: Vec<(u64, &VmName)> = all.map(|vm| (weight(vm), vm)).collect();
+        weighted.sort_by(|a, b| b.cmp(a));
+        weighted.into_iter().take(count).map(|(_, vm)| vm.clone()).collect()
     }
 
     fn is_available(&self, known: &KnownVm, now: Duration) -> bool {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -19,7 +19,9 @@
 mod record;
 mod replay;
 mod replica_planner;
+mod service_versions;
 mod slot_table;
+mod stream_origins;
 mod stream_progress;
 mod suspects;
 mod token_bucket;
@@ -53,7 +55,11 @@
 };
 pub use replay::{Replay, ReplayPage, ReplayStatus, StateMachine};
 pub use replica_planner::{EngineState, ModelOrder, ReplicaPlanner, ReplicaPlannerSettings};
+pub use service_versions::{ServiceVersions, ServiceVersionsSettings, VersionRecord};
 pub use slot_table::{SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, SlotHolder, SlotTable, tenant_slots};
+pub use stream_origins::{
+    OriginSource, StreamKey, StreamOrigin, StreamOrigins, StreamOriginsSettings,
+};
 pub(crate) use stream_progress::StreamProgress;
 pub use suspects::{QUARANTINE_THRESHOLD, Suspects};
 pub(crate) use token_bucket::TokenBucket;
--- /dev/null
+++ b/src/process/service_versions.rs
@@ -0,0 +1,214 @@
+//! The versions of the software that the upstreams of each service run, and which of them may have
+//! begun a stream.
+//!
+//! What two versions write does not fit together, so a stream goes on only at the version that began
+//! it. While one version alone can have begun the streams of a service, that version needs no
+//! look-up. Two rules make this hold across processes that read the list at different times: a
+//! version that is new to a service is used only after `hold_time`, and a process trusts its list
+//! only if it was read within `hold_time`. So whoever trusts its list has seen every version that
+//! any process has used.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::SoftwareVersion;
+
+/// Settings of [`ServiceVersions`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ServiceVersionsSettings {
+    /// Longest time from the first event of a stream to its last resumption: the longest time that
+    /// a caller waits, over all its tries.
+    pub stream_memory: Duration,
+    /// Time from the first sight of a version to its first use.
+    pub hold_time: Duration,
+}
+
+impl Default for ServiceVersionsSettings {
+    fn default() -> Self {
+        ServiceVersionsSettings {
+            stream_memory: Duration::from_secs(90),
+            hold_time: Duration::from_secs(3),
+        }
+    }
+}
+
+/// The versions that may have begun streams of a service, as the platform's log keeps them for
+/// processes that have just started.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct VersionRecord {
+    /// The service.
+    pub service: String,
+    /// The versions.
+    pub versions: BTreeSet<SoftwareVersion>,
+}
+
+/// Prefix of the keys of version records, which no name of a vm begins with.
+const KEY_PREFIX: &str = "!versions:";
+/// Longest key that the log takes.
+const MAX_KEY_BYTES: usize = 255;
+
+impl VersionRecord {
+    /// Reports whether `key` is that of a version record.
+    pub fn is_key(key: &str) -> bool {
+        key.starts_with(KEY_PREFIX)
+    }
+
+    /// Returns the key of the record; none if the name of the service is too long for one.
+    pub fn key(&self) -> Option<String> {
+        let key = format!("{KEY_PREFIX}{}", self.service);
+        (key.len() <= MAX_KEY_BYTES).then_some(key)
+    }
+}
+
+/// When a version was listed.
+#[derive(Clone, Copy, Debug)]
+struct ListedVersion {
+    usable_at: Duration,
+    last_listed: Duration,
+}
+
+/// What a process knows of the versions of one service.
+#[derive(Clone, Debug, Default)]
+struct KnownService {
+    listed: BTreeMap<SoftwareVersion, ListedVersion>,
+    /// The versions that the log keeps; none if it keeps no record.
+    kept: Option<BTreeSet<SoftwareVersion>>,
+}
+
+/// The versions of all services, as one process knows them.
+#[derive(Clone, Debug)]
+pub struct ServiceVersions {
+    settings: ServiceVersionsSettings,
+    /// Whether the whole system started for the first time with this process.
+    first_start: bool,
+    services: BTreeMap<String, KnownService>,
+    /// When the list was read whole for the first time.
+    read_since: Option<Duration>,
+    /// Up to when the last whole reading of the list is complete.
+    confirmed_at: Option<Duration>,
+}
+
+impl ServiceVersions {
+    /// Creates the state of a process that has read nothing; `first_start` tells that the whole
+    /// system starts for the first time, so that no stream began before.
+    pub fn new(settings: ServiceVersionsSettings, first_start: bool) -> Self {
+        ServiceVersions {
+            settings,
+            first_start,
+            services: BTreeMap::new(),
+            read_since: None,
+            confirmed_at: None,
+        }
+    }
+
+    /// Records that an upstream of a service is listed with `version`. A version of the first whole
+    /// reading is usable at once.
+    pub fn record_listed(&mut self, service: &str, version: &SoftwareVersion, now: Duration) {
+        let hold = self.read_since.map_or(Duration::ZERO, |_| self.settings.hold_time);
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), KnownService::default());
+        }
+        let Some(known) = self.services.get_mut(service) else {
+            return;
+        };
+        match known.listed.get_mut(version) {
+            Some(listed) => listed.last_listed = now,
+            None => {
+                let listed = ListedVersion { usable_at: now + hold, last_listed: now };
+                known.listed.insert(version.clone(), listed);
+            }
+        }
+    }
+
+    /// Records that all that the list held at `confirmed_at` was recorded.
+    pub fn record_reading(&mut self, confirmed_at: Duration) {
+        self.read_since.get_or_insert(confirmed_at);
+        self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+    }
+
+    /// Applies a record that the log keeps.
+    pub fn apply_record(&mut self, record: VersionRecord) {
+        self.services.entry(record.service).or_default().kept = Some(record.versions);
+    }
+
+    /// Reports whether a version has been listed long enough to be used.
+    pub fn is_usable(&self, service: &str, version: &SoftwareVersion, now: Duration) -> bool {
+        let listed = self.services.get(service).and_then(|known| known.listed.get(version));
+        listed.is_some_and(|listed| listed.usable_at <= now)
+    }
+
+    /// Returns the one version that can have begun the streams of a service; none if several can
+    /// have, or if this process cannot tell.
+    pub fn single(&self, service: &str, now: Duration) -> Option<SoftwareVersion> {
+        let age = now.saturating_sub(self.confirmed_at?);
+        (age < self.settings.hold_time).then(|| self.only_version(service, now)).flatten()
+    }
+
+    /// Reports whether streams of a service may have begun at several versions.
+    pub fn may_mix(&self, service: &str, now: Duration) -> bool {
+        self.only_version(service, now).is_none()
+    }
+
+    /// Returns the services whose streams may have begun at several versions.
+    pub fn mixed_services(&self, now: Duration) -> BTreeSet<String> {
+        let mixed = self.services.keys().filter(|service| self.may_mix(service, now));
+        mixed.cloned().collect()
+    }
+
+    fn only_version(&self, service: &str, now: Duration) -> Option<SoftwareVersion> {
+        let known = self.services.get(service)?;
+        if known.kept.is_none() && !self.has_seen_all(now) {
+            return None;
+        }
+        let versions = self.possible_versions(known, now);
+        (versions.len() == 1).then(|| versions.into_iter().next()).flatten()
+    }
+
+    /// Reports whether this process has read the list for as long as any stream that can still be
+    /// resumed.
+    fn has_seen_all(&self, now: Duration) -> bool {
+        let memory = self.settings.stream_memory;
+        let seen = self.read_since.is_some_and(|since| now.saturating_sub(since) >= memory);
+        seen || (self.first_start && self.read_since.is_some())
+    }
+
+    fn recently_listed(&self, known: &KnownService, now: Duration) -> BTreeSet<SoftwareVersion> {
+        let memory = self.settings.stream_memory;
+        let recent = |listed: &ListedVersion| now.saturating_sub(listed.last_listed) < memory;
+        let listed = known.listed.iter().filter(|(_, listed)| recent(listed));
+        listed.map(|(version, _)| version.clone()).collect()
+    }
+
+    fn possible_versions(&self, known: &KnownService, now: Duration) -> BTreeSet<SoftwareVersion> {
+        let kept = known.kept.iter().flatten().cloned();
+        self.recently_listed(known, now).into_iter().chain(kept).collect()
+    }
+
+    /// Returns the records that the log should keep and does not. A version is left out only by a
+    /// process that has not seen it for the whole time in which its streams can be resumed.
+    pub fn missing_records(&self, now: Duration) -> Vec<VersionRecord> {
+        if self.read_since.is_none() {
+            return Vec::new();
+        }
+        let seen_all = self.has_seen_all(now);
+        let wanted = self.services.iter().filter_map(|(service, known)| {
+            let versions = match seen_all {
+                true => self.recently_listed(known, now),
+                false => self.possible_versions(known, now),
+            };
+            let changed = !versions.is_empty() && known.kept.as_ref() != Some(&versions);
+            changed.then(|| VersionRecord { service: service.clone(), versions })
+        });
+        wanted.collect()
+    }
+
+    /// Forgets versions whose streams can no longer be resumed.
+    pub fn expire(&mut self, now: Duration) {
+        let memory = self.settings.stream_memory;
+        for known in self.services.values_mut() {
+            known.listed.retain(|_, listed| now.saturating_sub(listed.last_listed) < memory);
+        }
+    }
+}
