ORDER: a stream goes on only at the version of the software that began it

Cause: an upstream's version and the header Resumes were read nowhere; a stream went on wherever its model was loaded.

Evidence: of seven moves in the collected lines one changed the version; the example is a resumption at another vm. Failing tests in.

Change: the upstream that sends the first event binds the stream to its version, for moves, second attempts and resumptions. While one version alone can have begun a stream, that version binds without a look-up; a new version is used 3 s after it is listed and a list is trusted for 3 s, so no vm misses one. Otherwise vms tell each other in datagrams, and the log keeps it against the loss of all. What nobody knows is refused at once, not run: stream_not_resumable, with a line and a counter by source and outcome. A split route sends a resumption where the stream began.

--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -54,6 +54,7 @@
             continue;
         }
         if request.caller_headers.model.is_none()
+            || !has_bound_version(edge, request, tried)
             || edge.now() >= until
             || !is_model_configured(request)
         {
@@ -115,6 +116,40 @@
         .with_retry_after(UNAVAILABLE_RETRY_AFTER)
 }
 
+/// Returns which upstreams a request may go to by the version of their software: a stream that has
+/// begun only to those of its version, a new one not to a version that other vms may not know yet,
+/// unless there is no other.
+fn version_filter<'a>(
+    edge: &Edge,
+    request: &'a CallerRequest,
+) -> impl Fn(&UpstreamEntry) -> bool + 'a {
+    let service = request.service.as_str();
+    let mut held_back = match request.route.kind.is_stream() {
+        true => edge.origins.versions.borrow().held_back(service, edge.now()),
+        false => Vec::new(),
+    };
+    let view = edge.view.borrow();
+    let is_held_back = |entry: &UpstreamEntry| held_back.contains(&entry.version);
+    if !held_back.is_empty() && view.upstreams.accepting(service).all(is_held_back) {
+        held_back.clear();
+    }
+    move |entry| match request.stream_version.get() {
+        Some(version) => entry.version == *version,
+        None => !held_back.contains(&entry.version),
+    }
+}
+
+/// Reports whether an upstream that is not among `tried` has the version that a stream is bound to,
+/// so that a wait for its model makes sense; true for a request that is not bound.
+fn has_bound_version(edge: &Edge, request: &CallerRequest, tried: &[UpstreamName]) -> bool {
+    let Some(version) = request.stream_version.get() else {
+        return true;
+    };
+    let view = edge.view.borrow();
+    let mut accepting = view.upstreams.accepting(&request.service);
+    accepting.any(|entry| entry.version == *version && !tried.contains(&entry.name))
+}
+
 /// Returns the usable upstreams that are not among `tried` and have loaded the model and adapter of
 /// the request, if it names any.
 fn eligible_upstreams(
@@ -125,8 +160,9 @@
     let now = edge.now();
     let view = edge.view.borrow();
     let placement = edge.placement.borrow();
-    let untried =
-        view.upstreams.accepting(&request.service).filter(|entry| !tried.contains(&entry.name));
+    let fits = version_filter(edge, request);
+    let accepting = view.upstreams.accepting(&request.service).filter(|entry| fits(entry));
+    let untried = accepting.filter(|entry| !tried.contains(&entry.name));
     let loaded = untried.filter(|entry| match &request.caller_headers.model {
         None => true,
         Some(model) => {
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -18,6 +18,7 @@
 use tokio::sync::Notify;
 
 use crate::metrics::Metrics;
+use crate::origin_state::OriginState;
 use crate::pool::ConnectionPool;
 use crate::response_budget::ResponseBudget;
 use crate::settings::Settings;
@@ -152,6 +153,8 @@
     pub turn_requests: TurnRequests,
     /// The socket for messages to other vms, once it is open.
     pub peer_socket: OnceCell<Rc<UdpSocket>>,
+    /// Versions of upstreams' software, and the streams that began at them.
+    pub origins: OriginState,
     /// Generations of the verdicts on parts of prompts that the log keeps.
     pub kept_verdicts: RefCell<BTreeMap<Suspect, u32>>,
     /// Wakes requests when a part of prompts is blocked.
@@ -222,6 +225,7 @@
             limits: RefCell::default(),
             turn_requests: TurnRequests::default(),
             peer_socket: OnceCell::new(),
+            origins: OriginState::new(settings.first),
             kept_verdicts: RefCell::default(),
             quarantine_changed: Notify::new(),
             planner_wakeup: Notify::new(),
--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use carob_platform::{CONFIG_KEY, KeyedRecord, decode_config, decode_upstream};
-use carobglade::{BlockRecord, EntryChange, UpstreamName, VmName, VmProfile};
+use carobglade::{BlockRecord, EntryChange, UpstreamName, VersionRecord, VmName, VmProfile};
 use serde::{Deserialize, Serialize};
 
 use super::RecordSink;
@@ -81,6 +81,7 @@
         let name = entry.name.clone();
         let draining = entry.draining;
         let change = edge.view.borrow_mut().upstreams.upsert(entry);
+        record_version(edge, &name);
         match change {
             EntryChange::None => {}
             EntryChange::Updated => edge.on_placement_changed(),
@@ -95,7 +96,8 @@
         change != EntryChange::None
     }
 
-    fn on_confirmed(&mut self, edge: &Edge, _confirmed_at: Duration) {
+    fn on_confirmed(&mut self, edge: &Edge, confirmed_at: Duration) {
+        edge.origins.versions.borrow_mut().record_reading(confirmed_at);
         let gone = edge.view.borrow_mut().upstreams.expire(edge.now());
         gone.iter().for_each(|name| edge.on_upstream_removed(name));
         edge.update_ready();
@@ -115,6 +117,15 @@
     }
 }
 
+/// Records the version of an upstream; an older entry than the known one does not count.
+fn record_version(edge: &Edge, name: &UpstreamName) {
+    let view = edge.view.borrow();
+    if let Some(entry) = view.upstreams.entry(name) {
+        let mut versions = edge.origins.versions.borrow_mut();
+        versions.record_listed(&entry.service, &entry.version, edge.now());
+    }
+}
+
 /// The record of a vm in the list of vms.
 #[derive(Serialize, Deserialize)]
 pub(super) struct VmEntry {
@@ -135,6 +146,17 @@
     true
 }
 
+/// Applies the versions of a service.
+fn apply_versions(edge: &Edge, record: &KeyedRecord) -> bool {
+    match serde_json::from_slice::<VersionRecord>(&record.value) {
+        Ok(versions) => edge.origins.versions.borrow_mut().apply_record(versions),
+        Err(err) => {
+            log::warn!(target: "versions", key = record.key.as_str(), error:% = err; "Version record cannot be decoded.");
+        }
+    }
+    true
+}
+
 /// Updates the list of other vms, and the verdicts on parts of prompts that are kept beside it.
 pub(super) struct VmSink;
 
@@ -149,6 +171,9 @@
         if BlockRecord::is_key(&record.key) {
             return apply_block(edge, record);
         }
+        if VersionRecord::is_key(&record.key) {
+            return apply_versions(edge, record);
+        }
         let Ok(name) = record.key.parse::<VmName>() else {
             return false;
         };
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -11,6 +11,7 @@
 use crate::attempts::{Attempts, FAILED_RETRY_AFTER};
 use crate::edge::{Edge, InFlightGuard};
 use crate::open_request::OpenRequest;
+use crate::origins;
 use crate::quarantine;
 use crate::relay::relay_stream;
 use crate::request::{CallerRequest, charge, read_request, refund};
@@ -79,7 +80,7 @@
     let attempts = Attempts::new(edge, &request, AttemptHistory::default(), Vec::new());
     let limit = request.remaining_time(edge.now());
     let outcome = tokio::select! {
-        result = attempts.first_response(None) => result,
+        result = first_response(edge, &request, &attempts) => result,
         () = tokio::time::sleep(limit) => Err(timeout_error(attempts.history())),
         () = aborted_by_shutdown(edge, &attempts) => Err(shutdown_error(attempts.history())),
         err = quarantine::wait_until_blocked(edge, &request.prompt) => Err(attempts.hide_not_run(err)),
@@ -105,6 +106,16 @@
     }
 }
 
+/// Tries upstreams, those of the version that began the stream if the request resumes one.
+async fn first_response(
+    edge: &Rc<Edge>,
+    request: &CallerRequest,
+    attempts: &Attempts<'_>,
+) -> Result<AttemptResponse> {
+    origins::bind(edge, request).await?;
+    attempts.first_response(None).await
+}
+
 /// Completes when the shutdown aborts a request: when draining starts, if the request was not sent
 /// to any upstream yet; before the process exits, if there is no response by then. A request
 /// accepted while draining is exempt from the first case because its deadline fits.
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -20,6 +20,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     hedges: Counter<u64>,
+    resumptions: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
@@ -68,6 +69,10 @@
             latency: latency.with_boundaries(LATENCY_BUCKETS_SECONDS.to_vec()).build(),
             refusals: counter("refusals", "Requests refused, by kind"),
             retries: counter("retries", "Requests sent again"),
+            resumptions: counter(
+                "resumptions",
+                "Streams that callers took up again, by source and outcome",
+            ),
             hedges: counter("hedges", "Requests sent to another upstream beside a silent one"),
             orders: counter("orders", "Orders sent to engines"),
             store_calls: counter("store_calls", "Calls to the platform's log"),
@@ -126,6 +131,13 @@
         self.block_changes.add(1, &[KeyValue::new("reason", reason)]);
     }
 
+    /// Counts a stream that a caller took up again: where its version is known from, and the
+    /// outcome (`bound`, `no_upstream`, `unknown`).
+    pub fn record_resumption(&self, source: &'static str, outcome: &'static str) {
+        let labels = [KeyValue::new("source", source), KeyValue::new("outcome", outcome)];
+        self.resumptions.add(1, &labels);
+    }
+
     /// Counts a retry.
     pub fn record_retry(&self) {
         self.retries.add(1, &[]);
--- /dev/null
+++ b/crates/carob-edge/src/origin_log.rs
@@ -0,0 +1,176 @@
+//! Versions in the platform's log: at which version streams began, against the loss of all vms at
+//! once, and which versions a service has, for vms that have just started.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use carob_platform::{
+    LogRequest, STREAM_TOPIC, VM_TOPIC, decode_expired, decode_plain_records, encode_keyed_record,
+    encode_plain_record,
+};
+use carobglade::{Backoff, OriginSource, StreamOrigin, VersionRecord};
+use rand::Rng;
+
+use crate::edge::Edge;
+use crate::origin_state::UnkeptOrigin;
+use crate::store::StoreError;
+
+/// Time limit for a call to the log.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
+/// Time for which streams are gathered before they are written, in a small fleet.
+const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// Writes a second of all vms together, at most; a quarter of what the platform allows.
+const MAX_WRITE_RATE: f64 = 100.0;
+const WRITE_MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Maximum number of streams in a record of the log.
+const MAX_RECORD_STREAMS: usize = 2000;
+/// Minimum time between two reads, so that requests that name unknown streams cost no more.
+const MIN_READ_INTERVAL: Duration = Duration::from_millis(250);
+/// Records that are read at most: those of the time for which streams are remembered.
+const MAX_READ_RECORDS: u64 = 10_000;
+/// Interval at which the versions of services are compared with the log.
+const VERSION_INTERVAL: Duration = Duration::from_secs(1);
+/// HTTP status of a read whose records are no longer kept.
+const STATUS_GONE: u16 = 410;
+
+/// Writes streams to the log until the task is dropped.
+pub async fn run_writer(edge: Rc<Edge>) {
+    let mut backoff = Backoff::default();
+    loop {
+        if edge.origins.unkept.borrow().is_empty() {
+            edge.origins.unkept_added.notified().await;
+        }
+        let fleet_interval = Duration::from_secs_f64(edge.fleet_size() as f64 / MAX_WRITE_RATE);
+        tokio::time::sleep(MIN_WRITE_INTERVAL.max(fleet_interval)).await;
+        if let Err(err) = write_streams(&edge).await {
+            log::debug!(target: "versions", error:% = err; "Writing streams failed; retrying.");
+            edge.metrics.record_store_failure(STREAM_TOPIC);
+            let pause = backoff.record_failure(WRITE_MAX_BACKOFF, rand::rng().random());
+            tokio::time::sleep(pause).await;
+        } else {
+            backoff.record_success();
+        }
+    }
+}
+
+async fn write_streams(edge: &Edge) -> Result<(), StoreError> {
+    let batch: Vec<UnkeptOrigin> = {
+        let unkept = edge.origins.unkept.borrow();
+        unkept.iter().take(MAX_RECORD_STREAMS).cloned().collect()
+    };
+    let now = edge.now();
+    let origins: Vec<StreamOrigin> = batch.iter().map(|origin| written(origin, now)).collect();
+    let content = postcard::to_allocvec(&origins).unwrap_or_default();
+    let call = LogRequest::append(STREAM_TOPIC, encode_plain_record(&content));
+    edge.store.call(call, CALL_TIMEOUT).await?;
+    edge.metrics.record_store_call(STREAM_TOPIC);
+    // Others may have been added or left out in the meantime.
+    let written: std::collections::HashSet<_> = batch.iter().map(|origin| origin.key).collect();
+    edge.origins.unkept.borrow_mut().retain(|origin| !written.contains(&origin.key));
+    Ok(())
+}
+
+fn written(origin: &UnkeptOrigin, now: Duration) -> StreamOrigin {
+    let age = now.saturating_sub(origin.began_at).as_millis();
+    let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
+    StreamOrigin { key: origin.key, version: origin.version.clone(), age_ms }
+}
+
+/// Reads all streams that the log holds at the time of the call; reports whether it did. One request
+/// reads at a time, for all that wait.
+pub async fn read_to_end(edge: &Edge) -> bool {
+    let asked_at = edge.now();
+    let reading = &edge.origins.reading;
+    let _guard = reading.lock.lock().await;
+    let last = reading.complete_at.get();
+    if last.is_some_and(|at| at >= asked_at) {
+        return true;
+    }
+    if let Some(at) = last {
+        let pause = (at + MIN_READ_INTERVAL).saturating_sub(edge.now());
+        tokio::time::sleep(pause).await;
+    }
+    let started = edge.now();
+    let result = read_pages(edge).await;
+    // A failed read counts too, so that it is not repeated for each request that waits.
+    reading.complete_at.set(Some(started));
+    match result {
+        Ok(()) => true,
+        Err(err) => {
+            log::warn!(target: "versions", error:% = err; "Reading streams from the log failed.");
+            edge.metrics.record_store_failure(STREAM_TOPIC);
+            false
+        }
+    }
+}
+
+async fn read_pages(edge: &Edge) -> Result<(), StoreError> {
+    let next = &edge.origins.reading.next;
+    loop {
+        let from = next.get().unwrap_or(0);
+        let call = LogRequest::read(STREAM_TOPIC, from, 0);
+        let (status, response) = edge.store.call_any(call, CALL_TIMEOUT).await?;
+        edge.metrics.record_store_call(STREAM_TOPIC);
+        if status == STATUS_GONE {
+            next.set(Some(decode_expired(&response.body)?.max(from + 1)));
+            continue;
+        }
+        if status != 200 {
+            return Err(StoreError::Status(status));
+        }
+        let page = decode_plain_records(&response.body, from)?;
+        page.records.iter().for_each(|record| apply_streams(edge, record));
+        next.set(Some(page.next_offset.max(page.end_offset.saturating_sub(MAX_READ_RECORDS))));
+        if page.next_offset >= page.end_offset || page.records.is_empty() {
+            return Ok(());
+        }
+    }
+}
+
+fn apply_streams(edge: &Edge, record: &[u8]) {
+    match postcard::from_bytes::<Vec<StreamOrigin>>(record) {
+        Ok(origins) => {
+            let mut streams = edge.origins.streams.borrow_mut();
+            let now = edge.now();
+            origins.iter().for_each(|origin| streams.record(origin, OriginSource::Log, now));
+        }
+        Err(err) => {
+            log::warn!(target: "versions", error:% = err; "A record of streams cannot be decoded.");
+        }
+    }
+}
+
+/// Writes the versions of services to the log, if this vm reads the log for others.
+pub async fn keep_versions(edge: Rc<Edge>) {
+    loop {
+        tokio::time::sleep(VERSION_INTERVAL).await;
+        let writes = edge.view.borrow().vms_known && edge.hubs.borrow_mut().reads_log(edge.now());
+        if !writes {
+            continue;
+        }
+        let missing = edge.origins.versions.borrow().missing_records(edge.now());
+        for record in missing {
+            write_versions(&edge, record).await;
+        }
+    }
+}
+
+async fn write_versions(edge: &Edge, record: VersionRecord) {
+    let Some(key) = record.key() else {
+        return;
+    };
+    let value = serde_json::to_vec(&record).unwrap_or_default();
+    let call = LogRequest::append(VM_TOPIC, encode_keyed_record(&key, &value));
+    match edge.store.call(call, CALL_TIMEOUT).await {
+        Ok(_) => {
+            edge.metrics.record_store_call(VM_TOPIC);
+            let versions: Vec<String> = record.versions.iter().map(ToString::to_string).collect();
+            log::info!(target: "versions", service = record.service.as_str(), versions = versions.join(",").as_str(); "The versions of a service were written to the log.");
+            edge.origins.versions.borrow_mut().apply_record(record);
+        }
+        Err(err) => {
+            edge.metrics.record_store_failure(VM_TOPIC);
+            log::debug!(target: "versions", error:% = err; "Writing the versions of a service failed; retrying.");
+        }
+    }
+}
--- /dev/null
+++ b/crates/carob-edge/src/origins.rs
@@ -0,0 +1,246 @@
+//! Keeps a stream at the version of the upstreams' software that began it: binds resumptions to
+//! that version, and tells other vms at which version streams began.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use carobglade::{
+    Error, ErrorKind, OriginSource, Result, SoftwareVersion, StreamKey, StreamOrigin,
+};
+use serde::{Deserialize, Serialize};
+
+use crate::edge::Edge;
+use crate::origin_log;
+use crate::origin_state::UnkeptOrigin;
+use crate::request::CallerRequest;
+
+/// First byte of a datagram about streams, which no other message between vms begins with.
+pub const ORIGIN_VERSION: u8 = 65;
+
+/// Time within which other vms answer the question for a stream.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
+/// Vms that know of a stream in a fleet with hubs; in a smaller one, all do.
+const OWNERS: usize = 3;
+/// Maximum number of streams in a datagram, which fits into one packet.
+const MAX_TOLD: usize = 32;
+/// Retry time of a resumption that is refused.
+const RESUME_RETRY_AFTER: Duration = Duration::from_millis(600);
+
+/// A datagram from one vm to another, after its first byte.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+enum OriginMessage {
+    /// Tells at which versions streams began.
+    Tell(Vec<StreamOrigin>),
+    /// Asks for a stream; a vm that does not know it does not answer.
+    Ask(StreamKey),
+}
+
+/// Binds a request that resumes a stream to the version that began the stream.
+///
+/// # Errors
+///
+/// Returns `StreamNotResumable` when that version is not known, or no upstream has it.
+pub async fn bind(edge: &Rc<Edge>, request: &CallerRequest) -> Result<()> {
+    if !request.is_resumption() {
+        return Ok(());
+    }
+    let (version, source) = look_up(edge, request).await;
+    let serving = serving_versions(edge, &request.service);
+    let outcome = match &version {
+        Some(version) if serving.contains(version) => "bound",
+        Some(_) => "no_upstream",
+        None => "unknown",
+    };
+    edge.metrics.record_resumption(source.as_str(), outcome);
+    log_resumption(request, version.as_ref(), &serving, source, outcome);
+    match version.filter(|_| outcome == "bound") {
+        Some(version) => {
+            // Nothing has bound the request before.
+            let _ = request.stream_version.set(version);
+            Ok(())
+        }
+        None => {
+            let message = "no upstream can go on with the stream";
+            let err = Error::new(ErrorKind::StreamNotResumable, message);
+            Err(err.with_retry_after(RESUME_RETRY_AFTER))
+        }
+    }
+}
+
+fn log_resumption(
+    request: &CallerRequest,
+    version: Option<&SoftwareVersion>,
+    serving: &BTreeSet<SoftwareVersion>,
+    source: OriginSource,
+    outcome: &str,
+) {
+    let version = version.map(ToString::to_string).unwrap_or_default();
+    let serving: Vec<String> = serving.iter().map(ToString::to_string).collect();
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), resumes = request.resumes_label(), source = source.as_str(), version = version.as_str(), serving = serving.join(",").as_str(), outcome = outcome; "A caller takes up a stream.");
+}
+
+/// Returns the versions of the upstreams that accept requests to a service.
+fn serving_versions(edge: &Edge, service: &str) -> BTreeSet<SoftwareVersion> {
+    let view = edge.view.borrow();
+    let versions: BTreeSet<&SoftwareVersion> =
+        view.upstreams.accepting(service).map(|entry| &entry.version).collect();
+    versions.into_iter().cloned().collect()
+}
+
+async fn look_up(
+    edge: &Rc<Edge>,
+    request: &CallerRequest,
+) -> (Option<SoftwareVersion>, OriginSource) {
+    let key = request.resumed_key();
+    let known = key.and_then(|key| edge.origins.version(key));
+    let single = || {
+        let single = edge.origins.versions.borrow().single(&request.service, edge.now());
+        single.map(|version| (version, OriginSource::Single))
+    };
+    if let Some((version, source)) = known.or_else(single) {
+        return (Some(version), source);
+    }
+    let Some(key) = key else {
+        return (None, OriginSource::Unknown);
+    };
+    let mut found = ask(edge, key).await;
+    if found.is_none() && origin_log::read_to_end(edge).await {
+        found = edge.origins.version(key);
+    }
+    match found {
+        Some((version, source)) => (Some(version), source),
+        None => (None, OriginSource::Unknown),
+    }
+}
+
+/// Asks other vms for a stream.
+async fn ask(edge: &Rc<Edge>, key: StreamKey) -> Option<(SoftwareVersion, OriginSource)> {
+    for address in addresses(edge, key) {
+        send(edge, address, &OriginMessage::Ask(key));
+    }
+    let answered = async {
+        loop {
+            let told = edge.origins.told.notified();
+            if let Some(found) = edge.origins.version(key) {
+                return found;
+            }
+            told.await;
+        }
+    };
+    tokio::time::timeout(ANSWER_TIMEOUT, answered).await.ok()
+}
+
+/// Binds a request to the version of the upstream that sends its first events, and tells other vms
+/// unless one version alone can begin streams of the service.
+pub fn record_start(edge: &Edge, request: &CallerRequest, version: &SoftwareVersion) {
+    if request.stream_version.set(version.clone()).is_err() {
+        return;
+    }
+    let now = edge.now();
+    let key = request.own_key();
+    let origin = edge.origins.streams.borrow_mut().record_start(key, version, now);
+    if edge.origins.versions.borrow().single(&request.service, now).is_none() {
+        spread(edge, vec![origin]);
+    }
+}
+
+/// Tells other vms and the log of streams.
+fn spread(edge: &Edge, origins: Vec<StreamOrigin>) {
+    let mut told: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
+    for origin in &origins {
+        for address in addresses(edge, origin.key) {
+            told.entry(address).or_default().push(origin.clone());
+        }
+    }
+    for (address, origins) in told {
+        for part in origins.chunks(MAX_TOLD) {
+            send(edge, address, &OriginMessage::Tell(part.to_vec()));
+        }
+    }
+    let now = edge.now();
+    for StreamOrigin { key, version, age_ms } in origins {
+        let began_at = now.saturating_sub(Duration::from_millis(u64::from(age_ms)));
+        edge.origins.add_unkept(UnkeptOrigin { key, version, began_at });
+    }
+}
+
+/// Returns the addresses of the vms that know of a stream, other than this one.
+fn addresses(edge: &Edge, key: StreamKey) -> Vec<SocketAddr> {
+    let view = edge.view.borrow();
+    let mut hubs = edge.hubs.borrow_mut();
+    if !hubs.uses_hubs() {
+        return view.peers.values().map(|peer| peer.address).collect();
+    }
+    let owners = hubs.owners_of(&key.to_string(), OWNERS, edge.now());
+    owners.iter().filter_map(|vm| Some(view.peers.get(vm)?.address)).collect()
+}
+
+fn send(edge: &Edge, address: SocketAddr, message: &OriginMessage) {
+    let Some(socket) = edge.peer_socket.get() else {
+        return;
+    };
+    match postcard::to_extend(message, vec![ORIGIN_VERSION]) {
+        Ok(bytes) => {
+            edge.metrics.record_message("stream", bytes.len());
+            // A datagram that the socket does not accept is treated like one lost on the network.
+            if let Err(err) = socket.try_send_to(&bytes, address) {
+                log::debug!(target: "peers", to:% = address, error:% = err; "Sending a datagram failed.");
+            }
+        }
+        Err(err) => {
+            log::error!(target: "peers", error:% = err; "A message about streams cannot be encoded.");
+        }
+    }
+}
+
+/// Handles a datagram about streams without its first byte.
+pub fn handle_datagram(edge: &Edge, bytes: &[u8], from: SocketAddr) {
+    match postcard::from_bytes(bytes) {
+        Ok(OriginMessage::Tell(origins)) => {
+            let mut streams = edge.origins.streams.borrow_mut();
+            for origin in &origins {
+                streams.record(origin, OriginSource::Peer, edge.now());
+            }
+            edge.origins.told.notify_waiters();
+        }
+        Ok(OriginMessage::Ask(key)) => {
+            let origin = edge.origins.streams.borrow().origin(key, edge.now());
+            if let Some(origin) = origin {
+                send(edge, from, &OriginMessage::Tell(vec![origin]));
+            }
+        }
+        Err(err) => {
+            log::debug!(target: "peers", from:% = from, error:% = err; "A message about streams cannot be decoded.");
+        }
+    }
+}
+
+/// Forgets streams and versions that no longer matter. When a service has several versions for the
+/// first time, other vms are told of all streams that began here.
+pub fn maintain(edge: &Edge) {
+    let now = edge.now();
+    edge.origins.streams.borrow_mut().expire(now);
+    edge.origins.versions.borrow_mut().expire(now);
+    let mixed = edge.origins.versions.borrow().mixed_services(now);
+    let before = edge.origins.told_services.replace(mixed.clone());
+    let added: Vec<&String> = mixed.difference(&before).collect();
+    if added.is_empty() {
+        return;
+    }
+    for service in added {
+        log::info!(target: "versions", service = service.as_str(); "Streams of a service may have begun at several versions.");
+    }
+    let own = edge.origins.streams.borrow().own(now);
+    spread(edge, own);
+}
+
+/// Records the versions of all listed upstreams again.
+pub fn refresh_versions(edge: &Edge) {
+    let view = edge.view.borrow();
+    let mut versions = edge.origins.versions.borrow_mut();
+    for entry in view.upstreams.entries() {
+        versions.record_listed(&entry.service, &entry.version, edge.now());
+    }
+}
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -9,6 +9,7 @@
 use super::message::{Message, SenderRole, VERSION};
 use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_digest, send_to};
 use crate::edge::Edge;
+use crate::origins::{self, ORIGIN_VERSION};
 use crate::quarantine;
 use crate::turns::{self, TURN_VERSION};
 use crate::view::PeerVm;
@@ -21,6 +22,9 @@
             Ok((len, from)) if buf[..len].starts_with(&[TURN_VERSION]) => {
                 turns::handle_datagram(&edge, &buf[1..len], from);
             }
+            Ok((len, from)) if buf[..len].starts_with(&[ORIGIN_VERSION]) => {
+                origins::handle_datagram(&edge, &buf[1..len], from);
+            }
             Ok((len, from)) => handle_datagram(&edge, &socket, &buf[..len], from),
             Err(err) => {
                 log::debug!(target: "peers", error:% = err; "Receiving a peer message failed.");
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -16,7 +16,7 @@
 use crate::listener::{self, Phase};
 use crate::metrics::{Metrics, ProcessState};
 use crate::settings::Settings;
-use crate::{follow, group, orders, peers, quarantine};
+use crate::{follow, group, orders, origin_log, origins, peers, quarantine};
 
 /// Time until the load balancer stops sending new callers to a vm that is no longer ready.
 const READINESS_DELAY: Duration = Duration::from_millis(2600);
@@ -59,6 +59,8 @@
     tokio::task::spawn_local(peers::listen(Rc::clone(&edge), Rc::clone(&socket)));
     tokio::task::spawn_local(peers::run_sender(Rc::clone(&edge), Rc::clone(&socket)));
     tokio::task::spawn_local(peers::relay_usage(Rc::clone(&edge), socket));
+    tokio::task::spawn_local(origin_log::run_writer(Rc::clone(&edge)));
+    tokio::task::spawn_local(origin_log::keep_versions(Rc::clone(&edge)));
     tokio::task::spawn_local(maintain(Rc::clone(&edge)));
     wait_for_stop(&edge, &path).await?;
     membership.abort();
@@ -113,6 +115,7 @@
         if edge.now().saturating_sub(logged_at) >= STATE_LOG_INTERVAL {
             logged_at = edge.now();
             log_state(&edge);
+            origins::refresh_versions(&edge);
         }
         edge.update_ready();
         edge.metrics.record_state(process_state(&edge));
@@ -120,6 +123,7 @@
         edge.loads.borrow_mut().decay_stats();
         edge.suspects.borrow_mut().expire(edge.clock.unix_millis());
         quarantine::maintain(&edge);
+        origins::maintain(&edge);
         edge.limits.borrow_mut().expire(edge.now());
         edge.rate_limiter.borrow_mut().settle_if_known(edge.now());
     }
--- a/crates/carob-edge/src/relay.rs
+++ b/crates/carob-edge/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::attempts::{AttemptEnd, Attempts, OpenAttempt};
 use crate::edge::{Edge, InFlightGuard};
 use crate::open_request::OpenRequest;
+use crate::origins;
 use crate::quarantine::SurvivalTimer;
 use crate::request::CallerRequest;
 use crate::response::{ResponseBody, forwarded_response};
@@ -93,6 +94,9 @@
     async fn run(&self, events: Bytes, mut source: EventStream) -> Result<(), StreamFailure> {
         let mut survival = SurvivalTimer::start(self.edge);
         self.record_source(&source);
+        if !events.is_empty() {
+            origins::record_start(self.edge, self.request, &source.version);
+        }
         if !self.send(events).await {
             return Ok(());
         }
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -1,5 +1,6 @@
 //! Reads, authorizes and charges a caller's request.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -7,7 +8,7 @@
 use carob_platform::CallerHeaders;
 use carobglade::{
     Error, ErrorKind, Fingerprint, PlatformConfig, PlatformRoute, PlatformTenant, PromptPart,
-    Result, SharedPrompt, Tokens,
+    Result, SharedPrompt, SoftwareVersion, StreamKey, Tokens,
 };
 use http::{HeaderMap, Method, Request, Uri};
 use http_body_util::BodyExt;
@@ -53,6 +54,8 @@
     pub fingerprint: Fingerprint,
     /// The parts of the prompt that other requests may share, and the model.
     pub prompt: SharedPrompt,
+    /// The version of the upstreams' software that the stream is bound to, once it is.
+    pub stream_version: OnceCell<SoftwareVersion>,
 }
 
 /// The route and the expected tokens of a request, as log lines tell them.
@@ -76,6 +79,28 @@
         }
     }
 
+    /// Reports whether the caller takes up a stream of which it has events.
+    pub fn is_resumption(&self) -> bool {
+        let headers = &self.caller_headers;
+        let has_events = headers.last_event.is_some_and(|id| id > 0);
+        self.route.kind.is_stream() && (has_events || headers.resumes.is_some())
+    }
+
+    /// Returns the key of the stream that the request begins.
+    pub fn own_key(&self) -> StreamKey {
+        self.stream_key(&self.caller_headers.request_id)
+    }
+
+    /// Returns the key of the stream that the request resumes, if it names one.
+    pub fn resumed_key(&self) -> Option<StreamKey> {
+        self.caller_headers.resumes.as_deref().map(|id| self.stream_key(id))
+    }
+
+    fn stream_key(&self, id: &str) -> StreamKey {
+        let tenant = self.tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
+        StreamKey::new(&self.service, tenant, id)
+    }
+
     /// Returns the start of the id that the request resumes, for log lines; empty if it names none.
     pub fn resumes_label(&self) -> &str {
         let resumes = self.caller_headers.resumes.as_deref().unwrap_or_default();
@@ -159,7 +184,7 @@
     let body = read_body(body, limit, config.limits.idle_timeout).await?;
     let target = origin_form(&parts.uri)?;
     let timeout = caller_headers.timeout.unwrap_or(route.timeout).min(route.timeout);
-    let hash = xxhash_rust::xxh3::xxh3_64(caller_headers.request_id.as_bytes());
+    let hash = xxhash_rust::xxh3::xxh3_64(split_id(&route, &caller_headers).as_bytes());
     let service = route.service(hash).unwrap_or_default().to_owned();
     let caller = tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
     let path = format!("{caller}\0{target}");
@@ -185,10 +210,18 @@
         arrival,
         fingerprint,
         prompt,
+        stream_version: OnceCell::new(),
         caller_headers,
     })
 }
 
+/// Returns the id that decides which service of a split route a request goes to: that of the request
+/// that began its stream, so that a resumption goes to the same service.
+fn split_id<'a>(route: &PlatformRoute, caller_headers: &'a CallerHeaders) -> &'a str {
+    let resumes = caller_headers.resumes.as_deref().filter(|_| route.kind.is_stream());
+    resumes.unwrap_or(&caller_headers.request_id)
+}
+
 /// Returns the parts that other requests may share: all but the last, which belongs to the request.
 fn shared_prompt(caller_headers: &CallerHeaders) -> SharedPrompt {
     let segments = caller_headers.prefix_segments.as_slice();
--- a/crates/carob-edge/src/store.rs
+++ b/crates/carob-edge/src/store.rs
@@ -79,11 +79,26 @@
         call: LogRequest,
         timeout: Duration,
     ) -> Result<StoreResponse, StoreError> {
+        match self.call_any(call, timeout).await? {
+            (200, response) => Ok(response),
+            (status, _) => Err(StoreError::Status(status)),
+        }
+    }
+
+    /// Makes a call and reads the response within `timeout`; returns its status too.
+    ///
+    /// # Errors
+    ///
+    /// Returns `Unreachable` when there is no response in time.
+    pub async fn call_any(
+        &self,
+        call: LogRequest,
+        timeout: Duration,
+    ) -> Result<(u16, StoreResponse), StoreError> {
         let sent_at = self.clock.now();
         let result = tokio::time::timeout(timeout, self.send(call)).await;
         match result {
-            Ok(Ok((200, body))) => Ok(StoreResponse { body, sent_at }),
-            Ok(Ok((status, _))) => Err(StoreError::Status(status)),
+            Ok(Ok((status, body))) => Ok((status, StoreResponse { body, sent_at })),
             Ok(Err(_)) | Err(_) => Err(StoreError::Unreachable),
         }
     }
--- a/crates/carobctl/src/platform_commands.rs
+++ b/crates/carobctl/src/platform_commands.rs
@@ -11,7 +11,7 @@
     decode_config, decode_newest_page, decode_partition_owners, decode_upstream,
     encode_keyed_record,
 };
-use carobglade::{BlockRecord, PlatformConfig, PromptPart, UpstreamEntry};
+use carobglade::{BlockRecord, PlatformConfig, PromptPart, UpstreamEntry, VersionRecord};
 use eyre::{Result, WrapErr, eyre};
 use http::{HeaderMap, Method};
 use serde_json::json;
@@ -186,7 +186,9 @@
     let unreadable = entries.len() - upstreams.len();
     let version = config.as_ref().map(|config| config.version);
     let holders = duty_holders(log).await?;
-    let vm_records = vms.iter().filter(|record| !BlockRecord::is_key(&record.key));
+    let vm_records = vms
+        .iter()
+        .filter(|record| !BlockRecord::is_key(&record.key) && !VersionRecord::is_key(&record.key));
     let names: Vec<&String> = vm_records.map(|record| &record.key).collect();
     let blocked: Vec<String> = block_records(&vms)
         .values()
--- a/src/process/service_versions.rs
+++ b/src/process/service_versions.rs
@@ -133,10 +133,11 @@
         self.services.entry(record.service).or_default().kept = Some(record.versions);
     }
 
-    /// Reports whether a version has been listed long enough to be used.
-    pub fn is_usable(&self, service: &str, version: &SoftwareVersion, now: Duration) -> bool {
-        let listed = self.services.get(service).and_then(|known| known.listed.get(version));
-        listed.is_some_and(|listed| listed.usable_at <= now)
+    /// Returns the listed versions of a service that are not to be used yet; as a rule none.
+    pub fn held_back(&self, service: &str, now: Duration) -> Vec<SoftwareVersion> {
+        let listed = self.services.get(service).into_iter().flat_map(|known| &known.listed);
+        let held_back = listed.filter(|(_, listed)| listed.usable_at > now);
+        held_back.map(|(version, _)| version.clone()).collect()
     }
 
     /// Returns the one version that can have begun the streams of a service; none if several can
--- a/src/process/stream_origins.rs
+++ b/src/process/stream_origins.rs
@@ -145,6 +145,11 @@
         Some((known.version.clone(), known.source))
     }
 
+    /// Returns what to tell others of a stream.
+    pub fn origin(&self, key: StreamKey, now: Duration) -> Option<StreamOrigin> {
+        Some(self.known.get(&key)?.origin(key, now))
+    }
+
     /// Returns the streams that began at this process.
     pub fn own(&self, now: Duration) -> Vec<StreamOrigin> {
         let own = self.known.iter().filter(|(_, known)| known.source == OriginSource::Own);
--- /dev/null
+++ b/tests/stream_versions.rs
@@ -0,0 +1,282 @@
+//! Versions of upstreams' software: which process may bind a stream to a version without a look-up,
+//! and how long streams are remembered.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use carobglade::{
+    OriginSource, ServiceVersions, ServiceVersionsSettings, SoftwareVersion, StreamKey,
+    StreamOrigin, StreamOrigins, StreamOriginsSettings, VersionRecord,
+};
+use rand::rngs::StdRng;
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+
+const SERVICE: &str = "engines";
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+fn version(text: &str) -> SoftwareVersion {
+    text.parse().unwrap()
+}
+
+fn record(versions: &[&str]) -> VersionRecord {
+    let versions = versions.iter().map(|text| version(text)).collect();
+    VersionRecord { service: SERVICE.into(), versions }
+}
+
+/// A process that reads a list of these versions at `now`.
+fn reading(first_start: bool, versions: &[&str], now: Duration) -> ServiceVersions {
+    let mut known = ServiceVersions::new(ServiceVersionsSettings::default(), first_start);
+    read(&mut known, versions, now);
+    known
+}
+
+fn read(known: &mut ServiceVersions, versions: &[&str], now: Duration) {
+    for text in versions {
+        known.record_listed(SERVICE, &version(text), now);
+    }
+    known.record_reading(now);
+}
+
+#[test]
+fn at_the_first_start_of_the_system_one_version_is_single_at_once() {
+    let known = reading(true, &["v1"], ms(100));
+    assert_eq!(known.single(SERVICE, ms(200)), Some(version("v1")));
+    assert!(known.held_back(SERVICE, ms(100)).is_empty());
+    assert_eq!(known.single("another", ms(200)), None);
+}
+
+#[test]
+fn a_process_that_starts_later_needs_a_record_or_time() {
+    let mut known = reading(false, &["v1"], ms(100));
+    assert_eq!(known.single(SERVICE, ms(200)), None);
+    let mut told = known.clone();
+    told.apply_record(record(&["v1"]));
+    assert_eq!(told.single(SERVICE, ms(200)), Some(version("v1")));
+    told.apply_record(record(&["v1", "v2"]));
+    assert_eq!(told.single(SERVICE, ms(200)), None);
+    read(&mut known, &["v1"], ms(90_100));
+    assert_eq!(known.single(SERVICE, ms(90_200)), Some(version("v1")));
+}
+
+#[test]
+fn a_list_that_was_not_read_lately_is_not_trusted() {
+    let known = reading(true, &["v1"], ms(0));
+    assert!(known.single(SERVICE, ms(2999)).is_some());
+    assert_eq!(known.single(SERVICE, ms(3000)), None);
+    assert!(!known.may_mix(SERVICE, ms(3000)));
+}
+
+#[test]
+fn a_new_version_is_held_back_and_an_old_one_is_remembered() {
+    let mut known = reading(true, &["v1"], ms(0));
+    read(&mut known, &["v1", "v2"], ms(1000));
+    assert_eq!(known.held_back(SERVICE, ms(3999)), [version("v2")]);
+    assert!(known.held_back(SERVICE, ms(4000)).is_empty());
+    // The old version leaves; its streams may be taken up for 90 s.
+    read(&mut known, &["v2"], ms(90_900));
+    known.expire(ms(90_900));
+    assert_eq!(known.single(SERVICE, ms(90_900)), None);
+    known.expire(ms(91_000));
+    assert_eq!(known.single(SERVICE, ms(91_000)), Some(version("v2")));
+}
+
+#[test]
+fn an_upstream_without_a_version_has_one_of_its_own() {
+    let mut known = reading(true, &["v1"], ms(0));
+    known.record_listed(SERVICE, &SoftwareVersion::default(), ms(10));
+    assert_eq!(known.single(SERVICE, ms(20)), None);
+}
+
+#[test]
+fn records_follow_what_is_listed() {
+    let mut known = reading(true, &["v1"], ms(0));
+    assert_eq!(known.missing_records(ms(0)), [record(&["v1"])]);
+    known.apply_record(record(&["v1"]));
+    assert!(known.missing_records(ms(0)).is_empty());
+    read(&mut known, &["v1", "v2"], ms(50));
+    assert_eq!(known.missing_records(ms(50)), [record(&["v1", "v2"])]);
+    // A process that has just started does not leave out what it has not seen.
+    let mut started = reading(false, &["v2"], ms(100));
+    started.apply_record(record(&["v1", "v2"]));
+    assert!(started.missing_records(ms(100)).is_empty());
+    read(&mut started, &["v2"], ms(90_200));
+    assert_eq!(started.missing_records(ms(90_200)), [record(&["v2"])]);
+}
+
+#[test]
+fn keys_of_records_name_the_service() {
+    let key = record(&["v1"]).key().unwrap();
+    assert!(VersionRecord::is_key(&key) && key.ends_with(SERVICE));
+    assert!(key.parse::<carobglade::VmName>().is_err(), "no vm has such a name");
+    let long = VersionRecord { service: "x".repeat(300), versions: BTreeSet::new() };
+    assert_eq!(long.key(), None);
+}
+
+fn key(tenant: &str, id: &str) -> StreamKey {
+    StreamKey::new(SERVICE, tenant, id)
+}
+
+#[test]
+fn streams_of_tenants_and_services_are_apart() {
+    assert_ne!(key("north", "a"), key("south", "a"));
+    assert_ne!(key("north", "a"), StreamKey::new("another", "north", "a"));
+    assert_eq!(key("north", "a"), key("north", "a"));
+    assert_eq!(size_of::<StreamKey>(), 16, "whatever the length of the id");
+}
+
+#[test]
+fn streams_are_forgotten_by_time_and_number() {
+    let settings = StreamOriginsSettings { memory: ms(1000), max_count: 3 };
+    let mut streams = StreamOrigins::new(settings);
+    for (i, id) in ["a", "b", "c", "d"].iter().enumerate() {
+        streams.record_start(key("north", id), &version("v1"), ms(i as u64));
+    }
+    assert_eq!(streams.len(), 3);
+    assert_eq!(streams.version(key("north", "a")), None);
+    assert_eq!(streams.version(key("north", "d")), Some((version("v1"), OriginSource::Own)));
+    streams.expire(ms(1002));
+    assert_eq!(streams.len(), 1);
+    streams.expire(ms(1003));
+    assert!(streams.is_empty());
+}
+
+#[test]
+fn what_others_tell_does_not_replace_what_is_known() {
+    let mut streams = StreamOrigins::new(StreamOriginsSettings::default());
+    let origin = streams.record_start(key("north", "a"), &version("v1"), ms(0));
+    let other = StreamOrigin { version: version("v2"), ..origin };
+    streams.record(&other, OriginSource::Peer, ms(10));
+    assert_eq!(streams.version(other.key), Some((version("v1"), OriginSource::Own)));
+    let old = StreamOrigin { key: key("north", "b"), version: version("v2"), age_ms: 90_000 };
+    streams.record(&old, OriginSource::Log, ms(10));
+    assert_eq!(streams.version(old.key), None, "it can no longer be taken up");
+    assert_eq!(streams.own(ms(70))[0].age_ms, 70);
+}
+
+/// The list of upstreams over time: which versions it names from when on.
+struct ListHistory(Vec<(Duration, BTreeSet<&'static str>)>);
+
+impl ListHistory {
+    fn newest(&self) -> &BTreeSet<&'static str> {
+        &self.0.last().unwrap().1
+    }
+
+    /// Returns the lists in force from `from` to `until`.
+    fn between(&self, from: Duration, until: Duration) -> Vec<&BTreeSet<&'static str>> {
+        let first = self.0.iter().rposition(|(at, _)| *at <= from).unwrap_or(0);
+        let lists = self.0[first..].iter().filter(|(at, _)| *at <= until);
+        lists.map(|(_, versions)| versions).collect()
+    }
+}
+
+/// A process of a simulated fleet.
+struct Vm {
+    known: ServiceVersions,
+    listed: BTreeSet<&'static str>,
+    read_to: Duration,
+    next_read: Duration,
+}
+
+impl Vm {
+    fn start(first_start: bool, kept: Option<&VersionRecord>, now: Duration) -> Self {
+        let mut known = ServiceVersions::new(ServiceVersionsSettings::default(), first_start);
+        kept.into_iter().for_each(|kept| known.apply_record(kept.clone()));
+        Vm { known, listed: BTreeSet::new(), read_to: now, next_read: now }
+    }
+
+    fn read(&mut self, list: &ListHistory, kept: Option<&VersionRecord>, now: Duration) {
+        for versions in list.between(self.read_to, now) {
+            for text in versions {
+                self.known.record_listed(SERVICE, &version(text), now);
+            }
+            self.listed.clone_from(versions);
+        }
+        self.known.record_reading(now);
+        kept.into_iter().for_each(|kept| self.known.apply_record(kept.clone()));
+        self.known.expire(now);
+        self.read_to = now;
+    }
+
+    fn usable(&self, now: Duration) -> Vec<&'static str> {
+        let held_back = self.known.held_back(SERVICE, now);
+        let usable = self.listed.iter().filter(|text| !held_back.contains(&version(text)));
+        usable.copied().collect()
+    }
+}
+
+/// Counts of a simulated run.
+#[derive(Debug, Default)]
+struct Counts {
+    resumed: usize,
+    bound: usize,
+}
+
+const VERSIONS: [&str; 3] = ["v1", "v2", "v3"];
+const TICK: Duration = ms(100);
+
+/// Runs a fleet in which versions come and go, vms are cut off from the list and start again, and
+/// checks that each stream that is bound without a look-up is bound to the version that began it.
+fn run_fleet(seed: u64) -> Counts {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut list = ListHistory(vec![(ms(0), BTreeSet::from(["v1"]))]);
+    let mut kept: Option<VersionRecord> = None;
+    let mut vms: Vec<Vm> = (0..5).map(|_| Vm::start(true, None, ms(0))).collect();
+    let mut streams: Vec<(Duration, &str)> = Vec::new();
+    let mut counts = Counts::default();
+    let mut next_change = ms(5000);
+    for now in (0..1_800_000).step_by(TICK.as_millis() as usize).map(ms) {
+        if now >= next_change {
+            next_change = now + ms(random.random_range(4000..400_000));
+            let mut versions = list.newest().clone();
+            let chosen = VERSIONS.choose(&mut random).unwrap();
+            if versions.len() > 1 && versions.contains(chosen) {
+                versions.remove(chosen);
+            } else {
+                versions.insert(chosen);
+            }
+            list.0.push((now, versions));
+        }
+        for vm in &mut vms {
+            if random.random_bool(0.0005) {
+                *vm = Vm::start(false, kept.as_ref(), now);
+            }
+            if now >= vm.next_read {
+                vm.read(&list, kept.as_ref(), now);
+                let cut_off = random.random_bool(0.02);
+                let pause = if cut_off { 1000..30_000 } else { 200..1500 };
+                vm.next_read = now + ms(random.random_range(pause));
+            }
+        }
+        if now.as_millis().is_multiple_of(1000) {
+            let reader = vms.iter().find(|vm| vm.read_to + ms(1000) >= now);
+            let missing = reader.and_then(|vm| vm.known.missing_records(now).pop());
+            kept = missing.or(kept);
+        }
+        let began = vms.choose(&mut random).unwrap().usable(now).choose(&mut random).copied();
+        streams.extend(began.map(|version| (now, version)));
+        streams.retain(|(at, _)| now - *at < ms(60_000));
+        let (vm, stream) = (vms.choose(&mut random).unwrap(), streams.choose(&mut random));
+        if let Some((at, began)) = stream {
+            counts.resumed += 1;
+            if let Some(single) = vm.known.single(SERVICE, now) {
+                counts.bound += 1;
+                assert_eq!(single, version(began), "began at {at:?}, taken up at {now:?}");
+            }
+        }
+    }
+    counts
+}
+
+/// Guards against a stream that goes on at another version because the vm that takes it up, cut off
+/// from the list or just started, has not heard of the version that began it.
+#[test]
+fn a_stream_is_bound_without_a_look_up_only_to_its_version() {
+    for seed in 1..=8 {
+        let counts = run_fleet(seed);
+        assert!(counts.bound * 20 > counts.resumed, "seed {seed}: {counts:?}");
+    }
+}
