--- a/src/lib.rs
+++ b/src/lib.rs
@@ -60,12 +60,12 @@
 };
 pub use process::{
     AdapterId, Backoff, BlockRecord, BlockedPrompt, Claim, ClaimOutcome, ClaimRef, ConfigChange,
-    ControlState, DutyChange, DutyLeases, DutyLeasesSettings, EngineReport, EngineState,
-    EntryChange, Evidence, Fingerprint, Freshness, FreshnessSettings, GossipScope, GossipSource,
-    GroupAssignment, HubSelector, HubSelectorSettings, Join, LimitNotice, Load, LoadTracker,
-    LoadedModel, LogEntry, LogReading, Member, ModelDemand, ModelOrder, OrderIntent, OrderKind,
-    OrderOutcome, OrderResolution, OrderTarget, OrderTracker, OrderTrackerSettings, OriginSource,
-    PEER_LOAD_TTL, PlacementGossip, PlacementUpdate, PromptQuarantine, PromptVerdict,
+    ControlState, DECAY_INTERVAL, DutyChange, DutyLeases, DutyLeasesSettings, EngineReport,
+    EngineState, EntryChange, Evidence, Fingerprint, Freshness, FreshnessSettings, GossipScope,
+    GossipSource, GroupAssignment, HubSelector, HubSelectorSettings, Join, LimitNotice, Load,
+    LoadTracker, LoadedModel, LogEntry, LogReading, Member, ModelDemand, ModelOrder, OrderIntent,
+    OrderKind, OrderOutcome, OrderResolution, OrderTarget, OrderTracker, OrderTrackerSettings,
+    OriginSource, PEER_LOAD_TTL, PlacementGossip, PlacementUpdate, PromptQuarantine, PromptVerdict,
     QUARANTINE_THRESHOLD, QuarantineReport, RecentChanges, Record, Replay, ReplayPage,
     ReplayStatus, ReplicaPlanner, ReplicaPlannerSettings, RequestOutcome, SLOT_LEASE, SLOTS,
     SLOTS_PER_GROUP, ServiceVersions, ServiceVersionsSettings, SharedPrompt, SlotChange,
