--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -5,7 +5,7 @@
 
 use bytes::Bytes;
 use carob_platform::{ResponseKind, UpstreamHeaders, strip_response_headers};
-use carobglade::{AttemptOutcome, EventSplitter, RequestRate, UpstreamName};
+use carobglade::{AttemptOutcome, EventSplitter, RequestRate, SoftwareVersion, UpstreamName};
 use http::HeaderMap;
 
 use crate::choose::Choice;
@@ -106,6 +106,8 @@
 pub struct EventStream {
     /// The upstream that sends the stream.
     pub name: UpstreamName,
+    /// The version of the upstream's software.
+    pub version: SoftwareVersion,
     response: Box<IncomingResponse>,
     splitter: EventSplitter,
     ended: bool,
@@ -199,9 +201,14 @@
         ReceivedResponse::Full(response) => Ok(AttemptResponse::Full(response)),
         ReceivedResponse::Stream(response, splitter, events) => {
             let (status, headers) = (response.status, strip_response_headers(&response.headers));
-            let name = choice.entry.name.clone();
-            let remaining =
-                EventStream { name, response, splitter, ended: false, load: load_guard };
+            let remaining = EventStream {
+                name: choice.entry.name.clone(),
+                version: choice.entry.version.clone(),
+                response,
+                splitter,
+                ended: false,
+                load: load_guard,
+            };
             Ok(AttemptResponse::Stream(Box::new(StartedStream {
                 status,
                 headers,
@@ -232,6 +239,7 @@
     edge: Rc<Edge>,
     id: String,
     upstream: UpstreamName,
+    version: SoftwareVersion,
     estimate: Duration,
     running: u32,
     load_tokens: u64,
@@ -246,6 +254,7 @@
             edge: Rc::clone(edge),
             id: request.caller_headers.request_id.clone(),
             upstream: choice.entry.name.clone(),
+            version: choice.entry.version.clone(),
             estimate: choice.estimate,
             running: choice.running,
             load_tokens: choice.load_tokens,
@@ -261,7 +270,7 @@
 
     fn log(&self, end: &str) {
         let limit = self.head.limit.map(|limit| limit.to_string()).unwrap_or_default();
-        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, end = end, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
+        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
     }
 
     /// Records the result in the loads and in the log; a transport error marks the request as a
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -11,6 +11,7 @@
 use crate::attempts::{Attempts, FAILED_RETRY_AFTER};
 use crate::edge::{Edge, InFlightGuard};
 use crate::open_request::OpenRequest;
+use crate::origins;
 use crate::quarantine;
 use crate::relay::relay_stream;
 use crate::request::{CallerRequest, charge, read_request, refund};
@@ -74,12 +75,12 @@
         let mut pace = edge.token_pace.borrow_mut();
         pace.record_request(&request.service, request.token_rate());
     }
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), route = request.route.name.as_str(), service = request.service.as_str(), tenant = request.tenant.as_ref().map_or("", |t| t.name.as_str()), model = request.caller_headers.model.as_ref().map_or("", |m| m.as_str()), parts = request.prompt.to_string().as_str(), version = request.config.version, tokens = request.charged_tokens().0, prompt = request.prompt_tokens(), output = request.expected_output(), level = remaining_tokens(edge, &request), left = request.remaining_time(edge.now()).as_millis() as u64; "A request was admitted.");
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), route = request.route.name.as_str(), service = request.service.as_str(), tenant = request.tenant.as_ref().map_or("", |t| t.name.as_str()), model = request.caller_headers.model.as_ref().map_or("", |m| m.as_str()), parts = request.prompt.to_string().as_str(), version = request.config.version, resumes = request.resumes_label(), last = request.caller_headers.last_event.unwrap_or(0), tokens = request.charged_tokens().0, prompt = request.prompt_tokens(), output = request.expected_output(), level = remaining_tokens(edge, &request), left = request.remaining_time(edge.now()).as_millis() as u64; "A request was admitted.");
     let open = OpenRequest::new(edge, &request);
     let attempts = Attempts::new(edge, &request, AttemptHistory::default());
     let limit = request.remaining_time(edge.now());
     let outcome = tokio::select! {
-        result = attempts.first_response(None) => result,
+        result = first_response(edge, &request, &attempts) => result,
         () = tokio::time::sleep(limit) => Err(timeout_error(attempts.history())),
         () = aborted_by_shutdown(edge, &attempts) => Err(shutdown_error(attempts.history())),
         err = quarantine::wait_until_blocked(edge, &request.prompt) => Err(attempts.hide_not_run(err)),
@@ -105,6 +106,16 @@
     }
 }
 
+/// Tries upstreams, those of the version that began the stream if the request resumes one.
+async fn first_response(
+    edge: &Rc<Edge>,
+    request: &CallerRequest,
+    attempts: &Attempts<'_>,
+) -> Result<AttemptResponse> {
+    origins::bind(edge, request).await?;
+    attempts.first_response(None).await
+}
+
 /// Completes when the shutdown aborts a request: when draining starts, if the request was not sent
 /// to any upstream yet; before the process exits, if there is no response by then. A request
 /// accepted while draining is exempt from the first case because its deadline fits.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -65,13 +65,15 @@
     GossipSource, GroupAssignment, HubSelector, HubSelectorSettings, Join, LimitNotice, Load,
     LoadTracker, LoadedModel, LogEntry, LogReading, Member, ModelDemand, ModelOrder, OrderIntent,
     OrderKind, OrderOutcome, OrderResolution, OrderTarget, OrderTracker, OrderTrackerSettings,
-    PEER_LOAD_TTL, PlacementGossip, PlacementUpdate, PromptQuarantine, PromptVerdict,
+    OriginSource, PEER_LOAD_TTL, PlacementGossip, PlacementUpdate, PromptQuarantine, PromptVerdict,
     QUARANTINE_THRESHOLD, QuarantineReport, RecentChanges, Record, Replay, ReplayPage,
     ReplayStatus, ReplicaPlanner, ReplicaPlannerSettings, RequestOutcome, SLOT_LEASE, SLOTS,
-    SLOTS_PER_GROUP, SharedPrompt, SlotChange, SlotHolder, SlotTable, Snapshot, StateMachine,
-    Suspect, Suspects, Suspicion, Turn, UpstreamCrash, UpstreamEntry, UpstreamLimits,
-    UpstreamRegistry, UpstreamRegistrySettings, UpstreamRestart, UsageRelay, UsageReport, Verdict,
-    VerdictChange, VerdictReason, VmProfile, VmRef, name_hash, tenant_slots,
+    SLOTS_PER_GROUP, ServiceVersions, ServiceVersionsSettings, SharedPrompt, SlotChange,
+    SlotHolder, SlotTable, Snapshot, StateMachine, StreamKey, StreamOrigin, StreamOrigins,
+    StreamOriginsSettings, Suspect, Suspects, Suspicion, Turn, UpstreamCrash, UpstreamEntry,
+    UpstreamLimits, UpstreamRegistry, UpstreamRegistrySettings, UpstreamRestart, UsageRelay,
+    UsageReport, Verdict, VerdictChange, VerdictReason, VersionRecord, VmProfile, VmRef, name_hash,
+    tenant_slots,
 };
 pub use request::claim::{
     ClaimDecision, ClaimPhase, ClaimState, KEY_RETENTION, RESPONSE_RETENTION, WinningClaim,
@@ -86,8 +88,8 @@
     extract_api_key, is_credential_header, strip_query_keys,
 };
 pub use units::{
-    ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RequestRate, TenantName,
-    TokenRate, Tokens, UpstreamName, VmName,
+    ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RequestRate, SoftwareVersion,
+    TenantName, TokenRate, Tokens, UpstreamName, VmName,
 };
 pub use version::{
     CallerLimits, Change, Config, ConfigProblem, ConfigWire, Difference, DifferenceKind, Engine,
