ORDER: a record of versions is shortened only by a vm that reads the list

A vm that is told of a new version by the log's record before it reads the list, or that cannot read the list, would have left the version out of the record; a vm that started with no record would have written one without the versions that left before. A vm that starts after the loss of all would then bind streams of several versions to one. A version is now left out only 90 s after the record changed, by a vm whose list is fresh; a gap in the reading of the list starts the 90 s again. Tests: a_record_that_is_ahead_of_the_list_stays, a_version_is_left_out_of_a_record_only_after_its_streams_have_ended, after_a_gap_in_the_list_a_process_needs_a_record_or_time_again.

--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -45,6 +45,8 @@
 #[derive(Default)]
 pub(super) struct UpstreamSink {
     unreadable: u64,
+    /// Whether a snapshot was read before.
+    has_snapshot: bool,
 }
 
 impl RecordSink for UpstreamSink {
@@ -57,6 +59,9 @@
 
     fn on_snapshot(&mut self, edge: &Edge, records: &[KeyedRecord]) {
         let now = edge.now();
+        if std::mem::replace(&mut self.has_snapshot, true) {
+            edge.origins.versions.borrow_mut().record_gap(now);
+        }
         let live = records.iter().filter(|record| !record.value.is_empty());
         let names: Vec<UpstreamName> = live.filter_map(|record| record.key.parse().ok()).collect();
         for record in records {
@@ -149,7 +154,7 @@
 /// Applies the versions of a service.
 fn apply_versions(edge: &Edge, record: &KeyedRecord) -> bool {
     match serde_json::from_slice::<VersionRecord>(&record.value) {
-        Ok(versions) => edge.origins.versions.borrow_mut().apply_record(versions),
+        Ok(versions) => edge.origins.versions.borrow_mut().apply_record(versions, edge.now()),
         Err(err) => {
             log::warn!(target: "versions", key = record.key.as_str(), error:% = err; "Version record cannot be decoded.");
         }
--- a/crates/carob-edge/src/origin_log.rs
+++ b/crates/carob-edge/src/origin_log.rs
@@ -166,7 +166,7 @@
             edge.metrics.record_store_call(VM_TOPIC);
             let versions: Vec<String> = record.versions.iter().map(ToString::to_string).collect();
             log::info!(target: "versions", service = record.service.as_str(), versions = versions.join(",").as_str(); "The versions of a service were written to the log.");
-            edge.origins.versions.borrow_mut().apply_record(record);
+            edge.origins.versions.borrow_mut().apply_record(record, edge.now());
         }
         Err(err) => {
             edge.metrics.record_store_failure(VM_TOPIC);
--- a/src/process/service_versions.rs
+++ b/src/process/service_versions.rs
@@ -74,7 +74,15 @@
 struct KnownService {
     listed: BTreeMap<SoftwareVersion, ListedVersion>,
     /// The versions that the log keeps; none if it keeps no record.
-    kept: Option<BTreeSet<SoftwareVersion>>,
+    kept: Option<KeptVersions>,
+}
+
+/// The versions in a record of the log.
+#[derive(Clone, Debug)]
+struct KeptVersions {
+    versions: BTreeSet<SoftwareVersion>,
+    /// Since when this process has known them.
+    since: Duration,
 }
 
 /// The versions of all services, as one process knows them.
@@ -128,9 +136,19 @@
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
     }
 
+    /// Records that changes of the list may have been missed up to `now`, because it was read anew
+    /// instead of change by change.
+    pub fn record_gap(&mut self, now: Duration) {
+        self.first_start = false;
+        self.read_since = self.read_since.map(|_| now);
+    }
+
     /// Applies a record that the log keeps.
-    pub fn apply_record(&mut self, record: VersionRecord) {
-        self.services.entry(record.service).or_default().kept = Some(record.versions);
+    pub fn apply_record(&mut self, record: VersionRecord, now: Duration) {
+        let known = self.services.entry(record.service).or_default();
+        let same = known.kept.as_ref().filter(|kept| kept.versions == record.versions);
+        let since = same.map_or(now, |kept| kept.since);
+        known.kept = Some(KeptVersions { versions: record.versions, since });
     }
 
     /// Returns the listed versions of a service that are not to be used yet; as a rule none.
@@ -143,8 +161,13 @@
     /// Returns the one version that can have begun the streams of a service; none if several can
     /// have, or if this process cannot tell.
     pub fn single(&self, service: &str, now: Duration) -> Option<SoftwareVersion> {
-        let age = now.saturating_sub(self.confirmed_at?);
-        (age < self.settings.hold_time).then(|| self.only_version(service, now)).flatten()
+        self.is_fresh(now).then(|| self.only_version(service, now)).flatten()
+    }
+
+    /// Reports whether the list was read lately enough to name each version that is used.
+    fn is_fresh(&self, now: Duration) -> bool {
+        let age = self.confirmed_at.map(|at| now.saturating_sub(at));
+        age.is_some_and(|age| age < self.settings.hold_time)
     }
 
     /// Reports whether streams of a service may have begun at several versions.
@@ -183,28 +206,40 @@
     }
 
     fn possible_versions(&self, known: &KnownService, now: Duration) -> BTreeSet<SoftwareVersion> {
-        let kept = known.kept.iter().flatten().cloned();
+        let kept = known.kept.iter().flat_map(|kept| &kept.versions).cloned();
         self.recently_listed(known, now).into_iter().chain(kept).collect()
     }
 
     /// Returns the records that the log should keep and does not. A version is left out only by a
-    /// process that has not seen it for the whole time in which its streams can be resumed.
+    /// process that has seen neither it in the list nor a change of the record for the whole time in
+    /// which its streams can be resumed.
     pub fn missing_records(&self, now: Duration) -> Vec<VersionRecord> {
-        if self.read_since.is_none() {
-            return Vec::new();
-        }
-        let seen_all = self.has_seen_all(now);
         let wanted = self.services.iter().filter_map(|(service, known)| {
-            let versions = match seen_all {
-                true => self.recently_listed(known, now),
-                false => self.possible_versions(known, now),
-            };
-            let changed = !versions.is_empty() && known.kept.as_ref() != Some(&versions);
-            changed.then(|| VersionRecord { service: service.clone(), versions })
+            let versions = self.wanted_versions(known, now)?;
+            let same = known.kept.as_ref().is_some_and(|kept| kept.versions == versions);
+            (!same).then(|| VersionRecord { service: service.clone(), versions })
         });
         wanted.collect()
     }
 
+    fn wanted_versions(
+        &self,
+        known: &KnownService,
+        now: Duration,
+    ) -> Option<BTreeSet<SoftwareVersion>> {
+        let is_old = |kept: &KeptVersions| {
+            now.saturating_sub(kept.since) >= self.settings.stream_memory && self.is_fresh(now)
+        };
+        let versions = match &known.kept {
+            None if !self.has_seen_all(now) => return None,
+            Some(kept) if !self.has_seen_all(now) || !is_old(kept) => {
+                self.possible_versions(known, now)
+            }
+            _ => self.recently_listed(known, now),
+        };
+        (!versions.is_empty()).then_some(versions)
+    }
+
     /// Forgets versions whose streams can no longer be resumed.
     pub fn expire(&mut self, now: Duration) {
         let memory = self.settings.stream_memory;
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -54,9 +54,9 @@
     let mut known = reading(false, &["v1"], ms(100));
     assert_eq!(known.single(SERVICE, ms(200)), None);
     let mut told = known.clone();
-    told.apply_record(record(&["v1"]));
+    told.apply_record(record(&["v1"]), ms(150));
     assert_eq!(told.single(SERVICE, ms(200)), Some(version("v1")));
-    told.apply_record(record(&["v1", "v2"]));
+    told.apply_record(record(&["v1", "v2"]), ms(160));
     assert_eq!(told.single(SERVICE, ms(200)), None);
     read(&mut known, &["v1"], ms(90_100));
     assert_eq!(known.single(SERVICE, ms(90_200)), Some(version("v1")));
@@ -95,16 +95,46 @@
 fn records_follow_what_is_listed() {
     let mut known = reading(true, &["v1"], ms(0));
     assert_eq!(known.missing_records(ms(0)), [record(&["v1"])]);
-    known.apply_record(record(&["v1"]));
+    known.apply_record(record(&["v1"]), ms(0));
     assert!(known.missing_records(ms(0)).is_empty());
     read(&mut known, &["v1", "v2"], ms(50));
     assert_eq!(known.missing_records(ms(50)), [record(&["v1", "v2"])]);
+}
+
+#[test]
+fn a_version_is_left_out_of_a_record_only_after_its_streams_have_ended() {
     // A process that has just started does not leave out what it has not seen.
     let mut started = reading(false, &["v2"], ms(100));
-    started.apply_record(record(&["v1", "v2"]));
-    assert!(started.missing_records(ms(100)).is_empty());
+    assert!(started.missing_records(ms(100)).is_empty(), "it cannot know of other versions");
+    started.apply_record(record(&["v1", "v2"]), ms(200));
+    assert!(started.missing_records(ms(200)).is_empty());
+    read(&mut started, &["v2"], ms(90_100));
+    assert!(started.missing_records(ms(90_100)).is_empty(), "the record is younger");
     read(&mut started, &["v2"], ms(90_200));
     assert_eq!(started.missing_records(ms(90_200)), [record(&["v2"])]);
+    // One that does not read the list now leaves out nothing.
+    assert!(started.missing_records(ms(95_000)).is_empty());
+}
+
+/// Guards against a vm that is told of a new version by the log's record before it reads the list.
+#[test]
+fn a_record_that_is_ahead_of_the_list_stays() {
+    let mut known = reading(true, &["v1"], ms(0));
+    known.apply_record(record(&["v1"]), ms(0));
+    read(&mut known, &["v1"], ms(100_000));
+    known.apply_record(record(&["v1", "v2"]), ms(100_000));
+    assert!(known.missing_records(ms(100_000)).is_empty());
+    assert_eq!(known.single(SERVICE, ms(100_000)), None);
+}
+
+#[test]
+fn after_a_gap_in_the_list_a_process_needs_a_record_or_time_again() {
+    let mut known = reading(true, &["v1"], ms(0));
+    known.record_gap(ms(50_000));
+    read(&mut known, &["v1"], ms(50_000));
+    assert_eq!(known.single(SERVICE, ms(50_000)), None);
+    read(&mut known, &["v1"], ms(140_000));
+    assert_eq!(known.single(SERVICE, ms(140_000)), Some(version("v1")));
 }
 
 #[test]
@@ -184,7 +214,7 @@
 impl Vm {
     fn start(first_start: bool, kept: Option<&VersionRecord>, now: Duration) -> Self {
         let mut known = ServiceVersions::new(ServiceVersionsSettings::default(), first_start);
-        kept.into_iter().for_each(|kept| known.apply_record(kept.clone()));
+        kept.into_iter().for_each(|kept| known.apply_record(kept.clone(), now));
         Vm { known, listed: BTreeSet::new(), read_to: now, next_read: now }
     }
 
@@ -196,7 +226,7 @@
             self.listed.clone_from(versions);
         }
         self.known.record_reading(now);
-        kept.into_iter().for_each(|kept| self.known.apply_record(kept.clone()));
+        kept.into_iter().for_each(|kept| self.known.apply_record(kept.clone(), now));
         self.known.expire(now);
         self.read_to = now;
     }
