--- a/crates/carobctl/src/explain.rs
+++ b/crates/carobctl/src/explain.rs
@@ -64,7 +64,8 @@
 
     fn add_line(&mut self, line: Line, id: &str, vm: &str) {
         self.dropped += number_field(&line, "dropped");
-        if text_field(&line, "id") == id {
+        // A caller that takes up the stream of the request names it in a request of its own.
+        if text_field(&line, "id") == id || text_field(&line, "resumes") == id {
             if self.lines.iter().all(|(known, _)| known != vm) {
                 let own = self.latest_state.iter().filter(|((of, _), _)| of == vm);
                 self.state_at_arrival
@@ -143,10 +144,12 @@
     }
 }
 
-/// Formats the fields of a line that are not printed elsewhere.
-fn details(line: &Line) -> String {
-    let known = ["time", "level", "part", "text", "id", "vm", "dropped"];
-    let rest = line.iter().filter(|(name, _)| !known.contains(&name.as_str()));
+/// Formats the fields of a line that are not printed elsewhere; its id if it is not `id`.
+fn details(line: &Line, id: &str) -> String {
+    let known = ["time", "level", "part", "text", "vm", "dropped"];
+    let is_known =
+        |name: &str| known.contains(&name) || (name == "id" && text_field(line, name) == id);
+    let rest = line.iter().filter(|(name, _)| !is_known(name));
     let shown = rest.map(|(name, value)| match value {
         Value::String(text) => format!("{name}={text}"),
         other => format!("{name}={other}"),
@@ -160,7 +163,7 @@
     writeln!(out, "request {id}, from {first} ms since 1970\n")?;
     for (vm, line) in &trace.lines {
         let at = number_field(line, "time").saturating_sub(first);
-        writeln!(out, "{at:>7} ms  {vm}  {}  {}", text_field(line, "text"), details(line))?;
+        writeln!(out, "{at:>7} ms  {vm}  {}  {}", text_field(line, "text"), details(line, id))?;
     }
     writeln!(out, "\nwhat the vm believed when the request came:")?;
     let named = trace.upstreams();
@@ -170,7 +173,12 @@
     };
     for (vm, line) in trace.state_at_arrival.iter().filter(|(_, line)| is_relevant(line)) {
         let age = first.saturating_sub(number_field(line, "time"));
-        writeln!(out, "{age:>7} ms before  {vm}  {}  {}", text_field(line, "text"), details(line))?;
+        writeln!(
+            out,
+            "{age:>7} ms before  {vm}  {}  {}",
+            text_field(line, "text"),
+            details(line, id)
+        )?;
     }
     let others = trace.state_at_arrival.iter().filter(|(_, line)| !is_relevant(line)).count();
     if others > 0 {
--- a/crates/carobctl/tests/explain.rs
+++ b/crates/carobctl/tests/explain.rs
@@ -119,3 +119,17 @@
     assert_eq!(output.status.code(), Some(2));
     assert!(String::from_utf8_lossy(&output.stderr).contains("nobody"));
 }
+
+/// Guards against a refused resumption that cannot be traced from the request that began the stream.
+#[test]
+fn a_resumption_is_part_of_the_story_of_the_stream_that_it_names() {
+    let log = r#"{"vm":"v","time":1000,"part":"request","text":"An upstream was tried.","id":"abc","upstream":"e-1","version":"v1","end":"open"}
+{"vm":"v","time":1900,"part":"request","text":"A caller takes up a stream.","id":"def","resumes":"abc","source":"own","version":"v1","serving":"v2","outcome":"no_upstream"}
+{"vm":"v","time":1901,"part":"request","text":"A request was refused.","id":"def","kind":"stream_not_resumable"}
+"#;
+    let text = String::from_utf8(explain(&[("v.log", log)], "abc", false).stdout).unwrap();
+    assert!(text.contains("A caller takes up a stream.  id=def"), "{text}");
+    assert!(text.contains("source=own") && text.contains("serving=v2"), "{text}");
+    let text = String::from_utf8(explain(&[("v.log", log)], "def", false).stdout).unwrap();
+    assert!(text.contains("resumes=abc") && text.contains("stream_not_resumable"), "{text}");
+}
