ORDER: streams that may not be resumed are told to nobody

While a service has several versions, vms told each other and the log of every stream, also of those on routes that are not resumable.

--- a/crates/carob-edge/src/origins.rs
+++ b/crates/carob-edge/src/origins.rs
@@ -135,7 +135,9 @@
 /// Binds a request to the version of the upstream that sends its first events, and tells other vms
 /// unless one version alone can begin streams of the service.
 pub fn record_start(edge: &Edge, request: &CallerRequest, version: &SoftwareVersion) {
-    if request.stream_version.set(version.clone()).is_err() {
+    let bound_before = request.stream_version.set(version.clone()).is_err();
+    // A stream that may not be resumed is bound, but nobody will ask for it.
+    if bound_before || !request.route.kind.is_repeatable() {
         return;
     }
     let now = edge.now();
