--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod group;
 mod handle;
 mod listener;
+mod load_guard;
 mod logging;
 mod metrics;
 mod open_request;
--- a/crates/carob-entry/src/lib.rs
+++ b/crates/carob-entry/src/lib.rs
@@ -3,6 +3,7 @@
 //! The modules in `state` hold the state, and `shared_state` combines them. The other modules are
 //! the tasks and request handlers that work on this state.
 
+mod active_call;
 mod admin;
 mod append;
 mod attempts;
--- a/crates/carob-entry/src/model_calls.rs
+++ b/crates/carob-entry/src/model_calls.rs
@@ -8,12 +8,13 @@
 use bytes::Bytes;
 use carob_net::{ChunkSender, Reply, StreamingResponse, watch_silence};
 use carobglade::{
-    Config, Error, ErrorKind, Fingerprint, InactivityTimeout, ModelCall, Record, RequestClass,
-    Reservation, Result, Tenant, Tokens, UpstreamName,
+    Config, Error, ErrorKind, Fingerprint, InactivityTimeout, ModelCall, RequestClass, Result,
+    Tenant, Tokens, UpstreamName,
 };
 use serde_json::{Value, json};
 use tokio::sync::mpsc::UnboundedSender;
 
+use crate::active_call::ActiveCall;
 use crate::attempts::{AttemptEvent, Attempts, FailedAttempt};
 use crate::caller_request::CallerRequest;
 use crate::dispatch;
@@ -22,7 +23,7 @@
 use crate::reservation;
 use crate::settings::millis;
 use crate::shared_state::SharedState;
-use crate::state::{InFlight, UpstreamRequirements};
+use crate::state::InFlight;
 use crate::token_counter::TokenCounter;
 
 /// Maximum attempts of a request, including the first.
@@ -47,53 +48,6 @@
     Reply::json(200, &json!({ "object": "list", "data": data }))
 }
 
-/// A completion request in progress. Dropping the call without settling it refunds its reservation.
-struct ActiveCall {
-    shared: Arc<SharedState>,
-    tenant: Tenant,
-    class: RequestClass,
-    model_call: ModelCall,
-    outgoing: UpstreamRequest,
-    started: Duration,
-    reservation: Option<Reservation>,
-    _guard: InFlight,
-}
-
-impl Drop for ActiveCall {
-    fn drop(&mut self) {
-        self.settle(Tokens(0));
-    }
-}
-
-impl ActiveCall {
-    /// Charges the tokens used and refunds the rest of the reservation.
-    fn settle(&mut self, used: Tokens) {
-        let Some(reservation) = self.reservation.take() else {
-            return;
-        };
-        let now = self.shared.now();
-        self.shared.quota.settle(reservation, used, now);
-        self.shared.metrics.count_tokens(self.tenant.name.as_str(), used.0);
-    }
-
-    fn requirements(&self, tried: &BTreeSet<UpstreamName>) -> UpstreamRequirements {
-        UpstreamRequirements {
-            tenant: self.tenant.name.clone(),
-            class: self.class,
-            model: self.model_call.model.clone(),
-            prefix: self.model_call.prefix.clone(),
-            cost: self.model_call.max_charge(),
-            request: self.outgoing.request,
-            tried: tried.clone(),
-        }
-    }
-
-    fn record_time(&self) {
-        let time = self.shared.now() - self.started;
-        self.shared.metrics.record_request_time(self.tenant.name.as_str(), self.class, time);
-    }
-}
-
 /// Handles a completion request.
 pub async fn handle_completion(
     shared: Arc<SharedState>,
@@ -358,7 +312,7 @@
     let mut counter = TokenCounter::default();
     counter.add_chunk(&body);
     let used = if status == 200 { call.model_call.prompt_tokens.0 + counter.tokens() } else { 0 };
-    finish(&mut call, &permit, Tokens(used));
+    call.finish(&permit, Tokens(used));
     Ok(Reply::new(status, "application/json", body).with_headers(headers))
 }
 
@@ -388,7 +342,7 @@
                 "model: caller of request {} closed the connection or stopped reading",
                 call.outgoing.id
             );
-            return finish(&mut call, &permit, used);
+            return call.finish(&permit, used);
         }
         let waiting = forward::next_chunk(
             &shared,
@@ -411,21 +365,8 @@
         call.settle(used);
         return;
     }
-    finish(&mut call, &permit, used);
+    call.finish(&permit, used);
     if counter.is_complete() {
         tx.finish().await;
     }
 }
-
-/// Records a success of the upstream, also for a stream that the caller abandoned, charges the
-/// tokens, and clears the request of suspicion if it was in flight during crashes.
-fn finish(call: &mut ActiveCall, permit: &Permit, used: Tokens) {
-    let shared = Arc::clone(&call.shared);
-    shared.upstreams.record_result(&permit.upstream, Ok(()), shared.now());
-    call.settle(used);
-    call.record_time();
-    let crashes = shared.log_state.crash_count(call.outgoing.request);
-    if crashes > 0 {
-        drop(shared.control_batcher.add(Record::SuspicionCleared(call.outgoing.request)));
-    }
-}
