--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -310,3 +310,56 @@
         assert!(counts.bound * 20 > counts.resumed, "seed {seed}: {counts:?}");
     }
 }
+
+/// Guards against a new version that a process uses at once because its first reading of the list
+/// already names it, while others, whose list is older, still take the version before for the only
+/// one.
+#[test]
+fn a_process_that_has_just_started_does_not_use_a_version_that_others_do_not_know() {
+    let mut other = reading(true, &["v1"], ms(0));
+    read(&mut other, &["v1"], ms(99_000));
+    other.apply_record(record(&["v1"]), ms(99_000));
+    // The list names v2 from 100 s on; a process starts, with the record of the versions before.
+    let mut started = ServiceVersions::new(ServiceVersionsSettings::default(), false);
+    started.apply_record(record(&["v1"]), ms(100_100));
+    read(&mut started, &["v1", "v2"], ms(100_100));
+    let uses_v2 = !started.held_back(SERVICE, ms(100_200)).contains(&version("v2"));
+    let single = other.single(SERVICE, ms(100_300));
+    assert!(!uses_v2 || single != Some(version("v1")), "a stream of v2 is bound to {single:?}");
+}
+
+/// Guards against a version that comes back and is used at once by a process that remembers it
+/// some seconds longer than others do.
+#[test]
+fn a_version_that_comes_back_is_not_used_before_others_know_it() {
+    let mut user = reading(true, &["v1", "v2"], ms(0));
+    let mut other = user.clone();
+    // v2 leaves the list at 10 s. The process notes it again every 5 s as long as it is listed.
+    read(&mut user, &["v1", "v2"], ms(9900));
+    read(&mut other, &["v1", "v2"], ms(5000));
+    for at in [50_000, 95_500] {
+        for known in [&mut user, &mut other] {
+            read(known, &["v1"], ms(at));
+            known.expire(ms(at));
+        }
+    }
+    // It comes back at 96 s.
+    read(&mut user, &["v1", "v2"], ms(96_100));
+    let uses_v2 = !user.held_back(SERVICE, ms(96_200)).contains(&version("v2"));
+    let single = other.single(SERVICE, ms(96_300));
+    assert!(!uses_v2 || single != Some(version("v1")), "a stream of v2 is bound to {single:?}");
+}
+
+/// Guards against a record from before a gap in the list, which cannot name what came and went
+/// during the gap.
+#[test]
+fn a_record_from_before_a_gap_does_not_make_a_version_single() {
+    let mut known = reading(true, &["v1"], ms(0));
+    known.apply_record(record(&["v1"]), ms(0));
+    // Cut off for 40 s, in which others use v2, write it to the record, and v2 is withdrawn.
+    known.record_gap(ms(40_000));
+    read(&mut known, &["v1"], ms(40_000));
+    assert_eq!(known.single(SERVICE, ms(40_100)), None, "the record may be older than the gap");
+    known.apply_record(record(&["v1", "v2"]), ms(41_000));
+    assert_eq!(known.single(SERVICE, ms(41_000)), None);
+}
