ORDER: a vm that has just started holds new versions back, and what it cannot know it waits for

Cause: the argument that a single version needs no look-up rests on every vm holding a new version back for 3 s, and did not hold for the first reading of a vm, for a version that comes back, and for records from before a gap in the list. Streams were told to other vms only when a service had several versions, not when a vm could no longer tell. Waits for the list of vms and for the log had no bound, or none at all.

Change: what a first reading lists is held back unless the log's record names it or the whole system starts for the first time; a version that was away for 10 s is new again; a record counts only if it was read after the list had its gap. Streams are told as soon as no single version is known, and once the list of vms is. A resumption waits up to 1 s for that list and 0.6 s for the log. After a wait for a turn an upstream that started again is not used. Versions are held back only where another upstream has the model, and only from streams that may be resumed. Reads of the topic scale with the fleet (500 a second at most).

--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -5,7 +5,8 @@
 
 use carobglade::{
     AdapterId, DispatchCandidate, DispatchDecision, DispatchSettings, Error, ErrorKind,
-    GossipSource, RequestTiming, Result, UpstreamEntry, UpstreamName, dispatch,
+    GossipSource, RequestTiming, Result, RouteKind, SoftwareVersion, UpstreamEntry, UpstreamName,
+    dispatch,
 };
 use rand::Rng;
 
@@ -89,9 +90,12 @@
     }
     let choice = dispatch_request(edge, request, open)?;
     let has_turn = turns::wait_for_turn(edge, &choice.entry, max_wait).await;
-    // The upstream may have announced in the meantime that it is leaving.
+    // The upstream may have announced in the meantime that it is leaving, or started again.
     let view = edge.view.borrow();
-    let accepts = view.upstreams.entry(&choice.entry.name).is_some_and(|entry| !entry.draining);
+    let accepts = view
+        .upstreams
+        .entry(&choice.entry.name)
+        .is_some_and(|entry| !entry.draining && entry.started_ms == choice.entry.started_ms);
     Ok((has_turn && accepts).then_some(choice))
 }
 
@@ -117,28 +121,34 @@
 }
 
 /// Returns which upstreams a request may go to by the version of their software: a stream that has
-/// begun only to those of its version, a new one not to a version that other vms may not know yet,
-/// unless there is no other.
+/// begun only to those of its version, a new one that may be resumed not to a version that other vms
+/// may not know yet, unless no other has its model.
 fn version_filter<'a>(
     edge: &Edge,
     request: &'a CallerRequest,
 ) -> impl Fn(&UpstreamEntry) -> bool + 'a {
-    let service = request.service.as_str();
-    let mut held_back = match request.route.kind.is_stream() {
-        true => edge.origins.versions.borrow().held_back(service, edge.now()),
-        false => Vec::new(),
-    };
-    let view = edge.view.borrow();
-    let is_held_back = |entry: &UpstreamEntry| held_back.contains(&entry.version);
-    if !held_back.is_empty() && view.upstreams.accepting(service).all(is_held_back) {
-        held_back.clear();
-    }
+    let held_back = held_back_versions(edge, request);
     move |entry| match request.stream_version.get() {
         Some(version) => entry.version == *version,
         None => !held_back.contains(&entry.version),
     }
 }
 
+fn held_back_versions(edge: &Edge, request: &CallerRequest) -> Vec<SoftwareVersion> {
+    let RouteKind::Stream { resumable: true } = request.route.kind else {
+        return Vec::new();
+    };
+    let held_back = edge.origins.versions.borrow().held_back(&request.service, edge.now());
+    if held_back.is_empty() {
+        return held_back;
+    }
+    let view = edge.view.borrow();
+    let mut holding = view.upstreams.accepting(&request.service);
+    let has_other = holding
+        .any(|entry| !held_back.contains(&entry.version) && is_eligible(edge, request, &[], entry));
+    if has_other { held_back } else { Vec::new() }
+}
+
 /// Reports whether an upstream that is not among `tried` has the version that a stream is bound to,
 /// so that a wait for its model makes sense; true for a request that is not bound.
 fn has_bound_version(edge: &Edge, request: &CallerRequest, tried: &[UpstreamName]) -> bool {
--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -203,7 +203,8 @@
         true
     }
 
-    fn on_confirmed(&mut self, edge: &Edge, _confirmed_at: Duration) {
+    fn on_confirmed(&mut self, edge: &Edge, confirmed_at: Duration) {
+        edge.origins.versions.borrow_mut().record_records_reading(confirmed_at);
         edge.view.borrow_mut().vms_known = true;
         edge.update_fleet_size();
     }
--- a/crates/carob-edge/src/origin_log.rs
+++ b/crates/carob-edge/src/origin_log.rs
@@ -24,8 +24,11 @@
 const WRITE_MAX_BACKOFF: Duration = Duration::from_secs(2);
 /// Maximum number of streams in a record of the log.
 const MAX_RECORD_STREAMS: usize = 2000;
-/// Minimum time between two reads, so that requests that name unknown streams cost no more.
+/// Minimum time between two reads, so that requests that name unknown streams cost no more, in a
+/// small fleet.
 const MIN_READ_INTERVAL: Duration = Duration::from_millis(250);
+/// Reads a second of all vms together, at most; a quarter of what the platform allows.
+const MAX_READ_RATE: f64 = 500.0;
 /// Records that are read at most: those of the time for which streams are remembered.
 const MAX_READ_RECORDS: u64 = 10_000;
 /// Interval at which the versions of services are compared with the log.
@@ -87,7 +90,8 @@
         return true;
     }
     if let Some(at) = last {
-        let pause = (at + MIN_READ_INTERVAL).saturating_sub(edge.now());
+        let fleet_interval = Duration::from_secs_f64(edge.fleet_size() as f64 / MAX_READ_RATE);
+        let pause = (at + MIN_READ_INTERVAL.max(fleet_interval)).saturating_sub(edge.now());
         tokio::time::sleep(pause).await;
     }
     let started = edge.now();
--- a/crates/carob-edge/src/origins.rs
+++ b/crates/carob-edge/src/origins.rs
@@ -25,6 +25,12 @@
 const OWNERS: usize = 3;
 /// Maximum number of streams in a datagram, which fits into one packet.
 const MAX_TOLD: usize = 32;
+/// Time for which a resumption waits for the list of vms, where that alone may tell the version.
+const VM_LIST_TIMEOUT: Duration = Duration::from_secs(1);
+/// Interval at which such a resumption looks again.
+const VM_LIST_INTERVAL: Duration = Duration::from_millis(20);
+/// Time within which the log answers the question for a stream.
+const LOG_TIMEOUT: Duration = Duration::from_millis(600);
 /// Retry time of a resumption that is refused.
 const RESUME_RETRY_AFTER: Duration = Duration::from_millis(600);
 
@@ -93,21 +99,22 @@
     edge: &Rc<Edge>,
     request: &CallerRequest,
 ) -> (Option<SoftwareVersion>, OriginSource) {
-    let key = request.resumed_key();
-    let known = key.and_then(|key| edge.origins.version(key));
-    let single = || {
-        let single = edge.origins.versions.borrow().single(&request.service, edge.now());
-        single.map(|version| (version, OriginSource::Single))
-    };
-    if let Some((version, source)) = known.or_else(single) {
+    if let Some((version, source)) = look_up_here(edge, request) {
         return (Some(version), source);
     }
-    let Some(key) = key else {
+    if !edge.view.borrow().vms_known {
+        wait_for_vms(edge).await;
+        if let Some((version, source)) = look_up_here(edge, request) {
+            return (Some(version), source);
+        }
+    }
+    let Some(key) = request.resumed_key() else {
         return (None, OriginSource::Unknown);
     };
     let mut found = ask(edge, key).await;
-    if found.is_none() && origin_log::read_to_end(edge).await {
-        found = edge.origins.version(key);
+    if found.is_none() {
+        let read = tokio::time::timeout(LOG_TIMEOUT, origin_log::read_to_end(edge)).await;
+        found = read.is_ok_and(|whole| whole).then(|| edge.origins.version(key)).flatten();
     }
     match found {
         Some((version, source)) => (Some(version), source),
@@ -115,6 +122,23 @@
     }
 }
 
+/// Returns the version of a stream by what this process knows.
+fn look_up_here(edge: &Edge, request: &CallerRequest) -> Option<(SoftwareVersion, OriginSource)> {
+    let known = request.resumed_key().and_then(|key| edge.origins.version(key));
+    known.or_else(|| {
+        let single = edge.origins.versions.borrow().single(&request.service, edge.now());
+        single.map(|version| (version, OriginSource::Single))
+    })
+}
+
+/// Waits until the list of vms was read, which also holds the versions of services.
+async fn wait_for_vms(edge: &Edge) {
+    let until = edge.now() + VM_LIST_TIMEOUT;
+    while !edge.view.borrow().vms_known && edge.now() < until {
+        tokio::time::sleep(VM_LIST_INTERVAL).await;
+    }
+}
+
 /// Asks other vms for a stream.
 async fn ask(edge: &Rc<Edge>, key: StreamKey) -> Option<(SoftwareVersion, OriginSource)> {
     for address in addresses(edge, key) {
@@ -219,15 +243,18 @@
     }
 }
 
-/// Forgets streams and versions that no longer matter. When a service has several versions for the
-/// first time, other vms are told of all streams that began here.
+/// Forgets streams and versions that no longer matter. Once no single version is known to have begun
+/// the streams of a service, other vms are told of all streams that began here.
 pub fn maintain(edge: &Edge) {
     let now = edge.now();
     edge.origins.streams.borrow_mut().expire(now);
     edge.origins.versions.borrow_mut().expire(now);
-    let mixed = edge.origins.versions.borrow().mixed_services(now);
-    let before = edge.origins.told_services.replace(mixed.clone());
-    let added: Vec<&String> = mixed.difference(&before).collect();
+    if !edge.view.borrow().vms_known {
+        return;
+    }
+    let uncertain = edge.origins.versions.borrow().uncertain_services(now);
+    let before = edge.origins.told_services.replace(uncertain.clone());
+    let added: Vec<&String> = uncertain.difference(&before).collect();
     if added.is_empty() {
         return;
     }
--- a/src/process/service_versions.rs
+++ b/src/process/service_versions.rs
@@ -62,6 +62,12 @@
     }
 }
 
+/// Time within which the log keeps a version after a process first saw it listed.
+const RECORD_DELAY: Duration = Duration::from_secs(1);
+/// Time without a version in the list from which it counts as new when it comes back. Longer than the
+/// interval at which the versions of all listed upstreams are recorded again.
+const ABSENCE_TIME: Duration = Duration::from_secs(10);
+
 /// When a version was listed.
 #[derive(Clone, Copy, Debug)]
 struct ListedVersion {
@@ -83,6 +89,8 @@
     versions: BTreeSet<SoftwareVersion>,
     /// Since when this process has known them.
     since: Duration,
+    /// When this process applied the record.
+    applied_at: Duration,
 }
 
 /// The versions of all services, as one process knows them.
@@ -96,6 +104,8 @@
     read_since: Option<Duration>,
     /// Up to when the last whole reading of the list is complete.
     confirmed_at: Option<Duration>,
+    /// Up to when the last whole reading of the records is complete.
+    records_at: Duration,
 }
 
 impl ServiceVersions {
@@ -108,24 +118,29 @@
             services: BTreeMap::new(),
             read_since: None,
             confirmed_at: None,
+            records_at: Duration::ZERO,
         }
     }
 
-    /// Records that an upstream of a service is listed with `version`. A version of the first whole
-    /// reading is usable at once.
+    /// Records that an upstream of a service is listed with `version`. At the first start of the
+    /// whole system, the versions of the first whole reading are usable at once.
     pub fn record_listed(&mut self, service: &str, version: &SoftwareVersion, now: Duration) {
-        let hold = self.read_since.map_or(Duration::ZERO, |_| self.settings.hold_time);
+        let first = self.first_start && self.read_since.is_none();
+        let hold = if first { Duration::ZERO } else { self.settings.hold_time };
         if !self.services.contains_key(service) {
             self.services.insert(service.to_owned(), KnownService::default());
         }
         let Some(known) = self.services.get_mut(service) else {
             return;
         };
+        let new = ListedVersion { usable_at: now + hold, last_listed: now };
         match known.listed.get_mut(version) {
-            Some(listed) => listed.last_listed = now,
+            Some(listed) if now.saturating_sub(listed.last_listed) < ABSENCE_TIME => {
+                listed.last_listed = now;
+            }
+            Some(listed) => *listed = new,
             None => {
-                let listed = ListedVersion { usable_at: now + hold, last_listed: now };
-                known.listed.insert(version.clone(), listed);
+                known.listed.insert(version.clone(), new);
             }
         }
     }
@@ -148,13 +163,27 @@
         let known = self.services.entry(record.service).or_default();
         let same = known.kept.as_ref().filter(|kept| kept.versions == record.versions);
         let since = same.map_or(now, |kept| kept.since);
-        known.kept = Some(KeptVersions { versions: record.versions, since });
+        known.kept = Some(KeptVersions { versions: record.versions, since, applied_at: now });
+    }
+
+    /// Records that all records that the log held at `confirmed_at` were applied.
+    pub fn record_records_reading(&mut self, confirmed_at: Duration) {
+        self.records_at = self.records_at.max(confirmed_at);
     }
 
-    /// Returns the listed versions of a service that are not to be used yet; as a rule none.
+    /// Returns the listed versions of a service that are not to be used yet; as a rule none. A
+    /// version that the log keeps is known to all.
     pub fn held_back(&self, service: &str, now: Duration) -> Vec<SoftwareVersion> {
-        let listed = self.services.get(service).into_iter().flat_map(|known| &known.listed);
-        let held_back = listed.filter(|(_, listed)| listed.usable_at > now);
+        let Some(known) = self.services.get(service) else {
+            return Vec::new();
+        };
+        let is_kept = |version: &SoftwareVersion| {
+            known.kept.as_ref().is_some_and(|kept| kept.versions.contains(version))
+        };
+        let held_back = known
+            .listed
+            .iter()
+            .filter(|(version, listed)| listed.usable_at > now && !is_kept(version));
         held_back.map(|(version, _)| version.clone()).collect()
     }
 
@@ -175,21 +204,29 @@
         self.only_version(service, now).is_none()
     }
 
-    /// Returns the services whose streams may have begun at several versions.
-    pub fn mixed_services(&self, now: Duration) -> BTreeSet<String> {
-        let mixed = self.services.keys().filter(|service| self.may_mix(service, now));
-        mixed.cloned().collect()
+    /// Returns the services for which no version is known to have begun all streams.
+    pub fn uncertain_services(&self, now: Duration) -> BTreeSet<String> {
+        let uncertain = self.services.keys().filter(|name| self.single(name, now).is_none());
+        uncertain.cloned().collect()
     }
 
     fn only_version(&self, service: &str, now: Duration) -> Option<SoftwareVersion> {
         let known = self.services.get(service)?;
-        if known.kept.is_none() && !self.has_seen_all(now) {
+        let kept = known.kept.as_ref().is_some_and(|kept| self.is_current(kept));
+        if !kept && !self.has_seen_all(now) {
             return None;
         }
         let versions = self.possible_versions(known, now);
         (versions.len() == 1).then(|| versions.into_iter().next()).flatten()
     }
 
+    /// Reports whether a record names the versions that were listed before this process began to
+    /// read the list without a gap.
+    fn is_current(&self, kept: &KeptVersions) -> bool {
+        let read_at = kept.applied_at.max(self.records_at);
+        self.read_since.is_some_and(|since| read_at + RECORD_DELAY >= since)
+    }
+
     /// Reports whether this process has read the list for as long as any stream that can still be
     /// resumed.
     fn has_seen_all(&self, now: Duration) -> bool {
