Duties: a join for a shorter time shortens the lease, also without an answer

Cause: the time that a join asks for falls from up to 5 s to 1.8 s once the log answers fast again. The log counts the time of the last join that arrived; the holder counted that of the last join that was answered. If the first short join arrives and the vm is then cut off, the log deals the duty anew after 1.8 s. Change: DutyLeases::record_join ends the lease no later than 0.4 s before the time of each join that is sent; carob-edge calls it before the call.

--- a/crates/carob-edge/src/group.rs
+++ b/crates/carob-edge/src/group.rs
@@ -69,6 +69,7 @@
     let millis = ttl.as_millis() as u64;
     let call = LogRequest::join(DUTY_GROUP, edge.vm.as_str(), DUTY_TOPIC, millis, generation);
     let join_timeout = edge.duty_leases.borrow().join_timeout();
+    edge.duty_leases.borrow_mut().record_join(ttl, edge.now());
     let response = edge.store.call(call, join_timeout).await.inspect_err(|_| {
         edge.metrics.record_store_failure(DUTY_GROUP);
         edge.duty_leases.borrow_mut().record_timeout();
--- a/src/process/duty_leases.rs
+++ b/src/process/duty_leases.rs
@@ -93,6 +93,14 @@
         (self.settings.min_ttl + self.join_delay * 3).min(self.settings.max_ttl)
     }
 
+    /// Records that a join for `ttl` is sent. The platform may carry it out although its response is
+    /// lost, and then counts the time that this join asked for, also if an earlier one asked for
+    /// more.
+    pub fn record_join(&mut self, ttl: Duration, sent_at: Duration) {
+        let lease_end = sent_at + ttl.saturating_sub(self.settings.order_margin);
+        self.expires_at = self.expires_at.min(lease_end);
+    }
+
     /// Applies the response to a join that was sent at `sent_at`; a response of an older generation
     /// is ignored. Returns the duties gained and lost. The lease counts from the sending of the
     /// join.
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -132,6 +132,19 @@
     );
 }
 
+/// The log may have carried out a join whose answer is lost, and then waits only as long as it asked.
+#[test]
+fn a_join_for_a_shorter_time_shortens_the_lease() {
+    let mut duties = DutyLeases::new(DutyLeasesSettings::default());
+    duties.apply_assignment(&assignment(4, &[2]), ms(0), ms(5));
+    duties.record_join(ms(1800), ms(500));
+    assert_eq!(duties.fencing_token(2, ms(1899)), Some(4));
+    assert_eq!(duties.fencing_token(2, ms(1900)), None);
+    // A join for a longer time does not lengthen the lease before its answer.
+    duties.record_join(ms(5000), ms(1000));
+    assert_eq!(duties.fencing_token(2, ms(1900)), None);
+}
+
 /// A holder that dies is replaced within two seconds of its last join.
 #[test]
 fn a_dead_holder_is_replaced_soon() {
--- a/tests/handover/fleet.rs
+++ b/tests/handover/fleet.rs
@@ -201,6 +201,7 @@
         let now = self.now;
         let vm = &mut self.vms[member];
         let (generation, ttl) = (vm.leases.generation(), vm.leases.ttl());
+        vm.leases.record_join(ttl, now);
         vm.waiting_since = Some(now);
         if let Some(delay) = vm.link.request {
             self.joins.push(Join {
