--- a/tests/handover/main.rs
+++ b/tests/handover/main.rs
@@ -3,6 +3,7 @@
 
 mod fleet;
 mod group;
+mod times;
 
 use std::time::Duration;
 
