Edge: one function for datagrams, fewer repeated fields in the last line of a stream

The sending of datagrams stood twice (turns, origins of streams) and the fields of a stream's last line three times.

--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod attempts;
 mod choose;
+mod datagram;
 mod edge;
 mod follow;
 mod group;
--- a/crates/carob-edge/src/open_request.rs
+++ b/crates/carob-edge/src/open_request.rs
@@ -63,11 +63,8 @@
 
     /// Logs the end of a complete stream.
     pub fn end_whole(&self) {
-        let took = self.edge.now().saturating_sub(self.arrival).as_millis() as u64;
-        let position = self.position.borrow();
-        let upstream = position.as_ref().map_or("", |position| position.upstream.as_str());
-        let last = position.as_ref().and_then(|position| position.last_id).unwrap_or(0);
-        log::info!(target: "request", id = self.id.as_str(), upstream = upstream, last = last, took = took; "A stream ended whole.");
+        let (upstream, last) = self.stream_fields();
+        log::info!(target: "request", id = self.id.as_str(), upstream = upstream.as_str(), last = last, took = self.took(); "A stream ended whole.");
         self.close();
     }
 
@@ -77,35 +74,49 @@
         self.close();
     }
 
-    fn log_broken(&self, end: &str, why: &str) {
-        let now = self.edge.now();
-        let millis = |from: Duration| now.saturating_sub(from).as_millis() as u64;
-        let position = self.position.borrow();
-        let upstream = position.as_ref().map_or("", |position| position.upstream.as_str());
-        let last = position.as_ref().and_then(|position| position.last_id).unwrap_or(0);
-        let silent = position.as_ref().map_or(0, |position| millis(position.received_at));
-        let left = self.deadline.saturating_sub(now).as_millis() as u64;
-        log::info!(target: "request", id = self.id.as_str(), upstream = upstream, last = last, took = millis(self.arrival), end = end, why = why, silent = silent, left = left; "A stream was broken off.");
-    }
-
     /// Logs that the caller disconnected.
     pub fn end_left(&self) {
-        let took = self.edge.now().saturating_sub(self.arrival).as_millis() as u64;
-        let position = self.position.borrow();
-        let upstream = position.as_ref().map_or("", |position| position.upstream.as_str());
-        let last = position.as_ref().and_then(|position| position.last_id).unwrap_or(0);
-        log::info!(target: "request", id = self.id.as_str(), upstream = upstream, last = last, took = took; "The caller left its stream.");
+        let (upstream, last) = self.stream_fields();
+        log::info!(target: "request", id = self.id.as_str(), upstream = upstream.as_str(), last = last, took = self.took(); "The caller left its stream.");
         self.close();
     }
 
+    fn log_broken(&self, end: &str, why: &str) {
+        let (upstream, last) = self.stream_fields();
+        log::info!(target: "request", id = self.id.as_str(), upstream = upstream.as_str(), last = last, took = self.took(), end = end, why = why, silent = self.silence(), left = self.time_left(); "A stream was broken off.");
+    }
+
     /// Logs the end of a request that was dropped.
     fn log_dropped(&self, end: &str) {
         if self.position.borrow().is_some() {
             return self.log_broken(end, "");
         }
-        let took = self.edge.now().saturating_sub(self.arrival).as_millis() as u64;
-        let left = self.deadline.saturating_sub(self.edge.now()).as_millis() as u64;
-        log::info!(target: "request", id = self.id.as_str(), took = took, end = end, left = left; "A request ended without a response.");
+        log::info!(target: "request", id = self.id.as_str(), took = self.took(), end = end, left = self.time_left(); "A request ended without a response.");
+    }
+
+    /// Returns the upstream of the stream and the id of its last event; an empty name and 0 before
+    /// the stream began.
+    fn stream_fields(&self) -> (String, u64) {
+        match &*self.position.borrow() {
+            Some(position) => (position.upstream.to_string(), position.last_id.unwrap_or(0)),
+            None => (String::new(), 0),
+        }
+    }
+
+    /// Returns the time since the last event, in milliseconds.
+    fn silence(&self) -> u64 {
+        let received_at = self.position.borrow().as_ref().map(|position| position.received_at);
+        received_at.map_or(0, |at| self.edge.now().saturating_sub(at).as_millis() as u64)
+    }
+
+    /// Returns the time since the arrival, in milliseconds.
+    fn took(&self) -> u64 {
+        self.edge.now().saturating_sub(self.arrival).as_millis() as u64
+    }
+
+    /// Returns the time until the deadline, in milliseconds.
+    fn time_left(&self) -> u64 {
+        self.deadline.saturating_sub(self.edge.now()).as_millis() as u64
     }
 }
 
--- a/crates/carob-edge/src/origins.rs
+++ b/crates/carob-edge/src/origins.rs
@@ -11,6 +11,7 @@
 };
 use serde::{Deserialize, Serialize};
 
+use crate::datagram;
 use crate::edge::Edge;
 use crate::origin_log;
 use crate::origin_state::UnkeptOrigin;
@@ -204,21 +205,7 @@
 }
 
 fn send(edge: &Edge, address: SocketAddr, message: &OriginMessage) {
-    let Some(socket) = edge.peer_socket.get() else {
-        return;
-    };
-    match postcard::to_extend(message, vec![ORIGIN_VERSION]) {
-        Ok(bytes) => {
-            edge.metrics.record_message("stream", bytes.len());
-            // A datagram that the socket does not accept is treated like one lost on the network.
-            if let Err(err) = socket.try_send_to(&bytes, address) {
-                log::debug!(target: "peers", to:% = address, error:% = err; "Sending a datagram failed.");
-            }
-        }
-        Err(err) => {
-            log::error!(target: "peers", error:% = err; "A message about streams cannot be encoded.");
-        }
-    }
+    datagram::send(edge, address, ORIGIN_VERSION, "stream", message);
 }
 
 /// Handles a datagram about streams without its first byte.
--- a/crates/carob-edge/src/turns.rs
+++ b/crates/carob-edge/src/turns.rs
@@ -10,6 +10,7 @@
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 
+use crate::datagram;
 use crate::edge::Edge;
 
 /// First byte of a datagram about turns, which no other message between vms begins with.
@@ -162,21 +163,7 @@
 }
 
 fn send(edge: &Edge, address: SocketAddr, message: &TurnMessage) {
-    let Some(socket) = edge.peer_socket.get() else {
-        return;
-    };
-    match postcard::to_extend(message, vec![TURN_VERSION]) {
-        Ok(bytes) => {
-            edge.metrics.record_message("turn", bytes.len());
-            // A datagram that the socket does not accept is treated like one lost on the network.
-            if let Err(err) = socket.try_send_to(&bytes, address) {
-                log::debug!(target: "limits", to:% = address, error:% = err; "Sending a datagram failed.");
-            }
-        }
-        Err(err) => {
-            log::error!(target: "limits", error:% = err; "A message about turns cannot be encoded.");
-        }
-    }
+    datagram::send(edge, address, TURN_VERSION, "turn", message);
 }
 
 /// Handles a datagram about turns without its first byte.
