--- /dev/null
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -0,0 +1,123 @@
+//! A caller's connection: its stream, and whether a request is in progress on it.
+
+use std::cell::Cell;
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+
+use carob_net::Clock;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+
+/// What is known about the requests on a connection.
+pub struct ConnectionState {
+    clock: Rc<dyn Clock>,
+    serving: Cell<bool>,
+    /// Time of the first byte of a head that is not complete.
+    head_began: Cell<Option<Duration>>,
+}
+
+/// Keeps a request in progress until its response was written.
+pub struct ServingGuard(Rc<ConnectionState>);
+
+impl ConnectionState {
+    /// Creates the state of a connection that was just accepted.
+    pub fn new(clock: Rc<dyn Clock>) -> Rc<Self> {
+        Rc::new(ConnectionState { clock, serving: Cell::new(false), head_began: Cell::new(None) })
+    }
+
+    /// Records that a whole head was read; the request ends when the guard is dropped.
+    pub fn begin_request(self: &Rc<Self>) -> ServingGuard {
+        self.serving.set(true);
+        self.head_began.set(None);
+        ServingGuard(Rc::clone(self))
+    }
+
+    /// Reports whether a request is in progress.
+    pub fn is_serving(&self) -> bool {
+        self.serving.get()
+    }
+
+    /// Returns when the first byte of an incomplete head arrived.
+    pub fn head_began(&self) -> Option<Duration> {
+        self.head_began.get()
+    }
+
+    fn record_read(&self) {
+        if !self.serving.get() && self.head_began.get().is_none() {
+            self.head_began.set(Some(self.clock.now()));
+        }
+    }
+}
+
+impl Drop for ServingGuard {
+    fn drop(&mut self) {
+        self.0.serving.set(false);
+    }
+}
+
+/// A caller's stream that records what is read from it.
+pub struct CallerStream {
+    stream: TcpStream,
+    state: Rc<ConnectionState>,
+}
+
+impl CallerStream {
+    /// Wraps a stream.
+    pub fn new(stream: TcpStream, state: Rc<ConnectionState>) -> Self {
+        CallerStream { stream, state }
+    }
+
+    /// Reports whether bytes wait to be read. The stream may already be closed for writing.
+    pub fn has_unread_bytes(&self) -> bool {
+        let mut byte = [std::mem::MaybeUninit::uninit()];
+        socket2::SockRef::from(&self.stream).peek(&mut byte).is_ok_and(|len| len > 0)
+    }
+}
+
+impl AsyncRead for CallerStream {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let filled = buf.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
+        if buf.filled().len() > filled {
+            self.state.record_read();
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for CallerStream {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(cx, buf)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+}
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -22,6 +22,7 @@
 use crate::pool::ConnectionPool;
 use crate::response_budget::ResponseBudget;
 use crate::settings::Settings;
+use crate::stop_counts::StopCounts;
 use crate::store::StoreClient;
 use crate::turn_requests::TurnRequests;
 use crate::view::ClusterView;
@@ -137,6 +138,8 @@
     pub aborting: Cell<bool>,
     /// Whether the process ended its shutdown; requests that are still open are dropped.
     pub stopped: Cell<bool>,
+    /// What the stop did to callers.
+    pub stop_counts: StopCounts,
     /// Wakes requests when `drain_deadline` or `aborting` is set.
     pub shutdown_changed: Notify,
     /// Requests in flight.
@@ -217,6 +220,7 @@
             drain_deadline: Cell::new(None),
             aborting: Cell::new(false),
             stopped: Cell::new(false),
+            stop_counts: StopCounts::default(),
             shutdown_changed: Notify::new(),
             active_requests: InFlightCounter::default(),
             open_connections: InFlightCounter::default(),
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -30,8 +30,12 @@
         Err(err) => (None, Err(err)),
     };
     match result {
-        Ok(response) => response,
+        Ok(response) => {
+            edge.stop_counts.record_response();
+            response
+        }
         Err(err) => {
+            edge.stop_counts.record_refusal();
             let took = edge.now().saturating_sub(arrival);
             let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
             edge.metrics.record_refusal(err.kind());
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod attempts;
+mod caller_connection;
 mod choose;
 mod datagram;
 mod edge;
@@ -26,6 +27,7 @@
 mod response;
 mod response_budget;
 mod settings;
+mod stop_counts;
 mod store;
 mod turn_requests;
 mod turns;
--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -8,11 +8,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+use crate::caller_connection::{CallerStream, ConnectionState};
 use crate::edge::Edge;
 use crate::handle::handle;
+use crate::response::ServedBody;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 /// Maximum number of connections that wait to be accepted.
@@ -22,6 +25,8 @@
 const MIN_BUFFER_BYTES: usize = 16 << 10;
 /// Time for the first request on a connection that is opened while the others are being closed.
 const LATE_HEADER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for which bytes that cross the close of an idle connection are looked for.
+const LATE_BYTES_TIME: Duration = Duration::from_millis(200);
 
 /// The state of caller connections during a shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -32,6 +37,24 @@
     Closing,
 }
 
+/// Why the process closed a connection without a request in progress.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum CloseReason {
+    /// No request came for the idle time.
+    IdleTimeout,
+    /// The process is stopping.
+    Stop,
+}
+
+impl CloseReason {
+    fn as_str(self) -> &'static str {
+        match self {
+            CloseReason::IdleTimeout => "idle_timeout",
+            CloseReason::Stop => "stop",
+        }
+    }
+}
+
 /// Opens the listener for callers.
 ///
 /// # Errors
@@ -61,7 +84,7 @@
 }
 
 async fn serve_connection(edge: Rc<Edge>, stream: TcpStream, mut phase: watch::Receiver<Phase>) {
-    let _open = edge.open_connections.increment();
+    let open = edge.open_connections.increment();
     let socket = socket2::SockRef::from(&stream);
     for result in
         [socket.set_tcp_nodelay(true), socket.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))]
@@ -75,35 +98,68 @@
     let late = *phase.borrow_and_update() == Phase::Closing;
     let header_timeout =
         if late { limits.idle_timeout.min(LATE_HEADER_TIMEOUT) } else { limits.idle_timeout };
+    let state = ConnectionState::new(Rc::clone(&edge.clock));
+    let service_edge = Rc::clone(&edge);
+    let service_state = Rc::clone(&state);
     let service = service_fn(move |request| {
-        let edge = Rc::clone(&edge);
-        async move { Ok::<_, Infallible>(handle(edge, request).await) }
+        let edge = Rc::clone(&service_edge);
+        let serving = service_state.begin_request();
+        async move {
+            let response = handle(edge, request).await;
+            Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, serving)))
+        }
     });
-    let served = http1::Builder::new()
+    let stream = CallerStream::new(stream, Rc::clone(&state));
+    let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
         .keep_alive(!late)
         // Counts from the end of the previous request, so this also limits idle connections.
         .header_read_timeout(header_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
-    let mut served = std::pin::pin!(served);
-    loop {
+    let mut reason = None;
+    let ended = loop {
         tokio::select! {
-            ended = &mut served => {
-                if let Err(err) = ended {
-                    log::debug!(target: "front", error:% = err; "Caller connection ended with an error.");
-                }
-                return;
-            }
+            ended = &mut served => break ended,
             changed = phase.changed() => {
                 if changed.is_err() || *phase.borrow() == Phase::Closing {
-                    served.as_mut().graceful_shutdown();
-                    break;
+                    reason = (!state.is_serving()).then_some(CloseReason::Stop);
+                    std::pin::Pin::new(&mut served).graceful_shutdown();
+                    break (&mut served).await;
                 }
             }
         }
-    }
-    if let Err(err) = served.await {
+    };
+    if let Err(err) = ended {
         log::debug!(target: "front", error:% = err; "Caller connection ended with an error.");
+        if err.is_timeout() {
+            reason = Some(CloseReason::IdleTimeout);
+        }
+    }
+    drop(open);
+    if let Some(reason) = reason {
+        let stream = served.into_parts().io.into_inner();
+        record_idle_close(&edge, &state, stream, reason).await;
+    }
+}
+
+/// Counts a connection that was closed without a request in progress, and reports whether bytes
+/// of a request were lost with it.
+async fn record_idle_close(
+    edge: &Edge,
+    state: &ConnectionState,
+    mut stream: CallerStream,
+    reason: CloseReason,
+) {
+    if let Err(err) = stream.shutdown().await {
+        log::trace!(target: "front", error:% = err; "The caller had closed the connection.");
+    }
+    tokio::time::sleep(LATE_BYTES_TIME).await;
+    let unread = stream.has_unread_bytes();
+    let partial = state.head_began().is_some();
+    edge.metrics.record_idle_close(reason.as_str(), unread || partial);
+    edge.stop_counts.record_idle_close(unread || partial);
+    if unread || partial {
+        log::warn!(target: "front", reason = reason.as_str(), unread = unread, partial = partial; "A connection was closed with a request on it.");
     }
 }
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -20,6 +20,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     hedges: Counter<u64>,
+    idle_closes: Counter<u64>,
     resumptions: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
@@ -74,6 +75,10 @@
                 "Streams that callers took up again, by source and outcome",
             ),
             hedges: counter("hedges", "Requests sent to another upstream beside a silent one"),
+            idle_closes: counter(
+                "caller_idle_closes",
+                "Connections of callers closed without a request, by reason",
+            ),
             orders: counter("orders", "Orders sent to engines"),
             store_calls: counter("store_calls", "Calls to the platform's log"),
             store_failures: counter(
@@ -148,6 +153,13 @@
         self.hedges.add(1, &[]);
     }
 
+    /// Counts a caller connection that was closed without a request in progress; `lost` says
+    /// whether bytes of a request were lost with it.
+    pub fn record_idle_close(&self, reason: &'static str, lost: bool) {
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("lost", lost)];
+        self.idle_closes.add(1, &labels);
+    }
+
     /// Counts an order to an engine; `kind` is `load` or `unload`.
     pub fn record_order(&self, kind: &'static str) {
         self.orders.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -66,7 +66,8 @@
     membership.abort();
     let all_finished = shut_down(&edge, &phase, &accepting).await;
     edge.stopped.set(true);
-    log::info!(target: "main", whole = all_finished, active = edge.active_requests.get(); "The process stopped.");
+    let counts = &edge.stop_counts;
+    log::info!(target: "main", whole = all_finished, active = edge.active_requests.get(), connections = edge.open_connections.get(), responses = counts.responses(), refusals = counts.refusals(), idle = counts.idle_closes(), lost = counts.lost(); "The process stopped.");
     servers.into_iter().for_each(Server::stop);
     Ok(all_finished)
 }
@@ -179,6 +180,7 @@
     let started = edge.now();
     log::info!(target: "main", active = edge.active_requests.get(); "The process is stopping.");
     edge.stopping.set(true);
+    edge.stop_counts.reset();
     edge.update_ready();
     group::leave(edge).await;
     let readiness_delay = READINESS_DELAY.min(edge.settings.grace() / 3);
--- a/crates/carob-edge/src/response.rs
+++ b/crates/carob-edge/src/response.rs
@@ -11,6 +11,8 @@
 use http_body::{Body, Frame, SizeHint};
 use serde_json::json;
 
+use crate::caller_connection::ServingGuard;
+
 /// The body of a response.
 pub enum ResponseBody {
     /// A complete body; `None` once it was sent.
@@ -52,6 +54,39 @@
     }
 }
 
+/// The body of a response whose request is in progress until the body was written.
+pub struct ServedBody {
+    body: ResponseBody,
+    _serving: ServingGuard,
+}
+
+impl ServedBody {
+    /// Wraps a body.
+    pub fn new(body: ResponseBody, serving: ServingGuard) -> Self {
+        ServedBody { body, _serving: serving }
+    }
+}
+
+impl Body for ServedBody {
+    type Data = Bytes;
+    type Error = IncompleteBody;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, IncompleteBody>>> {
+        Pin::new(&mut self.body).poll_frame(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
 /// Builds a response with the status and headers of an upstream.
 pub fn forwarded_response(
     status: u16,
