LOST: callers learn to leave before a planned stop closes their connections

What callers saw: requests on kept connections ended without an answer, 2.6 s after SIGTERM. Cause: all idle connections were closed at one moment, of which nobody had been told; a request that crossed it was lost.

Each response now announces Keep-Alive: timeout=2, less than the readiness delay of a stop, and from SIGTERM on Connection: close. So 2.5 s after SIGTERM no caller that respects it may use an idle connection. One that does not respect it still gets a response: idle connections stay open until the process goes, which it does once no request and no promise is left.

--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -7,13 +7,35 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use carob_net::Clock;
+use http::{HeaderMap, HeaderValue};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
+use crate::edge::Edge;
+
+/// Time for which a caller may use its connection again, as `Keep-Alive` tells it in whole seconds.
+/// It passes within the readiness delay of a stop.
+const KEEP_ALIVE_SECONDS: u64 = 2;
+/// Time in which a request that was sent at the last moment arrives.
+const PATH_MARGIN: Duration = Duration::from_millis(500);
+/// Shortest time for which an idle connection is kept open.
+pub const MIN_IDLE_TIME: Duration =
+    Duration::from_secs(KEEP_ALIVE_SECONDS).saturating_add(PATH_MARGIN);
+
+/// Tells a caller whether it may use its connection again, and for how long.
+pub fn announce_keep_alive(edge: &Edge, headers: &mut HeaderMap) {
+    if edge.stopping.get() {
+        headers.remove("keep-alive");
+        headers.insert("connection", HeaderValue::from_static("close"));
+    } else {
+        let value = HeaderValue::from_str(&format!("timeout={KEEP_ALIVE_SECONDS}"));
+        value.into_iter().for_each(|value| drop(headers.insert("keep-alive", value)));
+    }
+}
+
 /// What is known about the requests on a connection.
 pub struct ConnectionState {
-    clock: Rc<dyn Clock>,
+    edge: Rc<Edge>,
     serving: Cell<bool>,
     /// Time of the first byte of a head that is not complete.
     head_began: Cell<Option<Duration>>,
@@ -24,8 +46,8 @@
 
 impl ConnectionState {
     /// Creates the state of a connection that was just accepted.
-    pub fn new(clock: Rc<dyn Clock>) -> Rc<Self> {
-        Rc::new(ConnectionState { clock, serving: Cell::new(false), head_began: Cell::new(None) })
+    pub fn new(edge: Rc<Edge>) -> Rc<Self> {
+        Rc::new(ConnectionState { edge, serving: Cell::new(false), head_began: Cell::new(None) })
     }
 
     /// Records that a whole head was read; the request ends when the guard is dropped.
@@ -47,7 +69,7 @@
 
     fn record_read(&self) {
         if !self.serving.get() && self.head_began.get().is_none() {
-            self.head_began.set(Some(self.clock.now()));
+            self.head_began.set(Some(self.edge.now()));
         }
     }
 }
@@ -55,6 +77,9 @@
 impl Drop for ServingGuard {
     fn drop(&mut self) {
         self.0.serving.set(false);
+        if !self.0.edge.stopping.get() {
+            self.0.edge.keep_connections_open(MIN_IDLE_TIME);
+        }
     }
 }
 
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -138,6 +138,8 @@
     pub aborting: Cell<bool>,
     /// Whether the process ended its shutdown; requests that are still open are dropped.
     pub stopped: Cell<bool>,
+    /// Time until which callers may use idle connections, as they were told.
+    pub promised_until: Cell<Duration>,
     /// What the stop did to callers.
     pub stop_counts: StopCounts,
     /// Wakes requests when `drain_deadline` or `aborting` is set.
@@ -220,6 +222,7 @@
             drain_deadline: Cell::new(None),
             aborting: Cell::new(false),
             stopped: Cell::new(false),
+            promised_until: Cell::default(),
             stop_counts: StopCounts::default(),
             shutdown_changed: Notify::new(),
             active_requests: InFlightCounter::default(),
@@ -245,6 +248,11 @@
         self.clock.now()
     }
 
+    /// Keeps idle connections of callers open for at least `time` from now.
+    pub fn keep_connections_open(&self, time: Duration) {
+        self.promised_until.set(self.promised_until.get().max(self.now() + time));
+    }
+
     /// Returns the configuration in force, or `None` before one was read.
     pub fn config(&self) -> Option<Rc<PlatformConfig>> {
         self.view.borrow().config.clone()
--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -12,7 +12,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::caller_connection::{CallerStream, ConnectionState};
+use crate::caller_connection::{CallerStream, ConnectionState, MIN_IDLE_TIME, announce_keep_alive};
 use crate::edge::Edge;
 use crate::handle::handle;
 use crate::response::ServedBody;
@@ -23,8 +23,8 @@
 /// Time after which a connection with unacknowledged data is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(6);
 const MIN_BUFFER_BYTES: usize = 16 << 10;
-/// Time for the first request on a connection that is opened while the others are being closed.
-const LATE_HEADER_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time for the first request on a new connection, for which a stop waits.
+const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// Time for which bytes that cross the close of an idle connection are looked for.
 const LATE_BYTES_TIME: Duration = Duration::from_millis(200);
 
@@ -33,7 +33,9 @@
 pub enum Phase {
     /// Connections are kept alive.
     Serving,
-    /// Each connection is closed after the request in progress.
+    /// Each connection is closed after its next response; idle ones stay open.
+    Stopping,
+    /// Idle connections are closed too.
     Closing,
 }
 
@@ -94,27 +96,25 @@
         }
     }
     let limits = edge.config().map(|config| config.limits).unwrap_or_default();
-    // Closing a new connection would leave its request without a response, so it serves one.
-    let late = *phase.borrow_and_update() == Phase::Closing;
-    let header_timeout =
-        if late { limits.idle_timeout.min(LATE_HEADER_TIMEOUT) } else { limits.idle_timeout };
-    let state = ConnectionState::new(Rc::clone(&edge.clock));
+    let idle_timeout = limits.idle_timeout.max(MIN_IDLE_TIME);
+    edge.keep_connections_open(FIRST_REQUEST_TIME);
+    let state = ConnectionState::new(Rc::clone(&edge));
     let service_edge = Rc::clone(&edge);
     let service_state = Rc::clone(&state);
     let service = service_fn(move |request| {
         let edge = Rc::clone(&service_edge);
         let serving = service_state.begin_request();
         async move {
-            let response = handle(edge, request).await;
+            let mut response = handle(Rc::clone(&edge), request).await;
+            announce_keep_alive(&edge, response.headers_mut());
             Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, serving)))
         }
     });
     let stream = CallerStream::new(stream, Rc::clone(&state));
     let mut served = http1::Builder::new()
         .timer(TokioTimer::new())
-        .keep_alive(!late)
         // Counts from the end of the previous request, so this also limits idle connections.
-        .header_read_timeout(header_timeout)
+        .header_read_timeout(idle_timeout)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut reason = None;
@@ -122,9 +122,14 @@
         tokio::select! {
             ended = &mut served => break ended,
             changed = phase.changed() => {
-                if changed.is_err() || *phase.borrow() == Phase::Closing {
+                let closing = changed.is_err() || *phase.borrow() == Phase::Closing;
+                if closing {
                     reason = (!state.is_serving()).then_some(CloseReason::Stop);
+                }
+                if closing || state.is_serving() {
                     std::pin::Pin::new(&mut served).graceful_shutdown();
+                }
+                if closing {
                     break (&mut served).await;
                 }
             }
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -181,6 +181,7 @@
     log::info!(target: "main", active = edge.active_requests.get(); "The process is stopping.");
     edge.stopping.set(true);
     edge.stop_counts.reset();
+    phase.send_replace(Phase::Stopping);
     edge.update_ready();
     group::leave(edge).await;
     let readiness_delay = READINESS_DELAY.min(edge.settings.grace() / 3);
@@ -188,8 +189,7 @@
     let end = started + edge.settings.grace().saturating_sub(GRACE_MARGIN);
     edge.drain_deadline.set(Some(end));
     edge.shutdown_changed.notify_waiters();
-    phase.send_replace(Phase::Closing);
-    while edge.active_requests.get() > 0 && edge.now() < end {
+    while has_callers(edge) && edge.now() < end {
         if edge.now() + ABORT_MARGIN >= end && !edge.aborting.replace(true) {
             edge.shutdown_changed.notify_waiters();
         }
@@ -197,8 +197,14 @@
     }
     // Connections in the backlog were not read, so their callers can retry at another vm.
     accepting.abort();
+    phase.send_replace(Phase::Closing);
     while edge.open_connections.get() > 0 && edge.now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     edge.active_requests.get() == 0
 }
+
+/// Reports whether a request is in progress or a caller may use its idle connection.
+fn has_callers(edge: &Edge) -> bool {
+    edge.active_requests.get() > 0 || edge.now() < edge.promised_until.get()
+}
