--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -66,7 +66,8 @@
     membership.abort();
     let all_finished = shut_down(&edge, &phase, &accepting).await;
     edge.stopped.set(true);
-    log::info!(target: "main", whole = all_finished, active = edge.active_requests.get(); "The process stopped.");
+    let counts = &edge.stop_counts;
+    log::info!(target: "main", whole = all_finished, active = edge.active_requests.get(), connections = edge.open_connections.get(), responses = counts.responses(), refusals = counts.refusals(), idle = counts.idle_closes(), lost = counts.lost(); "The process stopped.");
     servers.into_iter().for_each(Server::stop);
     Ok(all_finished)
 }
@@ -179,6 +180,8 @@
     let started = edge.now();
     log::info!(target: "main", active = edge.active_requests.get(); "The process is stopping.");
     edge.stopping.set(true);
+    edge.stop_counts.reset();
+    phase.send_replace(Phase::Stopping);
     edge.update_ready();
     group::leave(edge).await;
     let readiness_delay = READINESS_DELAY.min(edge.settings.grace() / 3);
@@ -186,8 +189,7 @@
     let end = started + edge.settings.grace().saturating_sub(GRACE_MARGIN);
     edge.drain_deadline.set(Some(end));
     edge.shutdown_changed.notify_waiters();
-    phase.send_replace(Phase::Closing);
-    while edge.active_requests.get() > 0 && edge.now() < end {
+    while has_callers(edge) && edge.now() < end {
         if edge.now() + ABORT_MARGIN >= end && !edge.aborting.replace(true) {
             edge.shutdown_changed.notify_waiters();
         }
@@ -195,8 +197,14 @@
     }
     // Connections in the backlog were not read, so their callers can retry at another vm.
     accepting.abort();
+    phase.send_replace(Phase::Closing);
     while edge.open_connections.get() > 0 && edge.now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     edge.active_requests.get() == 0
 }
+
+/// Reports whether a request is in progress or a caller may use its idle connection.
+fn has_callers(edge: &Edge) -> bool {
+    edge.active_requests.get() > 0 || edge.now() < edge.promised_until.get()
+}
