--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -11,7 +11,7 @@
 use crate::choose::Choice;
 use crate::edge::Edge;
 use crate::load_guard::LoadGuard;
-use crate::pool::{IncomingResponse, OutgoingRequest};
+use crate::pool::{ConnectionSource, IncomingResponse, OutgoingRequest};
 use crate::quarantine;
 use crate::request::CallerRequest;
 use crate::turns;
@@ -131,7 +131,7 @@
     let limit = request.remaining_time(edge.now());
     let opened = tokio::time::timeout(
         limit,
-        send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut record.head),
+        send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut record),
     )
     .await;
     let result = opened.unwrap_or(Err(AttemptOutcome::TimedOut.into()));
@@ -183,6 +183,7 @@
     running: u32,
     load_tokens: u64,
     started: Duration,
+    connection: ConnectionSource,
     head: ResponseHead,
     ended: bool,
 }
@@ -198,6 +199,7 @@
             running: choice.running,
             load_tokens: choice.load_tokens,
             started: edge.now(),
+            connection: ConnectionSource::None,
             head: ResponseHead::default(),
             ended: false,
         }
@@ -209,7 +211,7 @@
 
     fn log(&self, end: &str) {
         let limit = self.head.limit.map(|limit| limit.to_string()).unwrap_or_default();
-        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
+        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, connection = self.connection.as_str(), status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
     }
 
     /// Records the result in the loads and in the log; a transport error marks the request as a
@@ -267,7 +269,7 @@
     choice: &Choice,
     last_id: Option<u64>,
     load_guard: &mut LoadGuard,
-    head: &mut ResponseHead,
+    record: &mut AttemptRecord,
 ) -> Result<ReceivedResponse, AttemptFailure> {
     let upstream_headers = UpstreamHeaders {
         upstream: choice.entry.name.to_string(),
@@ -282,9 +284,11 @@
         headers: upstream_headers.build(&request.headers),
         body: request.body.clone(),
     };
-    let mut response = edge.pool.send(&choice.entry.name, choice.entry.address, outgoing).await?;
+    let (name, address) = (&choice.entry.name, choice.entry.address);
+    let mut response =
+        edge.pool.send_traced(name, address, outgoing, &mut record.connection).await?;
     let status = response.status;
-    *head =
+    record.head =
         ResponseHead { status, limit: turns::read_limit(edge, &choice.entry, &response.headers) };
     let kind =
         ResponseKind::classify(status, &response.headers, &request.caller_headers.request_id);
--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -59,6 +59,35 @@
     }
 }
 
+/// How the connection of a request came about.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum ConnectionSource {
+    /// There is none yet.
+    #[default]
+    None,
+    /// It was idle in the pool.
+    Kept,
+    /// It was opened for the request.
+    New,
+    /// It could not be opened: the address refused it.
+    Refused,
+    /// It could not be opened: there was no answer.
+    NoAnswer,
+}
+
+impl ConnectionSource {
+    /// Returns the name used in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            ConnectionSource::None => "",
+            ConnectionSource::Kept => "kept",
+            ConnectionSource::New => "new",
+            ConnectionSource::Refused => "refused",
+            ConnectionSource::NoAnswer => "no_answer",
+        }
+    }
+}
+
 /// A request to an upstream or to the log.
 pub struct OutgoingRequest {
     /// The HTTP method.
@@ -130,9 +159,10 @@
     async fn connect(
         &self,
         address: SocketAddr,
-    ) -> Option<(SendRequest<Full<Bytes>>, AbortHandle)> {
+    ) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), ConnectionSource> {
         let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let stream = stream.ok()?.ok()?;
+        let stream = stream.map_err(|_| ConnectionSource::NoAnswer)?;
+        let stream = stream.map_err(|_| ConnectionSource::Refused)?;
         // No TCP user timeout: it would also close the connection of an upstream that reads nothing of
         // a long body for a while. The deadline of each call ends its wait.
         if let Err(err) = stream.set_nodelay(true) {
@@ -140,13 +170,14 @@
         }
         let mut builder = http1::Builder::new();
         builder.max_buf_size(MAX_BUFFER_BYTES);
-        let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+        let handshake = builder.handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|_| ConnectionSource::Refused)?;
         let task = tokio::task::spawn_local(async move {
             if let Err(err) = connection.await {
                 log::debug!(target: "pool", address:% = address, error:% = err; "Upstream connection ended with an error.");
             }
         });
-        Some((sender, task.abort_handle()))
+        Ok((sender, task.abort_handle()))
     }
 
     /// Reports whether an address refuses connections, as that of a process that ended does.
@@ -166,10 +197,27 @@
         name: &UpstreamName,
         address: SocketAddr,
         request: OutgoingRequest,
+    ) -> Result<IncomingResponse, AttemptOutcome> {
+        self.send_traced(name, address, request, &mut ConnectionSource::None).await
+    }
+
+    /// Sends a request as [`send`](Self::send) does; `source` tells how its connection came about,
+    /// also if the request is given up.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send).
+    pub async fn send_traced(
+        self: &Rc<Self>,
+        name: &UpstreamName,
+        address: SocketAddr,
+        request: OutgoingRequest,
+        source: &mut ConnectionSource,
     ) -> Result<IncomingResponse, AttemptOutcome> {
         let key = (name.clone(), address);
         let mut request = build(request).ok_or(AttemptOutcome::Unsent)?;
         while let Some(idle) = self.take_idle(&key) {
+            *source = ConnectionSource::Kept;
             let connection = self.pooled_connection(&key, idle.sender, idle.task);
             match exchange(connection, request).await {
                 Ok(response) => return Ok(response),
@@ -177,7 +225,9 @@
                 Err(None) => return Err(AttemptOutcome::TransportError),
             }
         }
-        let (sender, task) = self.connect(address).await.ok_or(AttemptOutcome::Unsent)?;
+        let connected = self.connect(address).await;
+        *source = connected.as_ref().err().copied().unwrap_or(ConnectionSource::New);
+        let (sender, task) = connected.map_err(|_| AttemptOutcome::Unsent)?;
         match exchange(self.pooled_connection(&key, sender, task), request).await {
             Ok(response) => Ok(response),
             Err(Some(_)) => Err(AttemptOutcome::Unsent),
