RECOVER: a cut vm reaches upstreams through another vm

Cause: a vm knew one way to an upstream, its own links, and learned nothing from a failure: each request found the cut out anew, upstream by upstream, 300 ms each (440 attempts `unsent` in twelve seconds). Class: a fault of the observer taken for one of what is observed.

A request whose direct connection is late (80 ms; 10 ms while the path is in doubt) or fails opens a tunnel through another vm beside it, and takes the first of the two: HTTP CONNECT to the other vm's internal port, one request each. The vm in between forwards bytes and decides nothing, so key, quota, retries, turns, version, load and deadline are decided once, at the first vm, and what was not sent is still known not to have run. It connects directly only, so there is one vm in between at most. It asks for a token that the list of vms holds, and connects to upstreams of the list only. Vms of the same data centre come first. `UpstreamPaths` (pure) tells a lost path (another vm reaches the upstream) from an upstream that no vm reaches (paused, tried by one request after 250 ms to 2 s); once several of a service are, requests are refused at once as upstream_unavailable, where they had said model_loading after seconds. A silence and an order without an answer check the path; retries and second attempts use no kept connection. A vm that is cut off leaves the duty group, as an order counts for the vm from which it arrives. A stop waits for what it carries for others.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -9,9 +9,11 @@
 use http::HeaderMap;
 
 use crate::choose::Choice;
+use crate::connect::ConnectionSource;
 use crate::edge::Edge;
 use crate::load_guard::LoadGuard;
-use crate::pool::{ConnectionSource, IncomingResponse, OutgoingRequest};
+use crate::paths;
+use crate::pool::{IncomingResponse, OutgoingRequest};
 use crate::quarantine;
 use crate::request::CallerRequest;
 use crate::turns;
@@ -211,7 +213,7 @@
 
     fn log(&self, end: &str) {
         let limit = self.head.limit.map(|limit| limit.to_string()).unwrap_or_default();
-        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, connection = self.connection.as_str(), status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
+        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, connection:% = self.connection, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
     }
 
     /// Records the result in the loads and in the log; a transport error marks the request as a
@@ -223,6 +225,9 @@
         result: &Result<ReceivedResponse, AttemptFailure>,
     ) {
         self.ended = true;
+        if self.head.status > 0 {
+            self.edge.paths.table.borrow_mut().record_response(&self.upstream, self.edge.now());
+        }
         let mut loads = self.edge.loads.borrow_mut();
         let end = match result {
             Ok(ReceivedResponse::Stream(..)) => {
@@ -284,9 +289,8 @@
         headers: upstream_headers.build(&request.headers),
         body: request.body.clone(),
     };
-    let (name, address) = (&choice.entry.name, choice.entry.address);
     let mut response =
-        edge.pool.send_traced(name, address, outgoing, &mut record.connection).await?;
+        paths::send(edge, &choice.entry, !choice.fresh, outgoing, &mut record.connection).await?;
     let status = response.status;
     record.head =
         ResponseHead { status, limit: turns::read_limit(edge, &choice.entry, &response.headers) };
--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -17,8 +17,9 @@
 use tokio::sync::Notify;
 
 use crate::attempt::{AttemptFailure, AttemptResponse, send_attempt};
-use crate::choose::{choose_upstream, has_candidate};
+use crate::choose::{Choice, choose_upstream, has_candidate};
 use crate::edge::Edge;
+use crate::paths;
 use crate::quarantine;
 use crate::request::{CallerRequest, charge_retry};
 
@@ -151,7 +152,7 @@
         let (edge, request) = (self.edge, self.request);
         let tried = self.tried.borrow().clone();
         let choice = match choose_upstream(edge, request, &tried).await {
-            Ok(choice) => choice,
+            Ok(choice) => Choice { fresh: self.history().sent() > 0, ..choice },
             Err(err) => return AttemptEnd::NotSent(err),
         };
         if let Err(err) = quarantine::check(edge, &request.prompt) {
@@ -304,6 +305,7 @@
         for open in open.iter_mut().filter(|open| !open.silent) {
             open.silent = true;
             self.edge.loads.borrow_mut().record_result(&open.name, true);
+            paths::check(self.edge, &open.name);
             log::info!(target: "request", id = self.request.caller_headers.request_id.as_str(), upstream:% = open.name, why = why; "An upstream is silent.");
         }
     }
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -11,6 +11,7 @@
 use rand::Rng;
 
 use crate::edge::Edge;
+use crate::paths;
 use crate::request::CallerRequest;
 use crate::turns;
 
@@ -32,6 +33,8 @@
     pub running: u32,
     /// Tokens of these requests.
     pub load_tokens: u64,
+    /// Whether the request goes over a new connection, since an earlier attempt failed or is silent.
+    pub fresh: bool,
 }
 
 /// Chooses an upstream that is not among `tried`.
@@ -48,18 +51,22 @@
     loop {
         let changed = edge.capacity_changed.notified();
         let eligible = eligible_upstreams(edge, request, tried);
-        if !eligible.is_empty() {
-            if let Some(choice) = take_turn(edge, request, eligible).await? {
+        let (reachable, _) = paths::reachable_upstreams(edge, eligible);
+        if !reachable.is_empty() {
+            if let Some(choice) = take_turn(edge, request, reachable).await? {
                 return Ok(choice);
             }
             continue;
         }
+        if let Some(wait) = unreachable_time(edge, request) {
+            return Err(paths::unreachable_error(wait));
+        }
         if request.caller_headers.model.is_none()
             || !has_bound_version(edge, request, tried)
             || edge.now() >= until
             || !is_model_configured(request)
         {
-            return Err(unavailable_error(request));
+            return Err(unavailable_error(edge, request));
         }
         request_adapter(edge, request);
         if tokio::time::timeout(POLL_INTERVAL, changed).await.is_err() {
@@ -89,6 +96,7 @@
         return Err(Error::new(ErrorKind::UpstreamUnavailable, message).with_retry_after(wait));
     }
     let choice = dispatch_request(edge, request, open)?;
+    edge.paths.table.borrow_mut().record_trial(&choice.entry.name, edge.now());
     let has_turn = turns::wait_for_turn(edge, &choice.entry, max_wait).await;
     // The upstream may have announced in the meantime that it is leaving, or started again.
     let view = edge.view.borrow();
@@ -111,11 +119,22 @@
     engine.zip(model).is_some_and(|(engine, model)| engine.models.contains_key(model))
 }
 
-fn unavailable_error(request: &CallerRequest) -> Error {
-    let kind = match request.caller_headers.model {
-        Some(_) => ErrorKind::ModelLoading,
-        None => ErrorKind::UpstreamUnavailable,
-    };
+/// Returns the time until one of the upstreams that could take the request is tried again, if no vm
+/// reaches the service.
+fn unreachable_time(edge: &Edge, request: &CallerRequest) -> Option<Duration> {
+    let (reachable, next_trial) =
+        paths::reachable_upstreams(edge, eligible_upstreams(edge, request, &[]));
+    let next_trial = next_trial.filter(|_| reachable.is_empty())?;
+    let view = edge.view.borrow();
+    let accepting = view.upstreams.accepting(&request.service);
+    let names: Vec<UpstreamName> = accepting.map(|entry| entry.name.clone()).collect();
+    edge.paths.table.borrow().is_unreachable(&names, edge.now()).then_some(next_trial)
+}
+
+fn unavailable_error(edge: &Edge, request: &CallerRequest) -> Error {
+    let loading =
+        request.caller_headers.model.is_some() && eligible_upstreams(edge, request, &[]).is_empty();
+    let kind = if loading { ErrorKind::ModelLoading } else { ErrorKind::UpstreamUnavailable };
     Error::new(kind, "no upstream can take the request now")
         .with_retry_after(UNAVAILABLE_RETRY_AFTER)
 }
@@ -179,7 +198,9 @@
     let view = edge.view.borrow();
     let fits = version_filter(edge, request);
     let mut accepting = view.upstreams.accepting(&request.service).filter(|entry| fits(entry));
-    accepting.any(|entry| is_eligible(edge, request, tried, entry))
+    accepting.any(|entry| {
+        is_eligible(edge, request, tried, entry) && paths::pause_left(edge, entry).is_none()
+    })
 }
 
 fn is_eligible(
@@ -271,15 +292,15 @@
     ) {
         DispatchDecision::Send(index, estimate) => {
             let entry =
-                eligible.into_iter().nth(index).ok_or_else(|| unavailable_error(request))?;
+                eligible.into_iter().nth(index).ok_or_else(|| unavailable_error(edge, request))?;
             let candidate = dispatch_candidates[index];
             let (running, load_tokens) = (candidate.running, candidate.memory.0);
-            Ok(Choice { entry, estimate, running, load_tokens })
+            Ok(Choice { entry, estimate, running, load_tokens, fresh: false })
         }
         DispatchDecision::RetryLater(after) => {
             let message = format!("upstreams are busy for {} ms more", after.as_millis());
             Err(Error::new(ErrorKind::UpstreamUnavailable, message).with_retry_after(after))
         }
-        DispatchDecision::NoUpstream => Err(unavailable_error(request)),
+        DispatchDecision::NoUpstream => Err(unavailable_error(edge, request)),
     }
 }
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -17,8 +17,10 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::in_flight::InFlightCounter;
 use crate::metrics::Metrics;
 use crate::origin_state::OriginState;
+use crate::path_state::PathState;
 use crate::pool::ConnectionPool;
 use crate::response_budget::ResponseBudget;
 use crate::settings::Settings;
@@ -54,34 +56,6 @@
     pub demand: BTreeMap<u32, u32>,
 }
 
-/// Counts requests or connections in flight.
-#[derive(Clone, Debug, Default)]
-pub struct InFlightCounter(Rc<Cell<u64>>);
-
-/// Keeps one request or connection counted until the guard is dropped.
-#[derive(Debug)]
-pub struct InFlightGuard(InFlightCounter);
-
-impl InFlightCounter {
-    /// Adds one to the count until the returned guard is dropped.
-    pub fn increment(&self) -> InFlightGuard {
-        self.0.set(self.0.get() + 1);
-        InFlightGuard(self.clone())
-    }
-
-    /// Returns the current count.
-    pub fn get(&self) -> u64 {
-        self.0.get()
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let counter = &self.0.0;
-        counter.set(counter.get() - 1);
-    }
-}
-
 /// The shared state of the process. No cell stays borrowed across an `await`.
 pub struct Edge {
     /// The settings read at startup.
@@ -152,6 +126,8 @@
     pub orders_in_flight: InFlightCounter,
     /// Wakes requests that wait for a model, an adapter or an upstream.
     pub capacity_changed: Notify,
+    /// Paths to upstreams, directly and through other vms.
+    pub paths: PathState,
     /// Limits that upstreams name.
     pub limits: RefCell<UpstreamLimits>,
     /// Turns at limited upstreams that other vms were asked for.
@@ -229,6 +205,7 @@
             open_connections: InFlightCounter::default(),
             orders_in_flight: InFlightCounter::default(),
             capacity_changed: Notify::new(),
+            paths: PathState::default(),
             limits: RefCell::default(),
             turn_requests: TurnRequests::default(),
             peer_socket: OnceCell::new(),
@@ -303,6 +280,7 @@
     /// Discards the state of an upstream that restarted: its connections, loads and placement.
     pub fn on_upstream_restarted(&self, name: &UpstreamName) {
         self.pool.close_idle(name);
+        self.paths.table.borrow_mut().remove(name);
         self.loads.borrow_mut().reset_stats(name);
         self.placement.borrow_mut().remove_updates(name);
     }
--- a/crates/carob-edge/src/follow/mod.rs
+++ b/crates/carob-edge/src/follow/mod.rs
@@ -53,12 +53,14 @@
     topic: VM_TOPIC,
     shared_topic: None,
     long_poll: Duration::from_secs(10),
-    read_interval: Duration::from_millis(1500),
+    read_interval: Duration::from_millis(300),
     // One response holds the whole list, and the log may be slow.
     response_timeout: Duration::from_secs(4),
     max_backoff: Duration::from_millis(2500),
 };
 
+/// Pause between two reads of the list of vms in a large fleet, where many vms may start at once.
+const LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(1500);
 /// Time limit for a response; a log that responds at all is faster.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1200);
 const ANNOUNCE_MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -115,6 +117,14 @@
         }
     }
 
+    /// Returns the settings for the present size of the fleet.
+    fn for_fleet(self, edge: &Edge) -> Self {
+        if self.topic == VM_TOPIC && edge.hubs.borrow().uses_hubs() {
+            return FollowSettings { read_interval: LARGE_FLEET_INTERVAL, ..self };
+        }
+        self
+    }
+
     /// Returns the maximum pause after failed reads. It is longer for members of a hub, which learn
     /// from the hub that the log responds again.
     fn max_backoff(&self, edge: &Edge, reads_for_others: bool) -> Duration {
@@ -129,7 +139,8 @@
     let mut backoff = Backoff::default();
     loop {
         let reads_for_others = own_settings.reads_for_others(&edge);
-        let settings = if reads_for_others { own_settings.for_hub() } else { own_settings };
+        let settings = own_settings.for_fleet(&edge);
+        let settings = if reads_for_others { settings.for_hub() } else { settings };
         if let Some(shared) = shared_read(&edge, settings, next) {
             next = Some(apply_shared_read(&edge, settings, shared, &mut sink));
             tokio::time::sleep(SHARED_POLL_INTERVAL).await;
@@ -311,7 +322,8 @@
 /// Writes the address of this vm to the list of vms; retries until the log accepts it.
 pub async fn announce(edge: Rc<Edge>) {
     let profile = edge.hubs.borrow().profile().clone();
-    let entry = VmEntry { address: edge.settings.peer_address(), seat: profile };
+    let token = Some(edge.paths.token.clone());
+    let entry = VmEntry { address: edge.settings.peer_address(), seat: profile, token };
     let value = serde_json::to_vec(&entry).unwrap_or_default();
     let mut backoff = Backoff::default();
     loop {
--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -138,6 +138,9 @@
     pub address: SocketAddr,
     /// The data centre and the processor capacity of the vm.
     pub seat: VmProfile,
+    /// What has to be named to have connections carried by the vm.
+    #[serde(default)]
+    pub token: Option<String>,
 }
 
 /// Applies a verdict on a part of prompts.
@@ -194,7 +197,7 @@
         match serde_json::from_slice::<VmEntry>(&record.value) {
             Ok(entry) => {
                 hubs.add_listed(&name, entry.seat, edge.now());
-                view.peers.insert(name, PeerVm { address: entry.address });
+                view.peers.insert(name, PeerVm { address: entry.address, token: entry.token });
             }
             Err(err) => {
                 log::warn!(target: "vms", vm:% = name, error:% = err; "Vm record cannot be decoded.");
--- a/crates/carob-edge/src/group.rs
+++ b/crates/carob-edge/src/group.rs
@@ -53,9 +53,13 @@
 }
 
 /// Reports whether this vm joins the group. In a large fleet only vms that read the log join: hubs,
-/// vms that send orders to engines, and members whose hub no longer shares its reads.
+/// vms that send orders to engines, and members whose hub no longer shares its reads. A vm that is cut
+/// off from upstreams cannot order: an order counts as that of the vm from which it arrives.
 fn is_candidate(edge: &Edge) -> bool {
     let now = edge.now();
+    if edge.paths.table.borrow().is_cut_off(now) {
+        return false;
+    }
     let mut hubs = edge.hubs.borrow_mut();
     if !hubs.uses_hubs() || hubs.is_hub(now) || holds_engine_duty(edge) {
         return true;
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -9,7 +9,8 @@
 
 use crate::attempt::{AttemptResponse, FullResponse};
 use crate::attempts::{Attempts, FAILED_RETRY_AFTER};
-use crate::edge::{Edge, InFlightGuard};
+use crate::edge::Edge;
+use crate::in_flight::InFlightGuard;
 use crate::open_request::OpenRequest;
 use crate::origins;
 use crate::quarantine;
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -34,6 +34,10 @@
     duties: Gauge<u64>,
     blocked_parts: Gauge<u64>,
     block_changes: Counter<u64>,
+    path_changes: Counter<u64>,
+    tunnels: Counter<u64>,
+    lost_paths: Gauge<u64>,
+    open_tunnels: Gauge<u64>,
     recent_counts: Mutex<BTreeMap<&'static str, u64>>,
 }
 
@@ -97,6 +101,16 @@
                 "block_changes",
                 "Parts of prompts blocked or lifted, by reason",
             ),
+            path_changes: counter(
+                "path_changes",
+                "Direct paths to upstreams lost or restored, and upstreams that no vm reached",
+            ),
+            tunnels: counter(
+                "tunnels",
+                "Vms asked to carry a connection to an upstream, by answer",
+            ),
+            lost_paths: gauge("lost_paths", "Upstreams that other vms reach and this one does not"),
+            open_tunnels: gauge("open_tunnels", "Connections through other vms, and for them"),
             recent_counts: Mutex::default(),
             registry,
         })
@@ -143,6 +157,23 @@
         self.resumptions.add(1, &labels);
     }
 
+    /// Counts a change of what is known of a path: `lost`, `restored` or `unreachable`.
+    pub fn record_path_change(&self, change: &'static str) {
+        self.path_changes.add(1, &[KeyValue::new("change", change)]);
+    }
+
+    /// Counts a vm that was asked to carry a connection: `opened`, `unreachable` or `declined`.
+    pub fn record_tunnel(&self, answer: &'static str) {
+        self.tunnels.add(1, &[KeyValue::new("answer", answer)]);
+    }
+
+    /// Sets the number of lost paths, and of the connections through other vms and for them.
+    pub fn record_tunnels(&self, lost: u64, used: u64, carried: u64) {
+        self.lost_paths.record(lost, &[]);
+        self.open_tunnels.record(used, &[KeyValue::new("side", "used")]);
+        self.open_tunnels.record(carried, &[KeyValue::new("side", "carried")]);
+    }
+
     /// Counts a retry.
     pub fn record_retry(&self) {
         self.retries.add(1, &[]);
--- a/crates/carob-edge/src/orders/adapters.rs
+++ b/crates/carob-edge/src/orders/adapters.rs
@@ -91,7 +91,7 @@
 }
 
 async fn execute_adapter_order(
-    edge: &Edge,
+    edge: &Rc<Edge>,
     planner: &SharedPlanner,
     duty: &HeldDuty,
     upstream: &UpstreamEntry,
@@ -113,7 +113,7 @@
 }
 
 async fn send_adapter_order(
-    edge: &Edge,
+    edge: &Rc<Edge>,
     planner: &SharedPlanner,
     duty: &HeldDuty,
     upstream: &UpstreamEntry,
--- a/crates/carob-edge/src/orders/mod.rs
+++ b/crates/carob-edge/src/orders/mod.rs
@@ -21,6 +21,7 @@
 
 use self::adapters::plan_adapters;
 use crate::edge::Edge;
+use crate::paths;
 use crate::pool::OutgoingRequest;
 use crate::turns;
 
@@ -227,7 +228,7 @@
 }
 
 async fn execute_model_order(
-    edge: &Edge,
+    edge: &Rc<Edge>,
     planner: &SharedPlanner,
     duty: &HeldDuty,
     upstream: &UpstreamEntry,
@@ -266,7 +267,7 @@
 /// the engine is known; returns `Refused` otherwise. The engine refuses the order if its sequence
 /// differs.
 async fn send_order(
-    edge: &Edge,
+    edge: &Rc<Edge>,
     planner: &SharedPlanner,
     duty: &HeldDuty,
     upstream: &UpstreamEntry,
@@ -293,6 +294,9 @@
         Ok(Err(AttemptOutcome::Unsent)) => OrderOutcome::Refused,
         Ok(Err(_)) | Err(_) => OrderOutcome::Unknown,
     };
+    if !matches!(sent, Ok(Ok(_))) {
+        paths::check(edge, &upstream.name);
+    }
     edge.metrics.record_order(if target.load { "load" } else { "unload" });
     log::info!(target: "orders", upstream:% = upstream.name, model:% = target.model, adapter = target.adapter.as_deref().unwrap_or(""), load = target.load, expect = expect, token = duty.token, end:? = end; "Order sent to an engine.");
     with_order_tracker(planner, &upstream.name, |tracker| {
@@ -325,7 +329,7 @@
 }
 
 /// Fetches the report of an engine and stores it in the order tracker.
-async fn fetch_report(edge: &Edge, planner: &SharedPlanner, upstream: &UpstreamEntry) {
+async fn fetch_report(edge: &Rc<Edge>, planner: &SharedPlanner, upstream: &UpstreamEntry) {
     // After this wait a report includes every order up to now, even if it has the maximum age.
     tokio::time::sleep(MAX_REPORT_AGE).await;
     let request = OutgoingRequest {
@@ -342,6 +346,7 @@
         Ok::<_, AttemptOutcome>((response.status, body))
     };
     let Ok(Ok((200, body))) = tokio::time::timeout(ORDER_TIMEOUT, read).await else {
+        paths::check(edge, &upstream.name);
         return;
     };
     match decode_report(&body) {
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -68,7 +68,7 @@
         hubs.remove(&message.vm);
         return;
     }
-    view.peers.entry(message.vm.clone()).or_insert(PeerVm { address: from });
+    view.peers.entry(message.vm.clone()).or_insert(PeerVm { address: from, token: None });
     hubs.record_contact(&message.vm, now);
     match message.sender {
         SenderRole::Member => hubs.record_report(&message.vm, now),
--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -2,7 +2,6 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
-use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::rc::{Rc, Weak};
 use std::time::Duration;
@@ -18,6 +17,7 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::connect::{ConnectFailure, ConnectionSource, FreshConnection, Tunnel, connect};
 use crate::response_budget::ResponseBudget;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
@@ -49,6 +49,8 @@
     task: AbortHandle,
     idle_timeout: Option<Duration>,
     released: bool,
+    /// The tunnel that the connection uses; it carries one request.
+    tunnel: Option<Tunnel>,
 }
 
 impl Drop for PooledConnection {
@@ -59,35 +61,6 @@
     }
 }
 
-/// How the connection of a request came about.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum ConnectionSource {
-    /// There is none yet.
-    #[default]
-    None,
-    /// It was idle in the pool.
-    Kept,
-    /// It was opened for the request.
-    New,
-    /// It could not be opened: the address refused it.
-    Refused,
-    /// It could not be opened: there was no answer.
-    NoAnswer,
-}
-
-impl ConnectionSource {
-    /// Returns the name used in logs.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            ConnectionSource::None => "",
-            ConnectionSource::Kept => "kept",
-            ConnectionSource::New => "new",
-            ConnectionSource::Refused => "refused",
-            ConnectionSource::NoAnswer => "no_answer",
-        }
-    }
-}
-
 /// A request to an upstream or to the log.
 pub struct OutgoingRequest {
     /// The HTTP method.
@@ -100,6 +73,18 @@
     pub body: Bytes,
 }
 
+impl OutgoingRequest {
+    /// Builds the request; `None` if it is not valid.
+    pub fn build(self) -> Option<Request<Full<Bytes>>> {
+        let mut built =
+            Request::builder().method(self.method).uri(self.target).body(Full::new(self.body));
+        if let Ok(built) = &mut built {
+            *built.headers_mut() = self.headers;
+        }
+        built.ok()
+    }
+}
+
 /// A response whose body is read chunk by chunk.
 pub struct IncomingResponse {
     /// The HTTP status.
@@ -156,37 +141,20 @@
         None
     }
 
-    async fn connect(
-        &self,
-        address: SocketAddr,
-    ) -> Result<(SendRequest<Full<Bytes>>, AbortHandle), ConnectionSource> {
-        let stream = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        let stream = stream.map_err(|_| ConnectionSource::NoAnswer)?;
-        let stream = stream.map_err(|_| ConnectionSource::Refused)?;
-        // No TCP user timeout: it would also close the connection of an upstream that reads nothing of
-        // a long body for a while. The deadline of each call ends its wait.
-        if let Err(err) = stream.set_nodelay(true) {
-            log::debug!(target: "pool", error:% = err; "Failed to set a socket option on an upstream connection.");
-        }
-        let mut builder = http1::Builder::new();
-        builder.max_buf_size(MAX_BUFFER_BYTES);
-        let handshake = builder.handshake(TokioIo::new(stream)).await;
-        let (sender, connection) = handshake.map_err(|_| ConnectionSource::Refused)?;
-        let task = tokio::task::spawn_local(async move {
-            if let Err(err) = connection.await {
-                log::debug!(target: "pool", address:% = address, error:% = err; "Upstream connection ended with an error.");
-            }
-        });
-        Ok((sender, task.abort_handle()))
-    }
-
     /// Reports whether an address refuses connections, as that of a process that ended does.
     pub async fn is_refused(&self, address: SocketAddr) -> bool {
-        let connecting = tokio::time::timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-        matches!(connecting, Ok(Err(err)) if err.kind() == ErrorKind::ConnectionRefused)
+        connect(address, CONNECT_TIMEOUT).await.err() == Some(ConnectFailure::Refused)
     }
 
-    /// Sends a request to the upstream `name` at `address` and waits for the status and headers.
+    /// Reports whether there is an idle connection to an upstream.
+    pub fn has_idle(&self, name: &UpstreamName, address: SocketAddr) -> bool {
+        let now = self.clock.now();
+        let idle = self.idle.borrow();
+        let list = idle.get(&(name.clone(), address));
+        list.is_some_and(|list| list.iter().any(|idle| now < idle.expires_at))
+    }
+
+    /// Sends a request over a direct connection and waits for the status and headers.
     ///
     /// # Errors
     ///
@@ -198,43 +166,77 @@
         address: SocketAddr,
         request: OutgoingRequest,
     ) -> Result<IncomingResponse, AttemptOutcome> {
-        self.send_traced(name, address, request, &mut ConnectionSource::None).await
+        let request = request.build().ok_or(AttemptOutcome::Unsent)?;
+        let mut source = ConnectionSource::None;
+        let unsent = match self.send_idle(name, address, request, &mut source).await {
+            Ok(response) => return response,
+            Err(unsent) => *unsent,
+        };
+        let stream = connect(address, CONNECT_TIMEOUT).await;
+        let stream = stream.map_err(|_| AttemptOutcome::Unsent)?;
+        self.send_over(name, address, FreshConnection::Direct(stream), unsent).await
     }
 
-    /// Sends a request as [`send`](Self::send) does; `source` tells how its connection came about,
-    /// also if the request is given up.
-    ///
-    /// # Errors
-    ///
-    /// As [`send`](Self::send).
-    pub async fn send_traced(
+    /// Sends a request over an idle connection. Returns it back if no byte was sent, because there is
+    /// no such connection.
+    pub async fn send_idle(
         self: &Rc<Self>,
         name: &UpstreamName,
         address: SocketAddr,
-        request: OutgoingRequest,
+        mut request: Request<Full<Bytes>>,
         source: &mut ConnectionSource,
-    ) -> Result<IncomingResponse, AttemptOutcome> {
+    ) -> Result<Result<IncomingResponse, AttemptOutcome>, Box<Request<Full<Bytes>>>> {
         let key = (name.clone(), address);
-        let mut request = build(request).ok_or(AttemptOutcome::Unsent)?;
         while let Some(idle) = self.take_idle(&key) {
             *source = ConnectionSource::Kept;
             let connection = self.pooled_connection(&key, idle.sender, idle.task);
             match exchange(connection, request).await {
-                Ok(response) => return Ok(response),
+                Ok(response) => return Ok(Ok(response)),
                 Err(Some(unsent)) => request = unsent,
-                Err(None) => return Err(AttemptOutcome::TransportError),
+                Err(None) => return Ok(Err(AttemptOutcome::TransportError)),
             }
         }
-        let connected = self.connect(address).await;
-        *source = connected.as_ref().err().copied().unwrap_or(ConnectionSource::New);
-        let (sender, task) = connected.map_err(|_| AttemptOutcome::Unsent)?;
-        match exchange(self.pooled_connection(&key, sender, task), request).await {
+        Err(Box::new(request))
+    }
+
+    /// Sends a request over a new connection. A direct one is kept for further requests.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send).
+    pub async fn send_over(
+        self: &Rc<Self>,
+        name: &UpstreamName,
+        address: SocketAddr,
+        connection: FreshConnection,
+        request: Request<Full<Bytes>>,
+    ) -> Result<IncomingResponse, AttemptOutcome> {
+        let (stream, tunnel) = match connection {
+            FreshConnection::Direct(stream) => (Some(stream), None),
+            FreshConnection::Tunnel(mut tunnel) => (tunnel.take_stream(), Some(tunnel)),
+        };
+        let started = start_http(stream.ok_or(AttemptOutcome::Unsent)?).await;
+        let (sender, task) = started.ok_or(AttemptOutcome::Unsent)?;
+        let key = (name.clone(), address);
+        let mut connection = self.pooled_connection(&key, sender, task);
+        connection.tunnel = tunnel;
+        match exchange(connection, request).await {
             Ok(response) => Ok(response),
             Err(Some(_)) => Err(AttemptOutcome::Unsent),
             Err(None) => Err(AttemptOutcome::TransportError),
         }
     }
 
+    /// Keeps a new direct connection for further requests.
+    pub async fn add_idle(&self, name: &UpstreamName, address: SocketAddr, stream: TcpStream) {
+        let Some((sender, task)) = start_http(stream).await else {
+            return;
+        };
+        let expires_at = self.clock.now() + DEFAULT_IDLE_TIMEOUT.mul_f64(IDLE_FRACTION);
+        let idle = IdleConnection { sender, task, expires_at };
+        self.idle.borrow_mut().entry((name.clone(), address)).or_default().push(idle);
+    }
+
     fn pooled_connection(
         self: &Rc<Self>,
         key: &(UpstreamName, SocketAddr),
@@ -248,6 +250,7 @@
             task,
             idle_timeout: None,
             released: false,
+            tunnel: None,
         }
     }
 
@@ -255,7 +258,7 @@
         let (Some(sender), Some(keep)) = (connection.sender.take(), connection.idle_timeout) else {
             return;
         };
-        if sender.is_closed() {
+        if sender.is_closed() || connection.tunnel.is_some() {
             return;
         }
         connection.released = true;
@@ -268,13 +271,17 @@
     }
 }
 
-fn build(request: OutgoingRequest) -> Option<Request<Full<Bytes>>> {
-    let mut built =
-        Request::builder().method(request.method).uri(request.target).body(Full::new(request.body));
-    if let Ok(built) = &mut built {
-        *built.headers_mut() = request.headers;
-    }
-    built.ok()
+/// Starts to speak HTTP on a new connection.
+async fn start_http(stream: TcpStream) -> Option<(SendRequest<Full<Bytes>>, AbortHandle)> {
+    let mut builder = http1::Builder::new();
+    builder.max_buf_size(MAX_BUFFER_BYTES);
+    let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
+    let task = tokio::task::spawn_local(async move {
+        if let Err(err) = connection.await {
+            log::debug!(target: "pool", error:% = err; "Upstream connection ended with an error.");
+        }
+    });
+    Some((sender, task.abort_handle()))
 }
 
 /// Sends a request over a connection. On failure, returns the request if no byte of it was sent.
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -17,7 +17,7 @@
 use crate::listener::{self, Phase};
 use crate::metrics::{Metrics, ProcessState};
 use crate::settings::Settings;
-use crate::{follow, group, orders, origin_log, origins, peers, quarantine};
+use crate::{follow, group, orders, origin_log, origins, paths, peers, quarantine, tunnel_server};
 
 /// Time until the load balancer stops sending new callers to a vm that is no longer ready.
 const READINESS_DELAY: Duration = Duration::from_millis(2600);
@@ -45,6 +45,7 @@
     let edge = Edge::new(settings, Rc::new(BootClock), Arc::clone(&metrics));
     let listener = listener::bind(&edge)?;
     let socket = peers::open(&edge).await?;
+    let tunnels = tunnel_server::bind(&edge).await?;
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
     let servers = [serve_ready(&edge)?, serve_metrics(&edge, metrics)?];
     log::info!(target: "main", vm = edge.settings.vm.as_str(), data_centre = edge.settings.data_centre.as_str(), first = edge.settings.first, incarnation = edge.incarnation.0; "The process started.");
@@ -59,6 +60,7 @@
     tokio::task::spawn_local(peers::listen(Rc::clone(&edge), Rc::clone(&socket)));
     tokio::task::spawn_local(peers::run_sender(Rc::clone(&edge), Rc::clone(&socket)));
     tokio::task::spawn_local(peers::relay_usage(Rc::clone(&edge), socket));
+    tokio::task::spawn_local(tunnel_server::accept(Rc::clone(&edge), tunnels));
     tokio::task::spawn_local(origin_log::run_writer(Rc::clone(&edge)));
     tokio::task::spawn_local(origin_log::keep_versions(Rc::clone(&edge)));
     tokio::task::spawn_local(maintain(Rc::clone(&edge)));
@@ -67,7 +69,7 @@
     let all_finished = shut_down(&edge, &phase, &accepting).await;
     edge.stopped.set(true);
     let counts = &edge.stop_counts;
-    log::info!(target: "main", whole = all_finished, active = edge.active_requests.get(), connections = edge.open_connections.get(), responses = counts.responses(), refusals = counts.refusals(), idle = counts.idle_closes(), lost = counts.lost(); "The process stopped.");
+    log::info!(target: "main", whole = all_finished, active = edge.active_requests.get(), carried = edge.paths.carried.get(), connections = edge.open_connections.get(), responses = counts.responses(), refusals = counts.refusals(), idle = counts.idle_closes(), lost = counts.lost(); "The process stopped.");
     servers.into_iter().for_each(Server::stop);
     Ok(all_finished)
 }
@@ -125,6 +127,7 @@
         edge.suspects.borrow_mut().expire(edge.clock.unix_millis());
         quarantine::maintain(&edge);
         origins::maintain(&edge);
+        paths::maintain(&edge);
         edge.limits.borrow_mut().expire(edge.now());
         edge.rate_limiter.borrow_mut().settle_if_known(edge.now());
     }
@@ -204,7 +207,10 @@
     edge.active_requests.get() == 0
 }
 
-/// Reports whether a request is in progress or a caller may use its idle connection.
+/// Reports whether a request is in progress, here or on a connection that is carried for another vm,
+/// or a caller may use its idle connection.
 fn has_callers(edge: &Edge) -> bool {
-    edge.active_requests.get() > 0 || edge.now() < edge.promised_until.get()
+    edge.active_requests.get() > 0
+        || edge.paths.carried.get() > 0
+        || edge.now() < edge.promised_until.get()
 }
--- a/crates/carob-edge/src/relay.rs
+++ b/crates/carob-edge/src/relay.rs
@@ -10,7 +10,8 @@
 
 use crate::attempt::{AttemptResponse, EventStream, StartedStream};
 use crate::attempts::{AttemptEnd, Attempts, OpenAttempt};
-use crate::edge::{Edge, InFlightGuard};
+use crate::edge::Edge;
+use crate::in_flight::InFlightGuard;
 use crate::open_request::OpenRequest;
 use crate::origins;
 use crate::quarantine::SurvivalTimer;
--- /dev/null
+++ b/crates/carob-edge/src/tunnel.rs
@@ -0,0 +1,146 @@
+//! Opens connections to upstreams through other vms.
+//!
+//! A tunnel is a TCP connection to another vm, which connects to the upstream and then forwards bytes
+//! both ways. It is opened with an HTTP `CONNECT` request and carries one request. The vm in between
+//! decides nothing about the request, so everything is decided and counted once, at this vm.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use carobglade::{DataCentre, UpstreamEntry, VmName};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::{HeaderMap, HeaderValue, Method, Request, StatusCode, Uri};
+use http_body_util::Empty;
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use rand::Rng;
+use tokio::net::TcpStream;
+
+use crate::connect::{Tunnel, connect};
+use crate::edge::Edge;
+use crate::view::PeerVm;
+
+/// Header with the token of the vm that is asked.
+pub const TOKEN_HEADER: &str = "carob-token";
+/// Header with the name of the upstream.
+pub const UPSTREAM_HEADER: &str = "carob-upstream";
+/// Header with the start of the upstream, in milliseconds of Unix time.
+pub const STARTED_HEADER: &str = "carob-started";
+
+/// Limit for the answer of one vm.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
+/// Time after which the next vm is asked beside one that has not answered.
+const NEXT_VM_DELAY: Duration = Duration::from_millis(40);
+/// Number of vms that did not reach the upstream after which no other vm is asked.
+const MAX_UNREACHABLE: usize = 3;
+
+/// Why a vm opened no tunnel.
+enum Refusal {
+    /// It did not reach the upstream.
+    Unreachable,
+    /// It carries no connection to the upstream now, or did not answer.
+    Declined,
+}
+
+/// Opens a tunnel to an upstream. Vms are asked one after the other, the next one also when an answer
+/// is late. Returns `None` when no vm reaches the upstream.
+pub async fn open(edge: &Rc<Edge>, entry: &UpstreamEntry) -> Option<Tunnel> {
+    let mut vms = vms_to_ask(edge).into_iter();
+    let mut asked = FuturesUnordered::new();
+    let mut unreachable = 0;
+    asked.push(ask(edge, vms.next()?, entry));
+    loop {
+        let next_vm = tokio::time::sleep(NEXT_VM_DELAY);
+        tokio::select! {
+            biased;
+            Some((vm, answer)) = asked.next() => match answer {
+                Ok(stream) => {
+                    edge.metrics.record_tunnel("opened");
+                    return Some(Tunnel::new(Rc::clone(&edge.paths.vms), vm, stream));
+                }
+                Err(Refusal::Unreachable) => {
+                    edge.metrics.record_tunnel("unreachable");
+                    unreachable += 1;
+                }
+                Err(Refusal::Declined) => {
+                    edge.metrics.record_tunnel("declined");
+                    edge.paths.vms.borrow_mut().record_declined(&vm, edge.now());
+                }
+            },
+            () = next_vm, if vms.len() > 0 => {}
+        }
+        if unreachable >= MAX_UNREACHABLE {
+            return None;
+        }
+        match vms.next() {
+            Some(vm) => asked.push(ask(edge, vm, entry)),
+            None if asked.is_empty() => return None,
+            None => {}
+        }
+    }
+}
+
+/// Returns the vms that can be asked for a tunnel, in the order in which they are asked.
+fn vms_to_ask(edge: &Edge) -> Vec<VmName> {
+    let hubs = edge.hubs.borrow();
+    let own = hubs.profile().data_centre.clone();
+    let view = edge.view.borrow();
+    let able = view.peers.iter().filter(|(_, peer)| peer.token.is_some());
+    let vms = able.map(|(vm, _)| (vm.clone(), hubs.data_centre_of(vm).unwrap_or_default()));
+    let vms: Vec<(VmName, DataCentre)> = vms.collect();
+    edge.paths.vms.borrow().order(vms, &own, || rand::rng().random(), edge.now())
+}
+
+async fn ask(
+    edge: &Edge,
+    vm: VmName,
+    entry: &UpstreamEntry,
+) -> (VmName, Result<TcpStream, Refusal>) {
+    let peer = edge.view.borrow().peers.get(&vm).cloned();
+    let Some(peer) = peer else {
+        return (vm, Err(Refusal::Declined));
+    };
+    let answer = tokio::time::timeout(ANSWER_TIMEOUT, open_through(&peer, entry)).await;
+    (vm, answer.unwrap_or(Err(Refusal::Declined)))
+}
+
+/// Asks one vm to connect to an upstream.
+async fn open_through(peer: &PeerVm, entry: &UpstreamEntry) -> Result<TcpStream, Refusal> {
+    let request = connect_request(peer, entry).ok_or(Refusal::Declined)?;
+    let stream = connect(peer.address, ANSWER_TIMEOUT).await.map_err(|_| Refusal::Declined)?;
+    let handshake = http1::handshake(TokioIo::new(stream)).await;
+    let (mut sender, connection) = handshake.map_err(|_| Refusal::Declined)?;
+    tokio::task::spawn_local(connection.with_upgrades());
+    let response = sender.send_request(request).await.map_err(|_| Refusal::Declined)?;
+    match response.status() {
+        StatusCode::OK => {}
+        StatusCode::BAD_GATEWAY => return Err(Refusal::Unreachable),
+        _ => return Err(Refusal::Declined),
+    }
+    let upgraded = hyper::upgrade::on(response).await.map_err(|_| Refusal::Declined)?;
+    let parts = upgraded.downcast::<TokioIo<TcpStream>>().map_err(|_| Refusal::Declined)?;
+    // An upstream sends nothing before its first request.
+    if !parts.read_buf.is_empty() {
+        return Err(Refusal::Declined);
+    }
+    Ok(parts.io.into_inner())
+}
+
+fn connect_request(peer: &PeerVm, entry: &UpstreamEntry) -> Option<Request<Empty<Bytes>>> {
+    let target: Uri = entry.address.to_string().parse().ok()?;
+    let mut request = Request::new(Empty::new());
+    *request.method_mut() = Method::CONNECT;
+    *request.uri_mut() = target;
+    *request.headers_mut() = connect_headers(peer, entry)?;
+    Some(request)
+}
+
+fn connect_headers(peer: &PeerVm, entry: &UpstreamEntry) -> Option<HeaderMap> {
+    let mut headers = HeaderMap::new();
+    headers.insert(TOKEN_HEADER, HeaderValue::from_str(peer.token.as_deref()?).ok()?);
+    headers.insert(UPSTREAM_HEADER, HeaderValue::from_str(entry.name.as_str()).ok()?);
+    headers.insert(STARTED_HEADER, HeaderValue::from(entry.started_ms));
+    Some(headers)
+}
--- a/crates/carob-edge/src/view.rs
+++ b/crates/carob-edge/src/view.rs
@@ -20,6 +20,9 @@
 pub struct PeerVm {
     /// The address for messages to this vm.
     pub address: SocketAddr,
+    /// What has to be named to have connections carried by this vm; `None` if it carries none, or if
+    /// the list of vms has not told it yet.
+    pub token: Option<String>,
 }
 
 /// A topic of the log that one vm can read on behalf of others.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -25,7 +25,9 @@
 mod stream_progress;
 mod suspects;
 mod token_bucket;
+mod tunnel_vms;
 mod upstream_limits;
+mod upstream_paths;
 mod upstream_registry;
 mod usage_relay;
 
@@ -63,7 +65,9 @@
 pub(crate) use stream_progress::StreamProgress;
 pub use suspects::{QUARANTINE_THRESHOLD, Suspects};
 pub(crate) use token_bucket::TokenBucket;
+pub use tunnel_vms::{TunnelVms, TunnelVmsSettings};
 pub use upstream_limits::{LimitNotice, Turn, UpstreamLimits};
+pub use upstream_paths::{ConnectPlan, PathChange, UpstreamPaths, UpstreamPathsSettings};
 pub use upstream_registry::{
     EntryChange, LoadedModel, UpstreamEntry, UpstreamRegistry, UpstreamRegistrySettings,
 };
