--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -9,8 +9,10 @@
 use http::HeaderMap;
 
 use crate::choose::Choice;
+use crate::connect::ConnectionSource;
 use crate::edge::Edge;
 use crate::load_guard::LoadGuard;
+use crate::paths;
 use crate::pool::{IncomingResponse, OutgoingRequest};
 use crate::quarantine;
 use crate::request::CallerRequest;
@@ -131,7 +133,7 @@
     let limit = request.remaining_time(edge.now());
     let opened = tokio::time::timeout(
         limit,
-        send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut record.head),
+        send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut record),
     )
     .await;
     let result = opened.unwrap_or(Err(AttemptOutcome::TimedOut.into()));
@@ -183,6 +185,7 @@
     running: u32,
     load_tokens: u64,
     started: Duration,
+    connection: ConnectionSource,
     head: ResponseHead,
     ended: bool,
 }
@@ -198,6 +201,7 @@
             running: choice.running,
             load_tokens: choice.load_tokens,
             started: edge.now(),
+            connection: ConnectionSource::None,
             head: ResponseHead::default(),
             ended: false,
         }
@@ -209,7 +213,7 @@
 
     fn log(&self, end: &str) {
         let limit = self.head.limit.map(|limit| limit.to_string()).unwrap_or_default();
-        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
+        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, connection:% = self.connection, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
     }
 
     /// Records the result in the loads and in the log; a transport error marks the request as a
@@ -221,6 +225,9 @@
         result: &Result<ReceivedResponse, AttemptFailure>,
     ) {
         self.ended = true;
+        if self.head.status > 0 {
+            self.edge.paths.table.borrow_mut().record_response(&self.upstream, self.edge.now());
+        }
         let mut loads = self.edge.loads.borrow_mut();
         let end = match result {
             Ok(ReceivedResponse::Stream(..)) => {
@@ -267,7 +274,7 @@
     choice: &Choice,
     last_id: Option<u64>,
     load_guard: &mut LoadGuard,
-    head: &mut ResponseHead,
+    record: &mut AttemptRecord,
 ) -> Result<ReceivedResponse, AttemptFailure> {
     let upstream_headers = UpstreamHeaders {
         upstream: choice.entry.name.to_string(),
@@ -282,9 +289,10 @@
         headers: upstream_headers.build(&request.headers),
         body: request.body.clone(),
     };
-    let mut response = edge.pool.send(&choice.entry.name, choice.entry.address, outgoing).await?;
+    let mut response =
+        paths::send(edge, &choice.entry, !choice.fresh, outgoing, &mut record.connection).await?;
     let status = response.status;
-    *head =
+    record.head =
         ResponseHead { status, limit: turns::read_limit(edge, &choice.entry, &response.headers) };
     let kind =
         ResponseKind::classify(status, &response.headers, &request.caller_headers.request_id);
