--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -271,7 +271,9 @@
     /// Recomputes the readiness that the load balancer sees.
     pub fn update_ready(&self) {
         let view = self.view.borrow();
-        let known = view.config.is_some() && view.upstreams.was_read();
+        let known = view.config.is_some()
+            && view.upstreams.was_read()
+            && self.origins.versions.borrow().was_known();
         let ready = !self.stopping.get() && known && view.freshness.is_ready(self.now());
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             let age = view.freshness.age(self.now()).map_or(0, |age| age.as_millis() as u64);
--- a/crates/carob-edge/src/follow/mod.rs
+++ b/crates/carob-edge/src/follow/mod.rs
@@ -59,6 +59,11 @@
     max_backoff: Duration::from_millis(2500),
 };
 
+/// Interval between two reads of the list of vms until the versions of services are known. Shorter
+/// than the time by which the records of versions may be older than the list of upstreams.
+const START_READ_INTERVAL: Duration = Duration::from_millis(800);
+/// Maximum pause after failed reads of the list of vms until then, as for the other topics.
+const START_MAX_BACKOFF: Duration = Duration::from_millis(600);
 /// Time limit for a response; a log that responds at all is faster.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1200);
 const ANNOUNCE_MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -115,6 +120,20 @@
         }
     }
 
+    /// Returns the settings for a vm that takes no callers before it knows the versions of services,
+    /// which the list of vms holds.
+    fn for_start(self, edge: &Edge) -> Self {
+        if self.topic != VM_TOPIC || edge.origins.versions.borrow().was_known() {
+            return self;
+        }
+        FollowSettings {
+            long_poll: Duration::ZERO,
+            read_interval: START_READ_INTERVAL,
+            max_backoff: START_MAX_BACKOFF,
+            ..self
+        }
+    }
+
     /// Returns the maximum pause after failed reads. It is longer for members of a hub, which learn
     /// from the hub that the log responds again.
     fn max_backoff(&self, edge: &Edge, reads_for_others: bool) -> Duration {
@@ -130,6 +149,7 @@
     loop {
         let reads_for_others = own_settings.reads_for_others(&edge);
         let settings = if reads_for_others { own_settings.for_hub() } else { own_settings };
+        let settings = settings.for_start(&edge);
         if let Some(shared) = shared_read(&edge, settings, next) {
             next = Some(apply_shared_read(&edge, settings, shared, &mut sink));
             tokio::time::sleep(SHARED_POLL_INTERVAL).await;
--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -207,5 +207,6 @@
         edge.origins.versions.borrow_mut().record_records_reading(confirmed_at);
         edge.view.borrow_mut().vms_known = true;
         edge.update_fleet_size();
+        edge.update_ready();
     }
 }
--- a/src/process/service_versions.rs
+++ b/src/process/service_versions.rs
@@ -106,6 +106,8 @@
     confirmed_at: Option<Duration>,
     /// Up to when the last whole reading of the records is complete.
     records_at: Duration,
+    /// Whether the records were once current after a reading of the list.
+    was_known: bool,
 }
 
 impl ServiceVersions {
@@ -119,6 +121,7 @@
             read_since: None,
             confirmed_at: None,
             records_at: Duration::ZERO,
+            was_known: false,
         }
     }
 
@@ -149,6 +152,7 @@
     pub fn record_reading(&mut self, confirmed_at: Duration) {
         self.read_since.get_or_insert(confirmed_at);
         self.confirmed_at = self.confirmed_at.max(Some(confirmed_at));
+        self.update_known();
     }
 
     /// Records that changes of the list may have been missed up to `now`, because it was read anew
@@ -169,6 +173,18 @@
     /// Records that all records that the log held at `confirmed_at` were applied.
     pub fn record_records_reading(&mut self, confirmed_at: Duration) {
         self.records_at = self.records_at.max(confirmed_at);
+        self.update_known();
+    }
+
+    fn update_known(&mut self) {
+        let current = self.read_since.is_some_and(|since| self.records_at + RECORD_DELAY >= since);
+        self.was_known |= current && self.records_at > Duration::ZERO;
+    }
+
+    /// Reports whether this process has read both the list and records that are not older, so that
+    /// it can tell whether one version alone began the streams of a service. Stays true.
+    pub fn was_known(&self) -> bool {
+        self.was_known
     }
 
     /// Returns the listed versions of a service that are not to be used yet; as a rule none. A
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -363,3 +363,23 @@
     known.apply_record(record(&["v1", "v2"]), ms(41_000));
     assert_eq!(known.single(SERVICE, ms(41_000)), None);
 }
+
+/// Guards against a process that takes callers before it can tell the version of their streams.
+#[test]
+fn versions_are_known_once_the_list_and_records_that_are_not_older_were_read() {
+    let mut listed_first = reading(false, &["v1"], ms(100));
+    assert!(!listed_first.was_known());
+    listed_first.record_records_reading(ms(2000));
+    assert!(listed_first.was_known());
+    // A process that takes callers goes on to after a gap.
+    listed_first.record_gap(ms(9000));
+    assert!(listed_first.was_known());
+
+    let mut records_first = ServiceVersions::new(ServiceVersionsSettings::default(), false);
+    records_first.record_records_reading(ms(100));
+    assert!(!records_first.was_known());
+    read(&mut records_first, &["v1"], ms(1500));
+    assert!(!records_first.was_known(), "the list may have changed before it was read");
+    records_first.record_records_reading(ms(1600));
+    assert!(records_first.was_known());
+}
