--- a/crates/carob-edge/src/quarantine.rs
+++ b/crates/carob-edge/src/quarantine.rs
@@ -1,5 +1,6 @@
 //! Parts of prompts that crash upstreams: what is seen of them here, and which requests are refused.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -19,6 +20,14 @@
 /// Time limit for writing a verdict to the log.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1200);
 const APPEND_MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Times from a broken start at which the upstream is asked for a connection. A process that ends
+/// may close its connections before the address at which it listens.
+const CRASH_CHECKS: [Duration; 4] = [
+    Duration::ZERO,
+    Duration::from_millis(30),
+    Duration::from_millis(100),
+    Duration::from_millis(300),
+];
 /// Time from its first event after which a stream has survived.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Time between the vms of a fleet, one after the other, that let requests through again at the end
@@ -53,12 +62,12 @@
 }
 
 /// Records that the connection of a response broke after it had begun and before its first event.
-/// That counts as a crash if the upstream then refuses connections.
+/// That counts as a crash if the upstream then refuses connections, at once or soon.
 pub fn record_broken_start(edge: &Rc<Edge>, prompt: &SharedPrompt, entry: &UpstreamEntry) {
     let crash = UpstreamCrash { upstream: entry.name.clone(), started_ms: entry.started_ms };
     let (edge, prompt, address) = (Rc::clone(edge), prompt.clone(), entry.address);
     tokio::task::spawn_local(async move {
-        if !edge.pool.is_refused(address).await {
+        if !ends(&edge, address).await {
             return;
         }
         log::warn!(target: "quarantine", upstream:% = crash.upstream, parts:% = prompt; "An upstream crashed at the start of a response.");
@@ -69,6 +78,18 @@
     });
 }
 
+/// Reports whether an upstream refuses connections at one of the checks.
+async fn ends(edge: &Edge, address: SocketAddr) -> bool {
+    let started = edge.now();
+    for check in CRASH_CHECKS {
+        tokio::time::sleep((started + check).saturating_sub(edge.now())).await;
+        if edge.pool.is_refused(address).await {
+            return true;
+        }
+    }
+    false
+}
+
 /// Applies what another vm told.
 pub fn apply_report(edge: &Rc<Edge>, report: &QuarantineReport) {
     let changes = edge.quarantine.borrow_mut().apply_report(report, edge.now());
