--- a/crates/carob-edge/src/follow/mod.rs
+++ b/crates/carob-edge/src/follow/mod.rs
@@ -61,6 +61,11 @@
 
 /// Pause between two reads of the list of vms in a large fleet, where many vms may start at once.
 const LARGE_FLEET_INTERVAL: Duration = Duration::from_millis(1500);
+/// Interval between two reads of the list of vms until the versions of services are known. Shorter
+/// than the time by which the records of versions may be older than the list of upstreams.
+const START_READ_INTERVAL: Duration = Duration::from_millis(800);
+/// Maximum pause after failed reads of the list of vms until then, as for the other topics.
+const START_MAX_BACKOFF: Duration = Duration::from_millis(600);
 /// Time limit for a response; a log that responds at all is faster.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1200);
 const ANNOUNCE_MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -125,6 +130,20 @@
         self
     }
 
+    /// Returns the settings for a vm that takes no callers before it knows the versions of services,
+    /// which the list of vms holds.
+    fn for_start(self, edge: &Edge) -> Self {
+        if self.topic != VM_TOPIC || edge.origins.versions.borrow().was_known() {
+            return self;
+        }
+        FollowSettings {
+            long_poll: Duration::ZERO,
+            read_interval: self.read_interval.min(START_READ_INTERVAL),
+            max_backoff: START_MAX_BACKOFF,
+            ..self
+        }
+    }
+
     /// Returns the maximum pause after failed reads. It is longer for members of a hub, which learn
     /// from the hub that the log responds again.
     fn max_backoff(&self, edge: &Edge, reads_for_others: bool) -> Duration {
@@ -141,6 +160,7 @@
         let reads_for_others = own_settings.reads_for_others(&edge);
         let settings = own_settings.for_fleet(&edge);
         let settings = if reads_for_others { settings.for_hub() } else { settings };
+        let settings = settings.for_start(&edge);
         if let Some(shared) = shared_read(&edge, settings, next) {
             next = Some(apply_shared_read(&edge, settings, shared, &mut sink));
             tokio::time::sleep(SHARED_POLL_INTERVAL).await;
