LOST: a refused request's body is read, or its connection says that it closes

A caller whose request was refused before its body was read (a withdrawn key or route, a vm without a configuration, a body that is too long) got a refusal that promised `Keep-Alive`, and its next whole request on that connection got neither an answer nor a refusal; with a long body the refusal itself was lost in a reset.

Cause: hyper closes a connection whose request body was not read once the response is written, and we did not say so.

Change: what is left of the body is read and dropped before the refusal, at most 8 MiB and 1 s; a body that is longer, slower or already late gets `Connection: close` with the refusal. A response that says so promises no keep-alive.

--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -24,7 +24,7 @@
 
 /// Tells a caller whether it may use its connection again, and for how long.
 pub fn announce_keep_alive(edge: &Edge, headers: &mut HeaderMap) {
-    if edge.stopping.get() {
+    if edge.stopping.get() || headers.contains_key("connection") {
         headers.remove("keep-alive");
         headers.insert("connection", HeaderValue::from_static("close"));
     } else {
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -15,7 +15,7 @@
 use crate::origins;
 use crate::quarantine;
 use crate::relay::relay_stream;
-use crate::request::{CallerRequest, charge, read_request, refund};
+use crate::request::{CallerRequest, charge, discard_body, read_request, refund};
 use crate::response::{ResponseBody, error_response, forwarded_response};
 
 /// Retry time for a request that another vm can serve.
@@ -26,7 +26,8 @@
     let active = edge.active_requests.increment();
     let arrival = edge.now();
     let id = request.headers().get("request-id").cloned();
-    let (size, result) = match read_request(&edge, request, arrival).await {
+    let (parts, mut body) = request.into_parts();
+    let (size, result) = match read_request(&edge, parts, &mut body, arrival).await {
         Ok(request) => (Some(request.size()), serve(&edge, request, active).await),
         Err(err) => (None, Err(err)),
     };
@@ -36,13 +37,16 @@
             response
         }
         Err(err) => {
+            // A body that was late is not waited for again.
+            let late = err.kind() == ErrorKind::BodyTimeout;
+            let whole = size.is_some() || (!late && discard_body(&mut body).await);
             edge.stop_counts.record_refusal();
             let took = edge.now().saturating_sub(arrival);
             let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
             edge.metrics.record_refusal(err.kind());
             let size = size.unwrap_or_default();
             log::info!(target: "request", id = id, kind = err.kind().response().code, why = err.message(), route = size.route.as_str(), prompt = size.prompt, output = size.output, took = took.as_millis() as u64, retry = err.retry_after().map_or(0, |r| r.as_millis() as u64); "A request was refused.");
-            let close = edge.stopping.get() || err.kind() == ErrorKind::NotReady;
+            let close = edge.stopping.get() || err.kind() == ErrorKind::NotReady || !whole;
             error_response(&err, close)
         }
     }
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -10,7 +10,8 @@
     Error, ErrorKind, Fingerprint, PlatformConfig, PlatformRoute, PlatformTenant, PromptPart,
     Result, SharedPrompt, SoftwareVersion, StreamKey, Tokens,
 };
-use http::{HeaderMap, Method, Request, Uri};
+use http::request::Parts;
+use http::{HeaderMap, Method, Uri};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -21,6 +22,10 @@
 /// Maximum time for which a request waits for its tenant's tokens before it is refused.
 const MAX_QUOTA_WAIT: Duration = Duration::from_millis(250);
 
+/// Maximum size and time of the body of a refused request that is read and dropped.
+const MAX_DISCARDED_BYTES: usize = 8 << 20;
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Maximum size of a caller's text in a log line.
 const MAX_LABEL_BYTES: usize = 64;
 /// Fraction of the route's timeout in which a stream should end.
@@ -163,10 +168,10 @@
 /// Returns the reason why the request cannot be sent to an upstream.
 pub async fn read_request(
     edge: &Edge,
-    request: Request<Incoming>,
+    parts: Parts,
+    body: &mut Incoming,
     arrival: Duration,
 ) -> Result<CallerRequest> {
-    let (parts, body) = request.into_parts();
     let caller_headers = CallerHeaders::read(&parts.headers)
         .map_err(|err| request_error(ErrorKind::InvalidRequest, err.to_string()))?;
     if caller_headers.request_id.is_empty() {
@@ -288,7 +293,7 @@
 }
 
 /// Reads a body whose parts come within `idle_timeout` of each other.
-async fn read_body(mut body: Incoming, limit: usize, idle_timeout: Duration) -> Result<Bytes> {
+async fn read_body(body: &mut Incoming, limit: usize, idle_timeout: Duration) -> Result<Bytes> {
     let mut buf = BytesMut::new();
     loop {
         let frame = tokio::time::timeout(idle_timeout, body.frame()).await;
@@ -309,6 +314,21 @@
     }
 }
 
+/// Reads what is left of the body of a request that is refused, so that the refusal and the next
+/// request are not lost with the connection. Returns whether the body was read to its end; otherwise the
+/// connection cannot be used again.
+pub async fn discard_body(body: &mut Incoming) -> bool {
+    let discarding = async {
+        let mut left = MAX_DISCARDED_BYTES;
+        while let Some(frame) = body.frame().await {
+            let len = frame.ok()?.into_data().map_or(0, |data| data.len());
+            left = left.checked_sub(len)?;
+        }
+        Some(())
+    };
+    matches!(tokio::time::timeout(DISCARD_TIMEOUT, discarding).await, Ok(Some(())))
+}
+
 /// Charges a request to the tenant, waiting for at most `MAX_QUOTA_WAIT` for its tokens.
 ///
 /// # Errors
