LIMIT: brittle upstreams are asked by one owner, within what they survive

What callers saw: nothing in the product read `Server-Brittle`. Upstreams that let fewer requests wait fall over one after the other, since each vm sends by loads that are some hundred ms old and sends what was rejected to the next one.

Change: the header is read in platform/ (`RejectionLimit`), told to all vms by age, and not passed on. The owner of an upstream's schedule lets each request in (`UpstreamRooms`, `RoomSchedule`, pure; `rooms.rs` asks in its own datagram, byte 66): what was rejected in 1.2 s and what may still be rejected stay within half of N; room is learned from rejections, down at once, up slowly. What a brittle upstream rejected goes to no other brittle one; what has no room is refused at once with a spread time. Upstreams that have said nothing beside brittle ones are presumed brittle.

Changed tests: none that existed. `server_limit` and `upstream_limits` pass.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::pool::{IncomingResponse, OutgoingRequest};
 use crate::quarantine;
 use crate::request::CallerRequest;
+use crate::rooms;
 use crate::turns;
 
 /// Maximum size of a response that is not streamed.
@@ -127,7 +128,7 @@
     last_id: Option<u64>,
 ) -> Result<AttemptResponse, AttemptFailure> {
     let mut record = AttemptRecord::new(edge, request, choice);
-    let mut load_guard = LoadGuard::new(edge, request, &choice.entry.name);
+    let mut load_guard = LoadGuard::new(edge, request, &choice.entry.name, choice.room.clone());
     let limit = request.remaining_time(edge.now());
     let opened = tokio::time::timeout(
         limit,
@@ -288,6 +289,7 @@
         ResponseHead { status, limit: turns::read_limit(edge, &choice.entry, &response.headers) };
     let kind =
         ResponseKind::classify(status, &response.headers, &request.caller_headers.request_id);
+    rooms::record_head(edge, &choice.entry.name, choice.room.as_deref(), status, kind);
     if kind == ResponseKind::WrongRequest {
         return Err(AttemptOutcome::TransportError.into());
     }
--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -21,6 +21,7 @@
 use crate::edge::Edge;
 use crate::quarantine;
 use crate::request::{CallerRequest, charge_retry};
+use crate::rooms;
 
 /// Retry time after a failed attempt, which says nothing about the load.
 pub const FAILED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -69,6 +70,8 @@
     tried: RefCell<Vec<UpstreamName>>,
     open: RefCell<Vec<OpenUpstream>>,
     history: Cell<AttemptHistory>,
+    /// Whether a brittle upstream had no room for the request.
+    rejected_for_room: Cell<bool>,
     /// Wakes the wait for a second attempt when an attempt starts or ends.
     changed: Notify,
 }
@@ -82,6 +85,7 @@
             tried: RefCell::default(),
             open: RefCell::default(),
             history: Cell::new(history),
+            rejected_for_room: Cell::default(),
             changed: Notify::new(),
         }
     }
@@ -171,6 +175,7 @@
             Ok(response) => AttemptEnd::Response(response),
             Err(failure) => {
                 self.update_history(|history| history.record_outcome(failure.outcome));
+                self.record_rejection(&name, failure.outcome);
                 if let Some(token) = &mut token {
                     token.spent = failure.outcome != AttemptOutcome::Unsent;
                 }
@@ -179,6 +184,19 @@
         }
     }
 
+    /// Keeps a request that a brittle upstream rejected from the other brittle ones, which the same
+    /// crowd would make fall one after the other.
+    fn record_rejection(&self, name: &UpstreamName, outcome: AttemptOutcome) {
+        if outcome != AttemptOutcome::NotRun {
+            return;
+        }
+        let brittle = rooms::brittle_upstreams(self.edge, &self.request.service);
+        if brittle.contains(name) {
+            self.rejected_for_room.set(true);
+            self.tried.borrow_mut().extend(brittle);
+        }
+    }
+
     fn record_start(&self, name: &UpstreamName, estimate: Duration) {
         let route = &self.request.route;
         let goal = if route.kind.is_stream() { route.latency_goal } else { Duration::ZERO };
@@ -328,6 +346,10 @@
             (RetryDecision::ForwardResponse, None) => {
                 Some(Err(attempt_error(ErrorKind::UpstreamFailed, outcome)))
             }
+            (RetryDecision::Fail(kind), _) if self.rejected_for_room.get() => {
+                let err = attempt_error(kind, outcome);
+                Some(Err(err.with_retry_after(rooms::rejected_retry_after())))
+            }
             (RetryDecision::Fail(kind), _) => Some(Err(attempt_error(kind, outcome))),
         }
     }
@@ -338,10 +360,17 @@
         match outcome {
             AttemptOutcome::Unsent => true,
             AttemptOutcome::TimedOut => false,
+            _ if self.has_no_room() => false,
             _ => self.edge.withdraw_retry(&self.request.service),
         }
     }
 
+    /// Reports whether brittle upstreams had no room and no other upstream can take the request.
+    fn has_no_room(&self) -> bool {
+        self.rejected_for_room.get()
+            && !has_candidate(self.edge, self.request, &self.tried.borrow())
+    }
+
     /// Turns an error into `UpstreamFailed` when an attempt may have run, because other kinds would
     /// tell the caller that the request did not run.
     pub fn hide_not_run(&self, err: Error) -> Error {
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -12,6 +12,7 @@
 
 use crate::edge::Edge;
 use crate::request::CallerRequest;
+use crate::rooms::{self, RoomGuard};
 use crate::turns;
 
 /// Time between two output tokens of a busy engine.
@@ -32,6 +33,8 @@
     pub running: u32,
     /// Tokens of these requests.
     pub load_tokens: u64,
+    /// The place of the request at a brittle upstream.
+    pub room: Option<Rc<RoomGuard>>,
 }
 
 /// Chooses an upstream that is not among `tried`.
@@ -88,8 +91,14 @@
         let message = format!("upstreams take no more requests for {} ms", wait.as_millis());
         return Err(Error::new(ErrorKind::UpstreamUnavailable, message).with_retry_after(wait));
     }
-    let choice = dispatch_request(edge, request, open)?;
-    let has_turn = turns::wait_for_turn(edge, &choice.entry, max_wait).await;
+    let mut choice = dispatch_request(edge, request, open)?;
+    let mut has_turn = turns::wait_for_turn(edge, &choice.entry, max_wait).await;
+    if has_turn {
+        match rooms::enter(edge, &choice.entry, request.remaining_time(edge.now())).await {
+            Ok(room) => choice.room = room,
+            Err(_) => has_turn = false,
+        }
+    }
     // The upstream may have announced in the meantime that it is leaving, or started again.
     let view = edge.view.borrow();
     let accepts = view
@@ -274,7 +283,7 @@
                 eligible.into_iter().nth(index).ok_or_else(|| unavailable_error(request))?;
             let candidate = dispatch_candidates[index];
             let (running, load_tokens) = (candidate.running, candidate.memory.0);
-            Ok(Choice { entry, estimate, running, load_tokens })
+            Ok(Choice { entry, estimate, running, load_tokens, room: None })
         }
         DispatchDecision::RetryLater(after) => {
             let message = format!("upstreams are busy for {} ms more", after.as_millis());
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -12,7 +12,7 @@
     DutyLeases, DutyLeasesSettings, HubSelector, HubSelectorSettings, Incarnation, Load,
     LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, PromptQuarantine, RateLimiter,
     RateLimiterSettings, RecentMaximum, RetryBudget, RetryBudgetSettings, Suspect, Suspects,
-    TokenPace, Tokens, UpstreamLimits, UpstreamName, UsageRelay, VmName, VmProfile,
+    TokenPace, Tokens, UpstreamLimits, UpstreamName, UpstreamRooms, UsageRelay, VmName, VmProfile,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -149,6 +149,8 @@
     pub capacity_changed: Notify,
     /// Limits that upstreams name.
     pub limits: RefCell<UpstreamLimits>,
+    /// Brittle upstreams, and who may send to them.
+    pub rooms: RefCell<UpstreamRooms>,
     /// Turns at limited upstreams that other vms were asked for.
     pub turn_requests: TurnRequests,
     /// The socket for messages to other vms, once it is open.
@@ -223,6 +225,7 @@
             orders_in_flight: InFlightCounter::default(),
             capacity_changed: Notify::new(),
             limits: RefCell::default(),
+            rooms: RefCell::default(),
             turn_requests: TurnRequests::default(),
             peer_socket: OnceCell::new(),
             origins: OriginState::new(settings.first),
@@ -285,6 +288,7 @@
         log::info!(target: "upstreams", upstream:% = name; "Upstream removed from the registry.");
         self.on_upstream_restarted(name);
         self.limits.borrow_mut().remove(name);
+        self.rooms.borrow_mut().remove(name, self.now());
         self.on_placement_changed();
     }
 
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -25,6 +25,7 @@
 mod request;
 mod response;
 mod response_budget;
+mod rooms;
 mod settings;
 mod store;
 mod turn_requests;
--- a/crates/carob-edge/src/load_guard.rs
+++ b/crates/carob-edge/src/load_guard.rs
@@ -6,6 +6,7 @@
 
 use crate::edge::Edge;
 use crate::request::CallerRequest;
+use crate::rooms::RoomGuard;
 
 /// Counts a request in the load of its upstream until the guard is dropped.
 pub struct LoadGuard {
@@ -16,11 +17,18 @@
     tokens: u64,
     /// Output tokens in one event, while the progress of the stream is recorded.
     event_tokens: Option<f64>,
+    /// The place of the request at a brittle upstream, until the guard is dropped.
+    _room: Option<Rc<RoomGuard>>,
 }
 
 impl LoadGuard {
     /// Counts `request` at the upstream `name`.
-    pub fn new(edge: &Rc<Edge>, request: &CallerRequest, name: &UpstreamName) -> Self {
+    pub fn new(
+        edge: &Rc<Edge>,
+        request: &CallerRequest,
+        name: &UpstreamName,
+        room: Option<Rc<RoomGuard>>,
+    ) -> Self {
         let prompt = request.prompt_tokens();
         let tokens = prompt + request.expected_output();
         edge.loads.borrow_mut().record_start(name, prompt, tokens);
@@ -36,6 +44,7 @@
             prompt,
             tokens,
             event_tokens: None,
+            _room: room,
         }
     }
 
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -20,6 +20,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     hedges: Counter<u64>,
+    room_refusals: Counter<u64>,
     resumptions: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
@@ -74,6 +75,10 @@
                 "Streams that callers took up again, by source and outcome",
             ),
             hedges: counter("hedges", "Requests sent to another upstream beside a silent one"),
+            room_refusals: counter(
+                "room_refusals",
+                "Requests that a brittle upstream had no room for",
+            ),
             orders: counter("orders", "Orders sent to engines"),
             store_calls: counter("store_calls", "Calls to the platform's log"),
             store_failures: counter(
@@ -148,6 +153,11 @@
         self.hedges.add(1, &[]);
     }
 
+    /// Counts a request that was not sent to a brittle upstream for want of room.
+    pub fn record_room_refusal(&self) {
+        self.room_refusals.add(1, &[]);
+    }
+
     /// Counts an order to an engine; `kind` is `load` or `unload`.
     pub fn record_order(&self, kind: &'static str) {
         self.orders.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/carob-edge/src/orders/mod.rs
+++ b/crates/carob-edge/src/orders/mod.rs
@@ -22,6 +22,7 @@
 use self::adapters::plan_adapters;
 use crate::edge::Edge;
 use crate::pool::OutgoingRequest;
+use crate::rooms;
 use crate::turns;
 
 /// Maximum time between two plans.
@@ -320,6 +321,7 @@
     turns::count_request(edge, &upstream.name);
     let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
     turns::read_limit(edge, upstream, &response.headers);
+    rooms::record_unticketed(edge, &upstream.name, response.status, &response.headers);
     response.read_to_end(MAX_REPORT_BYTES, &edge.response_budget).await?;
     Ok(response.status)
 }
@@ -338,6 +340,7 @@
         turns::count_request(edge, &upstream.name);
         let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
         turns::read_limit(edge, upstream, &response.headers);
+        rooms::record_unticketed(edge, &upstream.name, response.status, &response.headers);
         let body = response.read_to_end(MAX_REPORT_BYTES, &edge.response_budget).await?;
         Ok::<_, AttemptOutcome>((response.status, body))
     };
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -6,7 +6,8 @@
 use carob_platform::KeyedRecord;
 use carobglade::{
     AdapterId, Fingerprint, GossipScope, Incarnation, LimitNotice, Load, LogReading,
-    PlacementUpdate, QuarantineReport, ReporterState, TenantUsage, UsageReport, VmName, name_hash,
+    PlacementUpdate, QuarantineReport, ReporterState, RoomNotice, TenantUsage, UsageReport, VmName,
+    name_hash,
 };
 use serde::{Deserialize, Serialize};
 
@@ -161,6 +162,16 @@
     /// Limits that upstreams name; encoded after the quarantine.
     #[serde(skip)]
     pub limits: Vec<LimitNotice>,
+    /// Upstreams that are brittle; encoded after the limits.
+    #[serde(skip)]
+    pub rooms: Vec<RoomNotice>,
+}
+
+/// Decodes a part that was added to the encoding later, which older versions do not send.
+fn take_added<'a, T: Default + Deserialize<'a>>(
+    bytes: &'a [u8],
+) -> postcard::Result<(T, &'a [u8])> {
+    if bytes.is_empty() { Ok((T::default(), bytes)) } else { postcard::take_from_bytes(bytes) }
 }
 
 impl Message {
@@ -171,9 +182,8 @@
     /// Returns an error when a part cannot be encoded.
     pub fn encode(&self) -> postcard::Result<Vec<u8>> {
         let mut bytes = postcard::to_allocvec(self)?;
-        bytes.extend(postcard::to_allocvec(&self.extension)?);
-        bytes.extend(postcard::to_allocvec(&self.quarantine)?);
-        bytes.extend(postcard::to_allocvec(&self.limits)?);
+        let added = (&self.extension, &self.quarantine, &self.limits, &self.rooms);
+        bytes.extend(postcard::to_allocvec(&added)?);
         Ok(bytes)
     }
 
@@ -184,18 +194,11 @@
     /// Returns an error when the bytes are not a message, or end in an incomplete extension.
     pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
         let (message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
-        if rest.is_empty() {
-            return Ok(message);
-        }
-        let (extension, rest) = postcard::take_from_bytes(rest)?;
-        if rest.is_empty() {
-            return Ok(Message { extension, ..message });
-        }
-        let (quarantine, rest) = postcard::take_from_bytes(rest)?;
-        if rest.is_empty() {
-            return Ok(Message { extension, quarantine, ..message });
-        }
-        Ok(Message { extension, quarantine, limits: postcard::from_bytes(rest)?, ..message })
+        let (extension, rest) = take_added(rest)?;
+        let (quarantine, rest) = take_added(rest)?;
+        let (limits, rest) = take_added(rest)?;
+        let (rooms, _) = take_added(rest)?;
+        Ok(Message { extension, quarantine, limits, rooms, ..message })
     }
 
     /// Builds the message that this vm sends in the role `sender`.
@@ -294,6 +297,7 @@
             extension: Extension::default(),
             quarantine: QuarantineReport::default(),
             limits: Vec::new(),
+            rooms: Vec::new(),
         }
     }
 
@@ -344,9 +348,8 @@
         let streams =
             streams.map(|(n, load)| WireProgress(*n, load.token_rate, load.stream_millis));
         self.extension.streams = streams.collect();
-        let loads = loads.into_iter();
-        self.loads =
-            loads.map(|(n, l)| WireLoad(n, l.running, l.prompt_backlog, l.tokens)).collect();
+        let wire = |(n, l): (u32, Load)| WireLoad(n, l.running, l.prompt_backlog, l.tokens);
+        self.loads = loads.into_iter().map(wire).collect();
     }
 
     fn add_placement(&mut self, edge: &Edge, scope: GossipScope, now: Duration) {
@@ -357,6 +360,7 @@
         self.suspects = edge.suspects.borrow().recent_crashes(edge.clock.unix_millis());
         self.quarantine = edge.quarantine.borrow().report(now);
         self.limits = edge.limits.borrow().notices(now);
+        self.rooms = edge.rooms.borrow().notices(now);
     }
 
     /// Returns the latest changes of the upstream list.
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -11,6 +11,7 @@
 use crate::edge::Edge;
 use crate::origins::{self, ORIGIN_VERSION};
 use crate::quarantine;
+use crate::rooms::{self, ROOM_VERSION};
 use crate::turns::{self, TURN_VERSION};
 use crate::view::PeerVm;
 
@@ -22,6 +23,9 @@
             Ok((len, from)) if buf[..len].starts_with(&[TURN_VERSION]) => {
                 turns::handle_datagram(&edge, &buf[1..len], from);
             }
+            Ok((len, from)) if buf[..len].starts_with(&[ROOM_VERSION]) => {
+                rooms::handle_datagram(&edge, &buf[1..len], from);
+            }
             Ok((len, from)) if buf[..len].starts_with(&[ORIGIN_VERSION]) => {
                 origins::handle_datagram(&edge, &buf[1..len], from);
             }
@@ -112,6 +116,7 @@
     edge.demand.borrow_mut().apply_report(&message.vm, demand, now);
     quarantine::apply_report(edge, &message.quarantine);
     turns::apply_notices(edge, &message.limits);
+    rooms::apply_notices(edge, &message.rooms);
     for (request, crash) in &message.suspects {
         edge.suspects.borrow_mut().record_crash(*request, crash, edge.clock.unix_millis());
     }
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -125,6 +125,7 @@
         quarantine::maintain(&edge);
         origins::maintain(&edge);
         edge.limits.borrow_mut().expire(edge.now());
+        edge.rooms.borrow_mut().expire(edge.now());
         edge.rate_limiter.borrow_mut().settle_if_known(edge.now());
     }
 }
--- a/crates/carob-edge/src/turns.rs
+++ b/crates/carob-edge/src/turns.rs
@@ -12,6 +12,7 @@
 
 use crate::datagram;
 use crate::edge::Edge;
+use crate::rooms;
 
 /// First byte of a datagram about turns, which no other message between vms begins with.
 pub const TURN_VERSION: u8 = 64;
@@ -34,9 +35,10 @@
     Sent { limit: LimitNotice },
 }
 
-/// Records the limit that an upstream names in a response, or that it names none. One that cannot
-/// be read changes nothing.
+/// Records the limit that an upstream names in a response, or that it names none, and whether it is
+/// brittle. What cannot be read changes nothing.
 pub fn read_limit(edge: &Edge, entry: &UpstreamEntry, headers: &HeaderMap) -> Option<RequestRate> {
+    rooms::read_brittle(edge, entry, headers);
     let rate = match server_limit(headers) {
         Ok(rate) => rate,
         Err(err) => {
@@ -73,9 +75,13 @@
     mut entries: Vec<UpstreamEntry>,
     max_wait: Duration,
 ) -> (Vec<UpstreamEntry>, Option<Duration>) {
+    rooms::presume_brittle(edge, &entries);
     let (limits, now) = (edge.limits.borrow(), edge.now());
+    let known_wait = |name: &UpstreamName| {
+        limits.known_wait(name, max_wait, now).max(rooms::known_wait(edge, name))
+    };
     let mut next_turn: Option<Duration> = None;
-    entries.retain(|entry| match limits.known_wait(&entry.name, max_wait, now) {
+    entries.retain(|entry| match known_wait(&entry.name) {
         None => true,
         Some(wait) => {
             next_turn = Some(next_turn.map_or(wait, |next| next.min(wait)));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -67,13 +67,13 @@
     OrderKind, OrderOutcome, OrderResolution, OrderTarget, OrderTracker, OrderTrackerSettings,
     OriginSource, PEER_LOAD_TTL, PlacementGossip, PlacementUpdate, PromptQuarantine, PromptVerdict,
     QUARANTINE_THRESHOLD, QuarantineReport, RecentChanges, Record, Replay, ReplayPage,
-    ReplayStatus, ReplicaPlanner, ReplicaPlannerSettings, RequestOutcome, SLOT_LEASE, SLOTS,
-    SLOTS_PER_GROUP, ServiceVersions, ServiceVersionsSettings, SharedPrompt, SlotChange,
-    SlotHolder, SlotTable, Snapshot, StateMachine, StreamKey, StreamOrigin, StreamOrigins,
-    StreamOriginsSettings, Suspect, Suspects, Suspicion, Turn, UpstreamCrash, UpstreamEntry,
-    UpstreamLimits, UpstreamRegistry, UpstreamRegistrySettings, UpstreamRestart, UsageRelay,
-    UsageReport, Verdict, VerdictChange, VerdictReason, VersionRecord, VmProfile, VmRef, name_hash,
-    tenant_slots,
+    ReplayStatus, ReplicaPlanner, ReplicaPlannerSettings, RequestOutcome, RoomEvent, RoomNotice,
+    RoomRequest, RoomTicket, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, ServiceVersions,
+    ServiceVersionsSettings, SharedPrompt, SlotChange, SlotHolder, SlotTable, Snapshot,
+    StateMachine, StreamKey, StreamOrigin, StreamOrigins, StreamOriginsSettings, Suspect, Suspects,
+    Suspicion, Turn, UpstreamCrash, UpstreamEntry, UpstreamLimits, UpstreamRegistry,
+    UpstreamRegistrySettings, UpstreamRestart, UpstreamRooms, UsageRelay, UsageReport, Verdict,
+    VerdictChange, VerdictReason, VersionRecord, VmProfile, VmRef, name_hash, tenant_slots,
 };
 pub use request::claim::{
     ClaimDecision, ClaimPhase, ClaimState, KEY_RETENTION, RESPONSE_RETENTION, WinningClaim,
@@ -88,8 +88,8 @@
     extract_api_key, is_credential_header, strip_query_keys,
 };
 pub use units::{
-    ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RequestRate, SoftwareVersion,
-    TenantName, TokenRate, Tokens, UpstreamName, VmName,
+    ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RejectionLimit, RequestRate,
+    SoftwareVersion, TenantName, TokenRate, Tokens, UpstreamName, VmName,
 };
 pub use version::{
     CallerLimits, Change, Config, ConfigProblem, ConfigWire, Difference, DifferenceKind, Engine,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -19,6 +19,7 @@
 mod record;
 mod replay;
 mod replica_planner;
+mod room_schedule;
 mod service_versions;
 mod slot_table;
 mod stream_origins;
@@ -27,6 +28,7 @@
 mod token_bucket;
 mod upstream_limits;
 mod upstream_registry;
+mod upstream_room;
 mod usage_relay;
 
 pub use backoff::Backoff;
@@ -67,4 +69,5 @@
 pub use upstream_registry::{
     EntryChange, LoadedModel, UpstreamEntry, UpstreamRegistry, UpstreamRegistrySettings,
 };
+pub use upstream_room::{RoomEvent, RoomNotice, RoomRequest, RoomTicket, UpstreamRooms};
 pub use usage_relay::{UsageRelay, UsageReport};
--- a/src/units.rs
+++ b/src/units.rs
@@ -155,6 +155,43 @@
     }
 }
 
+/// Number of requests that an upstream may have to reject in a second for want of room; with more it
+/// falls over.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct RejectionLimit(u32);
+
+impl RejectionLimit {
+    /// Returns how many requests may be at risk at once: half, since a lost owner of the schedule may
+    /// have let as many in; at least one, or nothing would be known of the upstream.
+    pub fn safe_part(self) -> usize {
+        (self.0 / 2).max(1) as usize
+    }
+
+    /// Reports whether a request may try whether there is more room than is known.
+    pub fn allows_trial(self) -> bool {
+        self.0 >= 2
+    }
+}
+
+impl Display for RejectionLimit {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
+impl FromStr for RejectionLimit {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text.trim().parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
+        // Rounded down: a request beyond the whole part is one too many.
+        number.map(|number| RejectionLimit(number as u32)).ok_or_else(|| {
+            invalid(format!("rejections {text:?} must be a number a second, 0 or more"))
+        })
+    }
+}
+
 /// Identifies a part of a prompt that several requests may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(transparent)]
