--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -17,11 +17,14 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::in_flight::InFlightCounter;
 use crate::metrics::Metrics;
 use crate::origin_state::OriginState;
+use crate::path_state::PathState;
 use crate::pool::ConnectionPool;
 use crate::response_budget::ResponseBudget;
 use crate::settings::Settings;
+use crate::stop_counts::StopCounts;
 use crate::store::StoreClient;
 use crate::turn_requests::TurnRequests;
 use crate::view::ClusterView;
@@ -53,34 +56,6 @@
     pub demand: BTreeMap<u32, u32>,
 }
 
-/// Counts requests or connections in flight.
-#[derive(Clone, Debug, Default)]
-pub struct InFlightCounter(Rc<Cell<u64>>);
-
-/// Keeps one request or connection counted until the guard is dropped.
-#[derive(Debug)]
-pub struct InFlightGuard(InFlightCounter);
-
-impl InFlightCounter {
-    /// Adds one to the count until the returned guard is dropped.
-    pub fn increment(&self) -> InFlightGuard {
-        self.0.set(self.0.get() + 1);
-        InFlightGuard(self.clone())
-    }
-
-    /// Returns the current count.
-    pub fn get(&self) -> u64 {
-        self.0.get()
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        let counter = &self.0.0;
-        counter.set(counter.get() - 1);
-    }
-}
-
 /// The shared state of the process. No cell stays borrowed across an `await`.
 pub struct Edge {
     /// The settings read at startup.
@@ -137,6 +112,10 @@
     pub aborting: Cell<bool>,
     /// Whether the process ended its shutdown; requests that are still open are dropped.
     pub stopped: Cell<bool>,
+    /// Time until which callers may use idle connections, as they were told.
+    pub promised_until: Cell<Duration>,
+    /// What the stop did to callers.
+    pub stop_counts: StopCounts,
     /// Wakes requests when `drain_deadline` or `aborting` is set.
     pub shutdown_changed: Notify,
     /// Requests in flight.
@@ -147,6 +126,8 @@
     pub orders_in_flight: InFlightCounter,
     /// Wakes requests that wait for a model, an adapter or an upstream.
     pub capacity_changed: Notify,
+    /// Paths to upstreams, directly and through other vms.
+    pub paths: PathState,
     /// Limits that upstreams name.
     pub limits: RefCell<UpstreamLimits>,
     /// Brittle upstreams, and who may send to them.
@@ -219,11 +200,14 @@
             drain_deadline: Cell::new(None),
             aborting: Cell::new(false),
             stopped: Cell::new(false),
+            promised_until: Cell::default(),
+            stop_counts: StopCounts::default(),
             shutdown_changed: Notify::new(),
             active_requests: InFlightCounter::default(),
             open_connections: InFlightCounter::default(),
             orders_in_flight: InFlightCounter::default(),
             capacity_changed: Notify::new(),
+            paths: PathState::default(),
             limits: RefCell::default(),
             rooms: RefCell::default(),
             turn_requests: TurnRequests::default(),
@@ -244,6 +228,11 @@
         self.clock.now()
     }
 
+    /// Keeps idle connections of callers open for at least `time` from now.
+    pub fn keep_connections_open(&self, time: Duration) {
+        self.promised_until.set(self.promised_until.get().max(self.now() + time));
+    }
+
     /// Returns the configuration in force, or `None` before one was read.
     pub fn config(&self) -> Option<Rc<PlatformConfig>> {
         self.view.borrow().config.clone()
@@ -274,7 +263,9 @@
     /// Recomputes the readiness that the load balancer sees.
     pub fn update_ready(&self) {
         let view = self.view.borrow();
-        let known = view.config.is_some() && view.upstreams.was_read();
+        let known = view.config.is_some()
+            && view.upstreams.was_read()
+            && self.origins.versions.borrow().was_known();
         let ready = !self.stopping.get() && known && view.freshness.is_ready(self.now());
         if self.ready.swap(ready, Ordering::Relaxed) != ready {
             let age = view.freshness.age(self.now()).map_or(0, |age| age.as_millis() as u64);
@@ -295,6 +286,7 @@
     /// Discards the state of an upstream that restarted: its connections, loads and placement.
     pub fn on_upstream_restarted(&self, name: &UpstreamName) {
         self.pool.close_idle(name);
+        self.paths.table.borrow_mut().remove(name);
         self.loads.borrow_mut().reset_stats(name);
         self.placement.borrow_mut().remove_updates(name);
     }
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -21,6 +21,7 @@
     retries: Counter<u64>,
     hedges: Counter<u64>,
     room_refusals: Counter<u64>,
+    idle_closes: Counter<u64>,
     resumptions: Counter<u64>,
     orders: Counter<u64>,
     store_calls: Counter<u64>,
@@ -34,6 +35,10 @@
     duties: Gauge<u64>,
     blocked_parts: Gauge<u64>,
     block_changes: Counter<u64>,
+    path_changes: Counter<u64>,
+    tunnels: Counter<u64>,
+    lost_paths: Gauge<u64>,
+    open_tunnels: Gauge<u64>,
     recent_counts: Mutex<BTreeMap<&'static str, u64>>,
 }
 
@@ -79,6 +84,10 @@
                 "room_refusals",
                 "Requests that a brittle upstream had no room for",
             ),
+            idle_closes: counter(
+                "caller_idle_closes",
+                "Connections of callers closed without a request, by reason",
+            ),
             orders: counter("orders", "Orders sent to engines"),
             store_calls: counter("store_calls", "Calls to the platform's log"),
             store_failures: counter(
@@ -97,6 +106,16 @@
                 "block_changes",
                 "Parts of prompts blocked or lifted, by reason",
             ),
+            path_changes: counter(
+                "path_changes",
+                "Direct paths to upstreams lost or restored, and upstreams that no vm reached",
+            ),
+            tunnels: counter(
+                "tunnels",
+                "Vms asked to carry a connection to an upstream, by answer",
+            ),
+            lost_paths: gauge("lost_paths", "Upstreams that other vms reach and this one does not"),
+            open_tunnels: gauge("open_tunnels", "Connections through other vms, and for them"),
             recent_counts: Mutex::default(),
             registry,
         })
@@ -143,6 +162,23 @@
         self.resumptions.add(1, &labels);
     }
 
+    /// Counts a change of what is known of a path: `lost`, `restored` or `unreachable`.
+    pub fn record_path_change(&self, change: &'static str) {
+        self.path_changes.add(1, &[KeyValue::new("change", change)]);
+    }
+
+    /// Counts a vm that was asked to carry a connection: `opened`, `unreachable` or `declined`.
+    pub fn record_tunnel(&self, answer: &'static str) {
+        self.tunnels.add(1, &[KeyValue::new("answer", answer)]);
+    }
+
+    /// Sets the number of lost paths, and of the connections through other vms and for them.
+    pub fn record_tunnels(&self, lost: u64, used: u64, carried: u64) {
+        self.lost_paths.record(lost, &[]);
+        self.open_tunnels.record(used, &[KeyValue::new("side", "used")]);
+        self.open_tunnels.record(carried, &[KeyValue::new("side", "carried")]);
+    }
+
     /// Counts a retry.
     pub fn record_retry(&self) {
         self.retries.add(1, &[]);
@@ -158,6 +194,13 @@
         self.room_refusals.add(1, &[]);
     }
 
+    /// Counts a caller connection that was closed without a request in progress; `lost` says
+    /// whether bytes of a request were lost with it.
+    pub fn record_idle_close(&self, reason: &'static str, lost: bool) {
+        let labels = [KeyValue::new("reason", reason), KeyValue::new("lost", lost)];
+        self.idle_closes.add(1, &labels);
+    }
+
     /// Counts an order to an engine; `kind` is `load` or `unload`.
     pub fn record_order(&self, kind: &'static str) {
         self.orders.add(1, &[KeyValue::new("kind", kind)]);
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -391,11 +391,7 @@
 impl WireReading {
     /// Converts the read to the clock of the vm that requested it at `request_time`.
     pub fn reading(&self, request_time: Duration) -> LogReading {
-        LogReading::from_peer(
-            self.read_to,
-            self.changed_to,
-            request_time,
-            Duration::from_millis(self.age_ms),
-        )
+        let age = Duration::from_millis(self.age_ms);
+        LogReading::from_peer(self.read_to, self.changed_to, request_time, age)
     }
 }
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -17,7 +17,7 @@
 use crate::listener::{self, Phase};
 use crate::metrics::{Metrics, ProcessState};
 use crate::settings::Settings;
-use crate::{follow, group, orders, origin_log, origins, peers, quarantine};
+use crate::{follow, group, orders, origin_log, origins, paths, peers, quarantine, tunnel_server};
 
 /// Time until the load balancer stops sending new callers to a vm that is no longer ready.
 const READINESS_DELAY: Duration = Duration::from_millis(2600);
@@ -45,6 +45,7 @@
     let edge = Edge::new(settings, Rc::new(BootClock), Arc::clone(&metrics));
     let listener = listener::bind(&edge)?;
     let socket = peers::open(&edge).await?;
+    let tunnels = tunnel_server::bind(&edge).await?;
     let (phase, phase_receiver) = watch::channel(Phase::Serving);
     let servers = [serve_ready(&edge)?, serve_metrics(&edge, metrics)?];
     log::info!(target: "main", vm = edge.settings.vm.as_str(), data_centre = edge.settings.data_centre.as_str(), first = edge.settings.first, incarnation = edge.incarnation.0; "The process started.");
@@ -59,6 +60,7 @@
     tokio::task::spawn_local(peers::listen(Rc::clone(&edge), Rc::clone(&socket)));
     tokio::task::spawn_local(peers::run_sender(Rc::clone(&edge), Rc::clone(&socket)));
     tokio::task::spawn_local(peers::relay_usage(Rc::clone(&edge), socket));
+    tokio::task::spawn_local(tunnel_server::accept(Rc::clone(&edge), tunnels));
     tokio::task::spawn_local(origin_log::run_writer(Rc::clone(&edge)));
     tokio::task::spawn_local(origin_log::keep_versions(Rc::clone(&edge)));
     tokio::task::spawn_local(maintain(Rc::clone(&edge)));
@@ -66,7 +68,8 @@
     membership.abort();
     let all_finished = shut_down(&edge, &phase, &accepting).await;
     edge.stopped.set(true);
-    log::info!(target: "main", whole = all_finished, active = edge.active_requests.get(); "The process stopped.");
+    let counts = &edge.stop_counts;
+    log::info!(target: "main", whole = all_finished, active = edge.active_requests.get(), carried = edge.paths.carried.get(), connections = edge.open_connections.get(), responses = counts.responses(), refusals = counts.refusals(), idle = counts.idle_closes(), lost = counts.lost(); "The process stopped.");
     servers.into_iter().for_each(Server::stop);
     Ok(all_finished)
 }
@@ -124,6 +127,7 @@
         edge.suspects.borrow_mut().expire(edge.clock.unix_millis());
         quarantine::maintain(&edge);
         origins::maintain(&edge);
+        paths::maintain(&edge);
         edge.limits.borrow_mut().expire(edge.now());
         edge.rooms.borrow_mut().expire(edge.now());
         edge.rate_limiter.borrow_mut().settle_if_known(edge.now());
@@ -180,6 +184,8 @@
     let started = edge.now();
     log::info!(target: "main", active = edge.active_requests.get(); "The process is stopping.");
     edge.stopping.set(true);
+    edge.stop_counts.reset();
+    phase.send_replace(Phase::Stopping);
     edge.update_ready();
     group::leave(edge).await;
     let readiness_delay = READINESS_DELAY.min(edge.settings.grace() / 3);
@@ -187,8 +193,7 @@
     let end = started + edge.settings.grace().saturating_sub(GRACE_MARGIN);
     edge.drain_deadline.set(Some(end));
     edge.shutdown_changed.notify_waiters();
-    phase.send_replace(Phase::Closing);
-    while edge.active_requests.get() > 0 && edge.now() < end {
+    while has_callers(edge) && edge.now() < end {
         if edge.now() + ABORT_MARGIN >= end && !edge.aborting.replace(true) {
             edge.shutdown_changed.notify_waiters();
         }
@@ -196,8 +201,17 @@
     }
     // Connections in the backlog were not read, so their callers can retry at another vm.
     accepting.abort();
+    phase.send_replace(Phase::Closing);
     while edge.open_connections.get() > 0 && edge.now() < end {
         tokio::time::sleep(POLL_INTERVAL).await;
     }
     edge.active_requests.get() == 0
 }
+
+/// Reports whether a request is in progress, here or on a connection that is carried for another vm,
+/// or a caller may use its idle connection.
+fn has_callers(edge: &Edge) -> bool {
+    edge.active_requests.get() > 0
+        || edge.paths.carried.get() > 0
+        || edge.now() < edge.promised_until.get()
+}
