--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -12,7 +12,7 @@
     DutyLeases, DutyLeasesSettings, HubSelector, HubSelectorSettings, Incarnation, Load,
     LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, PromptQuarantine, RateLimiter,
     RateLimiterSettings, RecentMaximum, RetryBudget, RetryBudgetSettings, Suspect, Suspects,
-    TokenPace, Tokens, UpstreamLimits, UpstreamName, UsageRelay, VmName, VmProfile,
+    TokenPace, Tokens, UpstreamLimits, UpstreamName, UpstreamRooms, UsageRelay, VmName, VmProfile,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -130,6 +130,8 @@
     pub paths: PathState,
     /// Limits that upstreams name.
     pub limits: RefCell<UpstreamLimits>,
+    /// Brittle upstreams, and who may send to them.
+    pub rooms: RefCell<UpstreamRooms>,
     /// Turns at limited upstreams that other vms were asked for.
     pub turn_requests: TurnRequests,
     /// The socket for messages to other vms, once it is open.
@@ -207,6 +209,7 @@
             capacity_changed: Notify::new(),
             paths: PathState::default(),
             limits: RefCell::default(),
+            rooms: RefCell::default(),
             turn_requests: TurnRequests::default(),
             peer_socket: OnceCell::new(),
             origins: OriginState::new(settings.first),
@@ -276,6 +279,7 @@
         log::info!(target: "upstreams", upstream:% = name; "Upstream removed from the registry.");
         self.on_upstream_restarted(name);
         self.limits.borrow_mut().remove(name);
+        self.rooms.borrow_mut().remove(name, self.now());
         self.on_placement_changed();
     }
 
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -30,6 +30,7 @@
 mod request;
 mod response;
 mod response_budget;
+mod rooms;
 mod settings;
 mod stop_counts;
 mod store;
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -20,6 +20,7 @@
     refusals: Counter<u64>,
     retries: Counter<u64>,
     hedges: Counter<u64>,
+    room_refusals: Counter<u64>,
     idle_closes: Counter<u64>,
     resumptions: Counter<u64>,
     orders: Counter<u64>,
@@ -79,6 +80,10 @@
                 "Streams that callers took up again, by source and outcome",
             ),
             hedges: counter("hedges", "Requests sent to another upstream beside a silent one"),
+            room_refusals: counter(
+                "room_refusals",
+                "Requests that a brittle upstream had no room for",
+            ),
             idle_closes: counter(
                 "caller_idle_closes",
                 "Connections of callers closed without a request, by reason",
@@ -184,6 +189,11 @@
         self.hedges.add(1, &[]);
     }
 
+    /// Counts a request that was not sent to a brittle upstream for want of room.
+    pub fn record_room_refusal(&self) {
+        self.room_refusals.add(1, &[]);
+    }
+
     /// Counts a caller connection that was closed without a request in progress; `lost` says
     /// whether bytes of a request were lost with it.
     pub fn record_idle_close(&self, reason: &'static str, lost: bool) {
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -129,6 +129,7 @@
         origins::maintain(&edge);
         paths::maintain(&edge);
         edge.limits.borrow_mut().expire(edge.now());
+        edge.rooms.borrow_mut().expire(edge.now());
         edge.rate_limiter.borrow_mut().settle_if_known(edge.now());
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,12 +68,13 @@
     OrderTrackerSettings, OriginSource, PEER_LOAD_TTL, PathChange, PlacementGossip,
     PlacementUpdate, PromptQuarantine, PromptVerdict, QUARANTINE_THRESHOLD, QuarantineReport,
     RecentChanges, Record, Replay, ReplayPage, ReplayStatus, ReplicaPlanner,
-    ReplicaPlannerSettings, RequestOutcome, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, ServiceVersions,
-    ServiceVersionsSettings, SharedPrompt, SlotChange, SlotHolder, SlotTable, Snapshot,
-    StateMachine, StreamKey, StreamOrigin, StreamOrigins, StreamOriginsSettings, Suspect, Suspects,
-    Suspicion, TunnelVms, TunnelVmsSettings, Turn, UpstreamCrash, UpstreamEntry, UpstreamLimits,
-    UpstreamPaths, UpstreamPathsSettings, UpstreamRegistry, UpstreamRegistrySettings,
-    UpstreamRestart, UsageRelay, UsageReport, Verdict, VerdictChange, VerdictReason, VersionRecord,
+    ReplicaPlannerSettings, RequestOutcome, RoomEvent, RoomNotice, RoomRequest, RoomTicket,
+    SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, ServiceVersions, ServiceVersionsSettings, SharedPrompt,
+    SlotChange, SlotHolder, SlotTable, Snapshot, StateMachine, StreamKey, StreamOrigin,
+    StreamOrigins, StreamOriginsSettings, Suspect, Suspects, Suspicion, TunnelVms,
+    TunnelVmsSettings, Turn, UpstreamCrash, UpstreamEntry, UpstreamLimits, UpstreamPaths,
+    UpstreamPathsSettings, UpstreamRegistry, UpstreamRegistrySettings, UpstreamRestart,
+    UpstreamRooms, UsageRelay, UsageReport, Verdict, VerdictChange, VerdictReason, VersionRecord,
     VmProfile, VmRef, name_hash, tenant_slots,
 };
 pub use request::claim::{
@@ -89,8 +90,8 @@
     extract_api_key, is_credential_header, strip_query_keys,
 };
 pub use units::{
-    ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RequestRate, SoftwareVersion,
-    TenantName, TokenRate, Tokens, UpstreamName, VmName,
+    ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RejectionLimit, RequestRate,
+    SoftwareVersion, TenantName, TokenRate, Tokens, UpstreamName, VmName,
 };
 pub use version::{
     CallerLimits, Change, Config, ConfigProblem, ConfigWire, Difference, DifferenceKind, Engine,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -19,6 +19,7 @@
 mod record;
 mod replay;
 mod replica_planner;
+mod room_schedule;
 mod service_versions;
 mod slot_table;
 mod stream_origins;
@@ -29,6 +30,7 @@
 mod upstream_limits;
 mod upstream_paths;
 mod upstream_registry;
+mod upstream_room;
 mod usage_relay;
 
 pub use backoff::Backoff;
@@ -71,4 +73,5 @@
 pub use upstream_registry::{
     EntryChange, LoadedModel, UpstreamEntry, UpstreamRegistry, UpstreamRegistrySettings,
 };
+pub use upstream_room::{RoomEvent, RoomNotice, RoomRequest, RoomTicket, UpstreamRooms};
 pub use usage_relay::{UsageRelay, UsageReport};
