ORDER: vms tell each other their duties, so that a duty that is dealt anew has one holder

Cause: only the log knows of such a deal, and a holder asks it every 450 ms, or later when answers are late. The next holder waits 400 ms. A lease is ended at the arbiter and not at its holder.

Change: each vm tells the others its duties, the group's generation and until when it may order if nothing more is heard of it (`DutyClaim`), with each message between vms and at once when duties change. A vm that gains a duty asks all others until it has settled; a holder of an older generation gives the duty up; the next one does not order while a vm that was heard of may do so under an older generation. The role of a message moved to a file of its own.

--- a/crates/carob-edge/src/group.rs
+++ b/crates/carob-edge/src/group.rs
@@ -6,6 +6,7 @@
 use carob_platform::{DUTY_GROUP, DUTY_TOPIC, LogRequest, decode_membership};
 use carobglade::{DutyChange, GroupAssignment};
 
+use crate::duty_claims;
 use crate::edge::Edge;
 use crate::orders::{ORDER_TIMEOUT, holds_engine_duty};
 use crate::store::StoreError;
@@ -67,7 +68,7 @@
     !edge.view.borrow().is_hub_reading(now)
 }
 
-async fn join(edge: &Edge) -> Result<(), StoreError> {
+async fn join(edge: &Rc<Edge>) -> Result<(), StoreError> {
     let (generation, ttl) =
         (edge.duty_leases.borrow().generation(), edge.duty_leases.borrow().ttl());
     let millis = ttl.as_millis() as u64;
@@ -88,11 +89,12 @@
     Ok(())
 }
 
-fn handle_duty_changes(edge: &Edge, changes: &[DutyChange]) {
+fn handle_duty_changes(edge: &Rc<Edge>, changes: &[DutyChange]) {
     for change in changes {
         let generation = edge.duty_leases.borrow().generation();
         log::info!(target: "duty", change:? = change, generation = generation; "Duty assignment changed.");
     }
+    duty_claims::announce(edge, changes);
     if !changes.is_empty() {
         edge.planner_wakeup.notify_one();
     }
@@ -100,7 +102,7 @@
 
 /// Leaves the group, so that another vm takes over the duties at once. Before that, this vm stops
 /// giving orders and waits for those in flight, since the next holder does not wait for them.
-pub async fn leave(edge: &Edge) {
+pub async fn leave(edge: &Rc<Edge>) {
     let changes = edge.duty_leases.borrow_mut().release_all(edge.now());
     handle_duty_changes(edge, &changes);
     let until = edge.now() + ORDER_TIMEOUT;
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -6,6 +6,7 @@
 mod choose;
 mod connect;
 mod datagram;
+mod duty_claims;
 mod edge;
 mod follow;
 mod group;
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -5,13 +5,15 @@
 
 use carob_platform::KeyedRecord;
 use carobglade::{
-    AdapterId, Fingerprint, GossipScope, Incarnation, LimitNotice, Load, LogReading,
+    AdapterId, DutyClaim, Fingerprint, GossipScope, Incarnation, LimitNotice, Load, LogReading,
     PlacementUpdate, QuarantineReport, ReporterState, RoomNotice, TenantUsage, UsageReport, VmName,
     name_hash,
 };
 use serde::{Deserialize, Serialize};
 
+use super::sender_role::SenderRole;
 use super::{MIN_SEND_INTERVAL, SEND_INTERVAL, UPDATE_REPEAT_TIME};
+use crate::duty_claims;
 use crate::edge::Edge;
 use crate::view::{SharedChanges, Topic};
 
@@ -79,40 +81,6 @@
     age_ms: u64,
 }
 
-/// The role of the sender, which determines the content and the receivers of a message.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum SenderRole {
-    /// Own state, to all vms of a small fleet.
-    Peer,
-    /// Own state, to the hub of the data centre.
-    Member,
-    /// Sums over the data centre, to other hubs.
-    Hub,
-    /// Usage reports of the data centre, to other hubs.
-    HubTokens,
-    /// Sums over all vms but the receiver, to a member.
-    Digest,
-    /// Usage reports of all data centres, to a member.
-    DigestTokens,
-    /// Reads of the log, to a vm of a small fleet that requested them.
-    Readings,
-}
-
-impl SenderRole {
-    /// Returns the value of the label `role` in metrics.
-    pub fn as_str(self) -> &'static str {
-        match self {
-            SenderRole::Peer => "peer",
-            SenderRole::Member => "member",
-            SenderRole::Hub => "hub",
-            SenderRole::HubTokens => "hub_tokens",
-            SenderRole::Digest => "digest",
-            SenderRole::DigestTokens => "digest_tokens",
-            SenderRole::Readings => "readings",
-        }
-    }
-}
-
 /// A message from one vm to another.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Message {
@@ -165,6 +133,9 @@
     /// Upstreams that are brittle; encoded after the limits.
     #[serde(skip)]
     pub rooms: Vec<RoomNotice>,
+    /// The sender's duties; encoded after the brittle upstreams.
+    #[serde(skip)]
+    pub duties: Option<DutyClaim>,
 }
 
 /// Decodes a part that was added to the encoding later, which older versions do not send.
@@ -182,7 +153,7 @@
     /// Returns an error when a part cannot be encoded.
     pub fn encode(&self) -> postcard::Result<Vec<u8>> {
         let mut bytes = postcard::to_allocvec(self)?;
-        let added = (&self.extension, &self.quarantine, &self.limits, &self.rooms);
+        let added = (&self.extension, &self.quarantine, &self.limits, &self.rooms, &self.duties);
         bytes.extend(postcard::to_allocvec(&added)?);
         Ok(bytes)
     }
@@ -197,8 +168,9 @@
         let (extension, rest) = take_added(rest)?;
         let (quarantine, rest) = take_added(rest)?;
         let (limits, rest) = take_added(rest)?;
-        let (rooms, _) = take_added(rest)?;
-        Ok(Message { extension, quarantine, limits, rooms, ..message })
+        let (rooms, rest) = take_added(rest)?;
+        let (duties, _) = take_added(rest)?;
+        Ok(Message { extension, quarantine, limits, rooms, duties, ..message })
     }
 
     /// Builds the message that this vm sends in the role `sender`.
@@ -220,6 +192,7 @@
             _ => return message,
         }
         message.request_time = Some(now);
+        message.duties = Some(duty_claims::own_claim(edge));
         let upstreams_read = edge.view.borrow().readings.get(&Topic::Upstreams).copied();
         message.since = upstreams_read.map_or(u64::MAX, |reading| reading.read_to);
         let scope = if sender == SenderRole::Hub { GossipScope::Hubs } else { GossipScope::Local };
@@ -298,6 +271,7 @@
             quarantine: QuarantineReport::default(),
             limits: Vec::new(),
             rooms: Vec::new(),
+            duties: None,
         }
     }
 
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -7,6 +7,7 @@
 
 mod message;
 mod receive;
+mod sender_role;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -19,8 +20,9 @@
 use crate::edge::Edge;
 use crate::view::PeerVm;
 
-use message::{Message, SenderRole, own_usage_report};
+use message::{Message, own_usage_report};
 pub use receive::listen;
+use sender_role::SenderRole;
 
 /// Interval between two messages to a vm when there is no news.
 const SEND_INTERVAL: Duration = Duration::from_millis(200);
@@ -53,9 +55,7 @@
     let mut reported_at = Duration::ZERO;
     loop {
         let uses_hubs = edge.hubs.borrow().uses_hubs();
-        let min_interval = Duration::from_secs_f64(edge.fleet_size() as f64 / MAX_SEND_RATE);
-        let interval = if uses_hubs { SEND_INTERVAL } else { SEND_INTERVAL.max(min_interval) };
-        let news = tokio::time::timeout(interval, edge.gossip_wakeup.notified());
+        let news = tokio::time::timeout(send_interval(&edge), edge.gossip_wakeup.notified());
         if news.await.is_ok() {
             tokio::time::sleep(MIN_SEND_INTERVAL).await;
         }
@@ -72,6 +72,15 @@
     }
 }
 
+/// Returns the longest time between two messages of this vm.
+pub fn send_interval(edge: &Edge) -> Duration {
+    if edge.hubs.borrow().uses_hubs() {
+        return SEND_INTERVAL;
+    }
+    let min_interval = Duration::from_secs_f64(edge.fleet_size() as f64 / MAX_SEND_RATE);
+    SEND_INTERVAL.max(min_interval)
+}
+
 fn send_to_peers(edge: &Edge, socket: &UdpSocket) {
     let responder = edge.hubs.borrow_mut().log_reader(edge.now());
     edge.hubs.borrow_mut().record_request(&responder, edge.now());
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -6,8 +6,10 @@
 use carobglade::{GossipSource, name_hash};
 use tokio::net::UdpSocket;
 
-use super::message::{Message, SenderRole, VERSION};
+use super::message::{Message, VERSION};
+use super::sender_role::SenderRole;
 use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_digest, send_to};
+use crate::duty_claims::{self, CLAIM_VERSION};
 use crate::edge::Edge;
 use crate::origins::{self, ORIGIN_VERSION};
 use crate::quarantine;
@@ -29,6 +31,9 @@
             Ok((len, from)) if buf[..len].starts_with(&[ORIGIN_VERSION]) => {
                 origins::handle_datagram(&edge, &buf[1..len], from);
             }
+            Ok((len, from)) if buf[..len].starts_with(&[CLAIM_VERSION]) => {
+                duty_claims::handle_datagram(&edge, &buf[1..len], from);
+            }
             Ok((len, from)) => handle_datagram(&edge, &socket, &buf[..len], from),
             Err(err) => {
                 log::debug!(target: "peers", error:% = err; "Receiving a peer message failed.");
@@ -117,6 +122,9 @@
     quarantine::apply_report(edge, &message.quarantine);
     turns::apply_notices(edge, &message.limits);
     rooms::apply_notices(edge, &message.rooms);
+    if let Some(claim) = &message.duties {
+        duty_claims::apply(edge, &message.vm, claim);
+    }
     for (request, crash) in &message.suspects {
         edge.suspects.borrow_mut().record_crash(*request, crash, edge.clock.unix_millis());
     }
--- a/src/process/duty_leases.rs
+++ b/src/process/duty_leases.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use super::duty_claims::{DutyClaim, DutyClaims};
+use crate::units::VmName;
+
 /// Settings of [`DutyLeases`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct DutyLeasesSettings {
@@ -66,6 +69,8 @@
     join_delay: Duration,
     held: BTreeMap<u32, Duration>,
     lost: BTreeMap<u32, Loss>,
+    /// Duties of other vms.
+    claims: DutyClaims,
 }
 
 /// How a duty was lost.
@@ -158,6 +163,51 @@
         self.release(duty, Loss { lost_at: now, expired_in: None });
     }
 
+    /// Returns what this process tells the others of its duties. It may renew the lease before it
+    /// tells them again, at most `interval` later.
+    pub fn claim(&self, interval: Duration, now: Duration) -> DutyClaim {
+        if now >= self.expires_at || self.held.is_empty() {
+            return DutyClaim { generation: self.generation, ..DutyClaim::default() };
+        }
+        let lease = self.ttl().saturating_sub(self.settings.order_margin);
+        let renewed_until = now + interval + lease;
+        let remaining = renewed_until.max(self.expires_at).saturating_sub(now);
+        let duties = self.held.keys().copied().collect();
+        DutyClaim { generation: self.generation, duties, remaining }
+    }
+
+    /// Applies what another vm tells of its duties. Duties that a newer generation assigned to that
+    /// vm are dropped; returns them. For duties that an older one assigned to it, this process gives
+    /// no orders until that vm gives them up or its lease ends.
+    pub fn apply_claim(
+        &mut self,
+        vm: &VmName,
+        claim: &DutyClaim,
+        now: Duration,
+    ) -> Vec<DutyChange> {
+        self.claims.record(vm, claim, now);
+        if claim.generation <= self.generation {
+            return Vec::new();
+        }
+        let duties = claim.duties.iter().filter(|duty| self.held.contains_key(duty));
+        let duties: Vec<u32> = duties.copied().collect();
+        let loss = Loss { lost_at: now, expired_in: None };
+        duties.iter().for_each(|duty| self.release(*duty, loss));
+        duties.into_iter().map(DutyChange::Lost).collect()
+    }
+
+    /// Reports whether this process holds a duty for which it may not give orders yet.
+    pub fn is_settling(&self, now: Duration) -> bool {
+        now < self.expires_at && self.held.keys().any(|duty| !self.is_settled(*duty, now))
+    }
+
+    /// Reports whether the wait after a duty was gained is over, and its former holder has stopped.
+    fn is_settled(&self, duty: u32, now: Duration) -> bool {
+        let usable_at = self.held.get(&duty);
+        let claim_end = self.claims.end(duty, self.generation);
+        usable_at.is_some_and(|at| now >= *at) && claim_end.is_none_or(|end| now >= end)
+    }
+
     fn release(&mut self, duty: u32, loss: Loss) {
         self.held.remove(&duty);
         self.lost.insert(duty, loss);
@@ -187,8 +237,8 @@
     /// Returns the fencing token for orders of a duty; none if this process may give no order at
     /// `now`.
     pub fn fencing_token(&self, duty: u32, now: Duration) -> Option<u64> {
-        let usable_at = self.held.get(&duty)?;
-        (now >= *usable_at && now < self.expires_at).then_some(self.generation)
+        let is_usable = now < self.expires_at && self.is_settled(duty, now);
+        is_usable.then_some(self.generation)
     }
 
     /// Returns the number of duties that this process holds.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod backoff;
 mod control_state;
 mod decaying_rate;
+mod duty_claims;
 mod duty_leases;
 pub mod fleet;
 mod freshness;
@@ -36,6 +37,7 @@
 pub use backoff::Backoff;
 pub use control_state::{ControlState, Member, Verdict};
 pub(crate) use decaying_rate::DecayingRate;
+pub use duty_claims::DutyClaim;
 pub use duty_leases::{DutyChange, DutyLeases, DutyLeasesSettings, GroupAssignment};
 pub use freshness::{Freshness, FreshnessSettings};
 pub use hub_selector::{HubSelector, HubSelectorSettings, VmProfile};
--- a/tests/handover/fleet.rs
+++ b/tests/handover/fleet.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use carobglade::{DutyLeases, DutyLeasesSettings, GroupAssignment};
+use carobglade::{DutyChange, DutyClaim, DutyLeases, DutyLeasesSettings, GroupAssignment, VmName};
 
 use crate::group::{Group, Member};
 
@@ -10,6 +10,12 @@
 const JOIN_INTERVAL: Duration = Duration::from_millis(450);
 /// Interval after a failed join while a vm holds the duty, as `carob-edge` has it.
 const RETRY_INTERVAL: Duration = Duration::from_millis(150);
+/// Interval at which a vm tells the others its duties, as `carob-edge` has it.
+const CLAIM_INTERVAL: Duration = Duration::from_millis(200);
+/// Interval at which a vm asks the others for theirs while a duty settles, as `carob-edge` has it.
+const QUESTION_INTERVAL: Duration = Duration::from_millis(100);
+/// Time from one vm to another.
+const MESSAGE_DELAY: Duration = Duration::from_millis(2);
 /// Step of the virtual time.
 const STEP: Duration = Duration::from_millis(5);
 
@@ -48,6 +54,16 @@
     assignment: GroupAssignment,
 }
 
+/// What a vm tells another one of its duties.
+struct Message {
+    sender: Member,
+    receiver: Member,
+    claim: DutyClaim,
+    /// Whether the receiver responds with its own claim.
+    is_question: bool,
+    arrives_at: Duration,
+}
+
 /// A vm of the fleet.
 pub struct Vm {
     /// The leases of the vm.
@@ -56,7 +72,11 @@
     pub link: Link,
     /// Whether the vm is suspended or has ended.
     pub suspended: bool,
+    /// Whether messages from and to other vms are lost.
+    pub isolated: bool,
     join_at: Duration,
+    claim_at: Duration,
+    question_at: Duration,
     /// When the join in progress was sent.
     waiting_since: Option<Duration>,
 }
@@ -84,6 +104,7 @@
     pub orders: Vec<Order>,
     joins: Vec<Join>,
     answers: Vec<Answer>,
+    messages: Vec<Message>,
 }
 
 impl Fleet {
@@ -93,12 +114,23 @@
             leases: DutyLeases::new(DutyLeasesSettings::default()),
             link: Link::FAST,
             suspended: false,
+            isolated: false,
             join_at: offset * i,
+            claim_at: offset * i,
+            question_at: Duration::ZERO,
             waiting_since: None,
         };
         let vms = (0..count as u32).map(vm).collect();
         let (now, group) = (Duration::ZERO, Group::default());
-        Fleet { now, group, vms, orders: Vec::new(), joins: Vec::new(), answers: Vec::new() }
+        Fleet {
+            now,
+            group,
+            vms,
+            orders: Vec::new(),
+            joins: Vec::new(),
+            answers: Vec::new(),
+            messages: Vec::new(),
+        }
     }
 
     /// Runs for a time.
@@ -119,6 +151,7 @@
     /// Stops a vm as planned: it gives up its duties and leaves the group.
     pub fn stop(&mut self, vm: Member) {
         self.vms[vm].leases.release_all(self.now);
+        self.tell_all(vm, false);
         self.vms[vm].suspended = true;
         self.group.leave(vm);
     }
@@ -153,6 +186,7 @@
                 self.advance(vm);
             }
         }
+        self.deliver_messages();
     }
 
     fn deliver_joins(&mut self) {
@@ -177,9 +211,49 @@
         for answer in due {
             let vm = &mut self.vms[answer.receiver];
             if vm.waiting_since == Some(answer.sent_at) {
-                vm.leases.apply_assignment(&answer.assignment, answer.sent_at, now);
+                let changes = vm.leases.apply_assignment(&answer.assignment, answer.sent_at, now);
                 vm.waiting_since = None;
                 vm.join_at = now + JOIN_INTERVAL;
+                self.handle_changes(answer.receiver, &changes);
+            }
+        }
+    }
+
+    fn handle_changes(&mut self, member: Member, changes: &[DutyChange]) {
+        if changes.iter().any(|change| matches!(change, DutyChange::Lost(_))) {
+            self.tell_all(member, false);
+        }
+    }
+
+    /// Sends the claim of a vm to all others.
+    fn tell_all(&mut self, sender: Member, is_question: bool) {
+        for receiver in (0..self.vms.len()).filter(|receiver| *receiver != sender) {
+            self.tell(sender, receiver, is_question);
+        }
+    }
+
+    fn tell(&mut self, sender: Member, receiver: Member, is_question: bool) {
+        if self.vms[sender].isolated || self.vms[receiver].isolated {
+            return;
+        }
+        let claim = self.vms[sender].leases.claim(CLAIM_INTERVAL, self.now);
+        let arrives_at = self.now + MESSAGE_DELAY;
+        self.messages.push(Message { sender, receiver, claim, is_question, arrives_at });
+    }
+
+    /// Hands messages to vms; a suspended vm gets them later.
+    fn deliver_messages(&mut self) {
+        let now = self.now;
+        let vms = &self.vms;
+        let is_due =
+            |message: &mut Message| message.arrives_at <= now && !vms[message.receiver].suspended;
+        let due: Vec<Message> = self.messages.extract_if(.., is_due).collect();
+        for Message { sender, receiver, claim, is_question, .. } in due {
+            let name: VmName = format!("vm-{sender}").parse().unwrap();
+            let changes = self.vms[receiver].leases.apply_claim(&name, &claim, now);
+            self.handle_changes(receiver, &changes);
+            if is_question {
+                self.tell(receiver, sender, false);
             }
         }
     }
@@ -195,6 +269,23 @@
             None if now >= vm.join_at => self.send_join(member),
             _ => {}
         }
+        self.send_claims(member);
+    }
+
+    fn send_claims(&mut self, member: Member) {
+        let now = self.now;
+        let vm = &mut self.vms[member];
+        let asks = vm.leases.is_settling(now) && now >= vm.question_at;
+        let tells = now >= vm.claim_at;
+        if asks {
+            vm.question_at = now + QUESTION_INTERVAL;
+        }
+        if tells {
+            vm.claim_at = now + CLAIM_INTERVAL;
+        }
+        if asks || tells {
+            self.tell_all(member, asks);
+        }
     }
 
     fn send_join(&mut self, member: Member) {
--- a/tests/handover/main.rs
+++ b/tests/handover/main.rs
@@ -109,6 +109,49 @@
     }
 }
 
+/// Guards against a next holder that orders before the lease of one that it cannot ask ends, after
+/// the log dealt all partitions anew.
+#[test]
+fn a_duty_that_is_dealt_anew_to_a_vm_that_hears_nobody_has_one_holder() {
+    for answer in [3, 200, 900, 2500] {
+        for offset in (5..450).step_by(20) {
+            for wait in (0..450).step_by(20) {
+                let mut fleet = start_fleet(ms(offset));
+                fleet.run(ms(wait));
+                fleet.vms[0].link = slow(answer);
+                fleet.vms[1].isolated = true;
+                fleet.group.reassign_to(1);
+                fleet.run(ms(8000));
+                let case = format!("answer after {answer} ms, offset {offset} ms, wait {wait} ms");
+                assert!(fleet.first_order(1).is_some(), "{case}: nobody took over");
+                assert_no_late_order(&fleet, &case);
+            }
+        }
+    }
+}
+
+/// Guards against a next holder that orders before the lease of a suspended one ends, which goes on
+/// ordering as it wakes.
+#[test]
+fn a_duty_that_is_dealt_anew_beside_a_suspended_holder_has_one_holder() {
+    for pause in (100..1800).step_by(100) {
+        for offset in (5..450).step_by(40) {
+            for wait in (0..450).step_by(40) {
+                let mut fleet = start_fleet(ms(offset));
+                fleet.run(ms(wait));
+                fleet.vms[0].suspended = true;
+                fleet.group.reassign_to(1);
+                fleet.run(ms(pause));
+                fleet.vms[0].suspended = false;
+                fleet.run(ms(8000));
+                let case = format!("pause {pause} ms, offset {offset} ms, wait {wait} ms");
+                assert!(fleet.first_order(1).is_some(), "{case}: nobody took over");
+                assert_no_late_order(&fleet, &case);
+            }
+        }
+    }
+}
+
 /// Guards against a vm that leaves the group and goes on with its lease.
 #[test]
 fn a_vm_that_stops_is_followed_by_the_next() {
--- a/tests/handover/times.rs
+++ b/tests/handover/times.rs
@@ -88,3 +88,10 @@
     };
     assert_longest(measure("cut 1 s after a slow log", event, |_| {}), ms(7000));
 }
+
+/// The log deals all partitions anew while all vms hear of each other.
+#[test]
+fn times_after_a_new_deal() {
+    let event = |fleet: &mut Fleet| fleet.group.reassign_to(1);
+    assert_longest(measure("dealt anew", event, |_| {}), ms(900));
+}
