--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -37,6 +37,10 @@
 pub struct ConnectionState {
     edge: Rc<Edge>,
     serving: Cell<bool>,
+    /// Time of the last byte that was written, or of the end of the last request.
+    idle_since: Cell<Duration>,
+    /// Whether bytes wait to be written because the caller takes none.
+    write_blocked: Cell<bool>,
     /// Time of the first byte of a head that is not complete.
     head_began: Cell<Option<Duration>>,
 }
@@ -47,7 +51,13 @@
 impl ConnectionState {
     /// Creates the state of a connection that was just accepted.
     pub fn new(edge: Rc<Edge>) -> Rc<Self> {
-        Rc::new(ConnectionState { edge, serving: Cell::new(false), head_began: Cell::new(None) })
+        Rc::new(ConnectionState {
+            serving: Cell::new(false),
+            idle_since: Cell::new(edge.now()),
+            write_blocked: Cell::new(false),
+            head_began: Cell::new(None),
+            edge,
+        })
     }
 
     /// Records that a whole head was read; the request ends when the guard is dropped.
@@ -67,6 +77,23 @@
         self.head_began.get()
     }
 
+    /// Returns the time for which the connection may go on to wait for a request.
+    pub fn remaining_wait(&self) -> Duration {
+        let now = self.edge.now();
+        let timeouts = self.edge.caller_timeouts.borrow();
+        let until = match self.head_began.get() {
+            _ if self.serving.get() || self.write_blocked.get() => timeouts.idle_until(now),
+            Some(began) => timeouts.head_until(began),
+            None => timeouts.idle_until(self.idle_since.get()),
+        };
+        until.saturating_sub(now)
+    }
+
+    fn record_write(&self, polled: &Poll<io::Result<usize>>) {
+        self.write_blocked.set(polled.is_pending());
+        self.idle_since.set(self.edge.now());
+    }
+
     fn record_read(&self) {
         if !self.serving.get() && self.head_began.get().is_none() {
             self.head_began.set(Some(self.edge.now()));
@@ -77,6 +104,7 @@
 impl Drop for ServingGuard {
     fn drop(&mut self) {
         self.0.serving.set(false);
+        self.0.idle_since.set(self.0.edge.now());
         if !self.0.edge.stopping.get() {
             self.0.edge.keep_connections_open(MIN_IDLE_TIME);
         }
@@ -123,7 +151,9 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(cx, buf)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.state.record_write(&polled);
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -139,7 +169,9 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
+        let polled = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.state.record_write(&polled);
+        polled
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -9,14 +9,16 @@
 
 use carob_net::Clock;
 use carobglade::{
-    DutyLeases, DutyLeasesSettings, HubSelector, HubSelectorSettings, Incarnation, Load,
-    LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, PromptQuarantine, RateLimiter,
-    RateLimiterSettings, RecentMaximum, RetryBudget, RetryBudgetSettings, Suspect, Suspects,
-    TokenPace, Tokens, UpstreamLimits, UpstreamName, UpstreamRooms, UsageRelay, VmName, VmProfile,
+    CallerTimeouts, CallerTimeoutsSettings, DutyLeases, DutyLeasesSettings, HubSelector,
+    HubSelectorSettings, Incarnation, Load, LoadTracker, ModelDemand, PlacementGossip,
+    PlatformConfig, PromptQuarantine, RateLimiter, RateLimiterSettings, RecentMaximum, RetryBudget,
+    RetryBudgetSettings, Suspect, Suspects, TokenPace, Tokens, UpstreamLimits, UpstreamName,
+    UpstreamRooms, UsageRelay, VmName, VmProfile,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::caller_connection::MIN_IDLE_TIME;
 use crate::in_flight::InFlightCounter;
 use crate::metrics::Metrics;
 use crate::origin_state::OriginState;
@@ -120,6 +122,8 @@
     pub shutdown_changed: Notify,
     /// Requests in flight.
     pub active_requests: InFlightCounter,
+    /// Ends of the waits of callers' connections.
+    pub caller_timeouts: RefCell<CallerTimeouts>,
     /// Open connections of callers.
     pub open_connections: InFlightCounter,
     /// Orders to engines without a response yet.
@@ -168,6 +172,8 @@
             initial_tokens: (settings.bounds.tokens as f64 * RESTART_TOKENS_FRACTION) as u64,
             ..RateLimiterSettings::default()
         };
+        let timeout_settings =
+            CallerTimeoutsSettings { min_idle: MIN_IDLE_TIME, ..CallerTimeoutsSettings::default() };
         let vm: VmName = settings.vm.parse().unwrap_or_default();
         let data_centre = settings.data_centre.parse().unwrap_or_default();
         let profile = VmProfile { data_centre, cpu_capacity: settings.cpu_capacity() };
@@ -204,6 +210,7 @@
             stop_counts: StopCounts::default(),
             shutdown_changed: Notify::new(),
             active_requests: InFlightCounter::default(),
+            caller_timeouts: RefCell::new(CallerTimeouts::new(timeout_settings)),
             open_connections: InFlightCounter::default(),
             orders_in_flight: InFlightCounter::default(),
             capacity_changed: Notify::new(),
@@ -247,6 +254,7 @@
         let Some(config) = self.config() else {
             return;
         };
+        self.caller_timeouts.borrow_mut().record(&config.limits, self.now());
         let mut rate_limiter = self.rate_limiter.borrow_mut();
         rate_limiter.retain(|name| config.tenants.contains_key(name));
         for tenant in config.tenants.values() {
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod attempts;
 mod caller_connection;
+mod caller_timer;
 mod choose;
 mod connect;
 mod datagram;
--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -1,18 +1,20 @@
 //! The listener for callers and the connections that it accepts.
 
 use std::convert::Infallible;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use eyre::{Result, WrapErr};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::io::AsyncWriteExt;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::caller_connection::{CallerStream, ConnectionState, MIN_IDLE_TIME, announce_keep_alive};
+use crate::caller_connection::{CallerStream, ConnectionState, announce_keep_alive};
+use crate::caller_timer::{refuse_partial_head, wait_expired};
 use crate::edge::Edge;
 use crate::handle::handle;
 use crate::response::ServedBody;
@@ -96,7 +98,6 @@
         }
     }
     let limits = edge.config().map(|config| config.limits).unwrap_or_default();
-    let idle_timeout = limits.idle_timeout.max(MIN_IDLE_TIME);
     edge.keep_connections_open(FIRST_REQUEST_TIME);
     let state = ConnectionState::new(Rc::clone(&edge));
     let service_edge = Rc::clone(&edge);
@@ -112,15 +113,21 @@
     });
     let stream = CallerStream::new(stream, Rc::clone(&state));
     let mut served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Counts from the end of the previous request, so this also limits idle connections.
-        .header_read_timeout(idle_timeout)
+        // A fixed time would not follow the configuration.
+        .header_read_timeout(None)
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut reason = None;
+    let mut expired = pin!(wait_expired(&state));
     let ended = loop {
         tokio::select! {
+            // What has arrived is read before the wait ends.
+            biased;
             ended = &mut served => break ended,
+            () = &mut expired => {
+                reason = Some(CloseReason::IdleTimeout);
+                break Ok(());
+            }
             changed = phase.changed() => {
                 let closing = changed.is_err() || *phase.borrow() == Phase::Closing;
                 if closing {
@@ -137,13 +144,15 @@
     };
     if let Err(err) = ended {
         log::debug!(target: "front", error:% = err; "Caller connection ended with an error.");
-        if err.is_timeout() {
-            reason = Some(CloseReason::IdleTimeout);
-        }
     }
     drop(open);
     if let Some(reason) = reason {
-        let stream = served.into_parts().io.into_inner();
+        let parts = served.into_parts();
+        let mut stream = parts.io.into_inner();
+        if reason == CloseReason::IdleTimeout && !parts.read_buf.is_empty() {
+            refuse_partial_head(&edge, &state, &mut stream).await;
+            return;
+        }
         record_idle_close(&edge, &state, stream, reason).await;
     }
 }
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -188,7 +188,7 @@
     let limit = config.limits.body_bytes;
     let timeout = caller_headers.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrival + timeout;
-    let reading = read_body(body, limit, config.limits.idle_timeout);
+    let reading = read_body(edge, body, limit);
     let body = tokio::time::timeout(deadline.saturating_sub(edge.now()), reading).await;
     let body = body.unwrap_or_else(|_| Err(body_timeout("before the deadline")))?;
     let target = origin_form(&parts.uri)?;
@@ -292,12 +292,29 @@
     request_error(ErrorKind::BodyTimeout, format!("the body did not arrive {when}"))
 }
 
-/// Reads a body whose parts come within `idle_timeout` of each other.
-async fn read_body(body: &mut Incoming, limit: usize, idle_timeout: Duration) -> Result<Bytes> {
+/// Waits until the body has paused for too long, by the configurations in force meanwhile.
+async fn pause_ended(edge: &Edge) {
+    let since = edge.now();
+    loop {
+        let until = edge.caller_timeouts.borrow().body_until(since);
+        let left = until.saturating_sub(edge.now());
+        if left.is_zero() {
+            return;
+        }
+        tokio::time::sleep(left).await;
+    }
+}
+
+/// Reads a body whose parts come within the idle time of each other.
+async fn read_body(edge: &Edge, body: &mut Incoming, limit: usize) -> Result<Bytes> {
     let mut buf = BytesMut::new();
     loop {
-        let frame = tokio::time::timeout(idle_timeout, body.frame()).await;
-        let Some(frame) = frame.map_err(|_| body_timeout("without a long pause"))? else {
+        let frame = tokio::select! {
+            biased;
+            frame = body.frame() => frame,
+            () = pause_ended(edge) => return Err(body_timeout("without a long pause")),
+        };
+        let Some(frame) = frame else {
             return Ok(buf.freeze());
         };
         let frame = frame.map_err(|err| {
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,9 +1,13 @@
 //! Types whose lifetime is one connection.
 
+mod caller_timeouts;
 mod circuit_breaker;
 mod event_splitter;
 mod inactivity_timeout;
+mod timeout_history;
 
+pub use caller_timeouts::{CallerTimeouts, CallerTimeoutsSettings};
 pub use circuit_breaker::{CircuitBreaker, CircuitBreakerSettings};
 pub use event_splitter::{EventSplitter, EventTooLong, MAX_EVENT_BYTES};
 pub use inactivity_timeout::{InactivityTimeout, InactivityTimeoutSettings};
+pub use timeout_history::TimeoutHistory;
--- a/src/error.rs
+++ b/src/error.rs
@@ -90,6 +90,8 @@
     MethodNotAllowed = 405 "method_not_allowed" "invalid_request_error" NotRun;
     /// The body of the request did not arrive in time.
     BodyTimeout = 408 "body_timeout" "invalid_request_error" NotRun;
+    /// The header section of the request did not arrive in time.
+    HeadTimeout = 408 "head_timeout" "invalid_request_error" NotRun;
     /// A request with the same idempotency key is still running.
     InProgress = 409 "in_progress" "conflict_error" Unknown;
     /// A request with the same idempotency key started and its outcome is unknown.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,8 +41,8 @@
 mod version;
 
 pub use connection::{
-    CircuitBreaker, CircuitBreakerSettings, EventSplitter, EventTooLong, InactivityTimeout,
-    InactivityTimeoutSettings, MAX_EVENT_BYTES,
+    CallerTimeouts, CallerTimeoutsSettings, CircuitBreaker, CircuitBreakerSettings, EventSplitter,
+    EventTooLong, InactivityTimeout, InactivityTimeoutSettings, MAX_EVENT_BYTES, TimeoutHistory,
 };
 pub use error::{Error, ErrorKind, ErrorResponse, ExecutionState, Result};
 pub use process::fleet::{
