LOST: a read goes to the log again when a kept connection was closed

A vm whose kept connection to the log was closed while a read was sent took that for a log that does not respond: it paused, other vms passed it over as a reader for 5 s, and a caller who took up a stream could be refused.

Cause: the end of a connection counted as the end of what is behind it.

Change: a read, which may be repeated, goes once more over a new connection. Appends and joins don't.

--- a/crates/carob-edge/src/orders/mod.rs
+++ b/crates/carob-edge/src/orders/mod.rs
@@ -21,8 +21,8 @@
 
 use self::adapters::plan_adapters;
 use crate::edge::Edge;
+use crate::outgoing_request::OutgoingRequest;
 use crate::paths;
-use crate::pool::OutgoingRequest;
 use crate::rooms;
 use crate::turns;
 
--- a/crates/carob-edge/src/paths.rs
+++ b/crates/carob-edge/src/paths.rs
@@ -11,7 +11,8 @@
 
 use crate::connect::{ConnectFailure, ConnectionSource, FreshConnection, Tunnel, connect};
 use crate::edge::Edge;
-use crate::pool::{IncomingResponse, OutgoingRequest};
+use crate::outgoing_request::OutgoingRequest;
+use crate::pool::IncomingResponse;
 use crate::tunnel;
 
 /// Number of other upstreams whose paths are checked when one is lost.
--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use carob_net::Clock;
 use carobglade::{AttemptOutcome, UpstreamName};
-use http::{HeaderMap, Method, Request, Response, StatusCode, Uri};
+use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -18,16 +18,13 @@
 use tokio::task::AbortHandle;
 
 use crate::connect::{ConnectFailure, ConnectionSource, FreshConnection, Tunnel, connect};
+use crate::keep_alive::{DEFAULT_IDLE_TIMEOUT, IDLE_FRACTION, idle_timeout, is_delimited};
+use crate::outgoing_request::OutgoingRequest;
 use crate::response_budget::ResponseBudget;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size of the head of a response, and of what is read ahead of its body.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
-/// Idle timeout of a connection whose upstream sends no `Keep-Alive` timeout.
-const DEFAULT_IDLE_TIMEOUT: Duration = Duration::from_secs(4);
-/// Fraction of the upstream's `Keep-Alive` timeout for which a connection is reused.
-const IDLE_FRACTION: f64 = 0.6;
-
 /// A connection that waits for its next request.
 struct IdleConnection {
     sender: SendRequest<Full<Bytes>>,
@@ -61,30 +58,6 @@
     }
 }
 
-/// A request to an upstream or to the log.
-pub struct OutgoingRequest {
-    /// The HTTP method.
-    pub method: Method,
-    /// The path and query.
-    pub target: Uri,
-    /// The headers to send.
-    pub headers: HeaderMap,
-    /// The complete body.
-    pub body: Bytes,
-}
-
-impl OutgoingRequest {
-    /// Builds the request; `None` if it is not valid.
-    pub fn build(self) -> Option<Request<Full<Bytes>>> {
-        let mut built =
-            Request::builder().method(self.method).uri(self.target).body(Full::new(self.body));
-        if let Ok(built) = &mut built {
-            *built.headers_mut() = self.headers;
-        }
-        built.ok()
-    }
-}
-
 /// A response whose body is read chunk by chunk.
 pub struct IncomingResponse {
     /// The HTTP status.
@@ -172,9 +145,41 @@
             Ok(response) => return response,
             Err(unsent) => *unsent,
         };
+        self.send_new(name, address, unsent).await
+    }
+
+    /// Sends a request that may be repeated as [`send`](Self::send) does, and once more over a new
+    /// connection if an idle one was closed meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send).
+    pub async fn send_repeatable(
+        self: &Rc<Self>,
+        name: &UpstreamName,
+        address: SocketAddr,
+        request: OutgoingRequest,
+    ) -> Result<IncomingResponse, AttemptOutcome> {
+        let first = request.clone().build().ok_or(AttemptOutcome::Unsent)?;
+        let again = request.build().ok_or(AttemptOutcome::Unsent)?;
+        match self.send_idle(name, address, first, &mut ConnectionSource::None).await {
+            Ok(Err(AttemptOutcome::TransportError)) | Err(_) => {
+                self.send_new(name, address, again).await
+            }
+            Ok(response) => response,
+        }
+    }
+
+    /// Sends a request over a new direct connection.
+    async fn send_new(
+        self: &Rc<Self>,
+        name: &UpstreamName,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+    ) -> Result<IncomingResponse, AttemptOutcome> {
         let stream = connect(address, CONNECT_TIMEOUT).await;
         let stream = stream.map_err(|_| AttemptOutcome::Unsent)?;
-        self.send_over(name, address, FreshConnection::Direct(stream), unsent).await
+        self.send_over(name, address, FreshConnection::Direct(stream), request).await
     }
 
     /// Sends a request over an idle connection. Returns it back if no byte was sent, because there is
@@ -309,30 +314,6 @@
     })
 }
 
-/// Returns how long the connection may be idle after a response; `None` when it must be closed.
-fn idle_timeout(response: &Response<Incoming>) -> Option<Duration> {
-    let text = |name: &str| response.headers().get(name).and_then(|value| value.to_str().ok());
-    if text("connection").is_some_and(|value| value.to_ascii_lowercase().contains("close")) {
-        return None;
-    }
-    let named = text("keep-alive").and_then(|value| {
-        let seconds = value.split(',').find_map(|part| part.trim().strip_prefix("timeout="))?;
-        seconds.parse::<f64>().ok().filter(|s| s.is_finite() && *s >= 0.0)
-    });
-    Some(
-        named.map_or(DEFAULT_IDLE_TIMEOUT, |s| {
-            Duration::from_secs_f64((s * IDLE_FRACTION).min(60.0))
-        }),
-    )
-}
-
-/// Reports whether a response tells its end by itself. Another one ends with its connection.
-fn is_delimited(response: &Response<Incoming>) -> bool {
-    let has = |name: &str| response.headers().contains_key(name);
-    let bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&response.status());
-    bodiless || has("content-length") || has("transfer-encoding")
-}
-
 impl IncomingResponse {
     /// Reports whether the response tells its end by itself, not by the end of its connection.
     pub fn is_delimited(&self) -> bool {
--- a/crates/carob-edge/src/store.rs
+++ b/crates/carob-edge/src/store.rs
@@ -10,7 +10,8 @@
 use carobglade::{AttemptOutcome, UpstreamName};
 use http::{HeaderMap, HeaderValue, Method};
 
-use crate::pool::{ConnectionPool, OutgoingRequest};
+use crate::outgoing_request::OutgoingRequest;
+use crate::pool::ConnectionPool;
 use crate::response_budget::ResponseBudget;
 
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
@@ -117,7 +118,12 @@
             headers,
             body: call.body.into(),
         };
-        let mut response = self.pool.send(&self.name, self.address, request).await?;
+        let sent = if call.is_post {
+            self.pool.send(&self.name, self.address, request).await
+        } else {
+            self.pool.send_repeatable(&self.name, self.address, request).await
+        };
+        let mut response = sent?;
         let body = response.read_to_end(MAX_RESPONSE_BYTES, &self.budget).await?;
         Ok((response.status, body))
     }
