LIMIT: the fall of a brittle upstream that rejects requests counts half against what ran there

What callers saw: a request that ran at three upstreams that fell over, one after the other, was refused as `quarantined` for an hour, though too many rejections had made them fall.

Cause: each broken connection at an upstream that is gone counted in full against the request and the parts of its prompt.

Change: vms tell each other with the word of a brittle upstream when it last rejected a request (`RoomNotice`). A crash within 4 s of that is in doubt (`Overloads`) and counts half, for parts (`PromptQuarantine`) and for whole requests (`Suspects`); a block whose crashes come into doubt later is lifted. Half and not nothing, so that a part that crashes upstreams while they are brittle is found, after six crashes.

Library `prompt_quarantine`: four cases, no such interface before.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -5,7 +5,9 @@
 
 use bytes::Bytes;
 use carob_platform::{ResponseKind, UpstreamHeaders, strip_response_headers};
-use carobglade::{AttemptOutcome, EventSplitter, RequestRate, SoftwareVersion, UpstreamName};
+use carobglade::{
+    AttemptOutcome, EventSplitter, RequestRate, SoftwareVersion, UpstreamCrash, UpstreamName,
+};
 use http::HeaderMap;
 
 use crate::choose::Choice;
@@ -264,9 +266,8 @@
     if (200..300).contains(&status) {
         quarantine::record_broken_start(edge, &request.prompt, &choice.entry);
     }
-    let crash = format!("{}#{}", choice.entry.name, choice.entry.started_ms);
-    let unix_ms = edge.clock.unix_millis();
-    edge.suspects.borrow_mut().record_crash(request.fingerprint, &crash, unix_ms);
+    let (upstream, started_ms) = (choice.entry.name.clone(), choice.entry.started_ms);
+    quarantine::record_suspect(edge, request.fingerprint, &UpstreamCrash { upstream, started_ms });
 }
 
 async fn send_and_receive(
@@ -297,7 +298,7 @@
         ResponseHead { status, limit: turns::read_limit(edge, &choice.entry, &response.headers) };
     let kind =
         ResponseKind::classify(status, &response.headers, &request.caller_headers.request_id);
-    rooms::record_head(edge, &choice.entry.name, choice.room.as_deref(), status, kind);
+    rooms::record_head(edge, &choice.entry, choice.room.as_deref(), status, kind);
     if kind == ResponseKind::WrongRequest {
         return Err(AttemptOutcome::TransportError.into());
     }
--- a/crates/carob-edge/src/orders/mod.rs
+++ b/crates/carob-edge/src/orders/mod.rs
@@ -310,7 +310,7 @@
 }
 
 async fn post_order(
-    edge: &Edge,
+    edge: &Rc<Edge>,
     upstream: &UpstreamEntry,
     order: &EngineOrder,
 ) -> Result<u16, AttemptOutcome> {
@@ -325,7 +325,7 @@
     turns::count_request(edge, &upstream.name);
     let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
     turns::read_limit(edge, upstream, &response.headers);
-    rooms::record_unticketed(edge, &upstream.name, response.status, &response.headers);
+    rooms::record_unticketed(edge, upstream, response.status, &response.headers);
     response.read_to_end(MAX_REPORT_BYTES, &edge.response_budget).await?;
     Ok(response.status)
 }
@@ -344,7 +344,7 @@
         turns::count_request(edge, &upstream.name);
         let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
         turns::read_limit(edge, upstream, &response.headers);
-        rooms::record_unticketed(edge, &upstream.name, response.status, &response.headers);
+        rooms::record_unticketed(edge, upstream, response.status, &response.headers);
         let body = response.read_to_end(MAX_REPORT_BYTES, &edge.response_budget).await?;
         Ok::<_, AttemptOutcome>((response.status, body))
     };
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -114,12 +114,11 @@
     edge.loads.borrow_mut().apply_report(&message.vm, message.incarnation, message.loads(), now);
     let demand = message.demand.iter().copied().collect();
     edge.demand.borrow_mut().apply_report(&message.vm, demand, now);
-    quarantine::apply_report(edge, &message.quarantine);
     turns::apply_notices(edge, &message.limits);
+    // A crash is judged by what its upstream rejected before.
     rooms::apply_notices(edge, &message.rooms);
-    for (request, crash) in &message.suspects {
-        edge.suspects.borrow_mut().record_crash(*request, crash, edge.clock.unix_millis());
-    }
+    quarantine::apply_report(edge, &message.quarantine);
+    quarantine::apply_suspects(edge, &message.suspects);
 }
 
 fn apply_readings(edge: &Edge, message: &Message) {
--- a/crates/carob-edge/src/quarantine.rs
+++ b/crates/carob-edge/src/quarantine.rs
@@ -6,8 +6,9 @@
 
 use carob_platform::{LogRequest, VM_TOPIC, encode_keyed_record};
 use carobglade::{
-    Backoff, BlockRecord, BlockedPrompt, Error, ErrorKind, PromptVerdict, QuarantineReport, Result,
-    SharedPrompt, UpstreamCrash, UpstreamEntry, VerdictChange, VerdictReason,
+    Backoff, BlockRecord, BlockedPrompt, Error, ErrorKind, Fingerprint, PromptVerdict,
+    QuarantineReport, Result, SharedPrompt, UpstreamCrash, UpstreamEntry, VerdictChange,
+    VerdictReason,
 };
 use rand::Rng;
 
@@ -78,6 +79,35 @@
     });
 }
 
+/// Records that a run of a brittle upstream rejected a request at `at`.
+pub fn record_rejection(edge: &Rc<Edge>, run: &UpstreamCrash, at: Duration) {
+    let changes = edge.quarantine.borrow_mut().record_rejection(run, at, edge.now());
+    report_changes(edge, &changes);
+    keep_changes(edge, &changes, Duration::ZERO);
+}
+
+/// Records that the request `fingerprint` was in flight when an upstream crashed.
+pub fn record_suspect(edge: &Edge, fingerprint: Fingerprint, crash: &UpstreamCrash) {
+    let (name, unix_ms) = (crash.to_string(), edge.clock.unix_millis());
+    let mut suspects = edge.suspects.borrow_mut();
+    suspects.record_crash(fingerprint, &name, unix_ms);
+    if edge.quarantine.borrow().has_rejected(crash, edge.now()) {
+        suspects.record_doubt(&name);
+    }
+}
+
+/// Applies what another vm told of requests that were in flight when upstreams crashed.
+pub fn apply_suspects(edge: &Edge, suspects: &[(Fingerprint, String)]) {
+    for (fingerprint, crash) in suspects {
+        match crash.parse() {
+            Ok(crash) => record_suspect(edge, *fingerprint, &crash),
+            Err(err) => {
+                log::debug!(target: "quarantine", crash = crash.as_str(), error:% = err; "A crash cannot be read.");
+            }
+        }
+    }
+}
+
 /// Reports whether an upstream refuses connections at one of the checks.
 async fn ends(edge: &Edge, address: SocketAddr) -> bool {
     let started = edge.now();
--- a/crates/carob-edge/src/rooms.rs
+++ b/crates/carob-edge/src/rooms.rs
@@ -7,8 +7,8 @@
 
 use carob_platform::{ResponseKind, server_brittle};
 use carobglade::{
-    RejectionLimit, RoomEvent, RoomNotice, RoomRequest, RoomTicket, Turn, UpstreamEntry,
-    UpstreamName, VmName,
+    RejectionLimit, RoomEvent, RoomNotice, RoomRequest, RoomTicket, Turn, UpstreamCrash,
+    UpstreamEntry, UpstreamName, VmName,
 };
 use http::HeaderMap;
 use rand::Rng;
@@ -16,6 +16,7 @@
 
 use crate::datagram;
 use crate::edge::Edge;
+use crate::quarantine;
 
 /// First byte of a datagram about rooms, which no other message between vms begins with.
 pub const ROOM_VERSION: u8 = 66;
@@ -140,14 +141,24 @@
 }
 
 /// Applies what another vm told of brittle upstreams.
-pub fn apply_notices(edge: &Edge, notices: &[RoomNotice]) {
+pub fn apply_notices(edge: &Rc<Edge>, notices: &[RoomNotice]) {
     for notice in notices {
+        record_rejecting(edge, notice);
         if edge.rooms.borrow_mut().apply(notice, edge.now()) {
             report_change(edge, &notice.upstream, notice.rejections, "vm");
         }
     }
 }
 
+/// Records when the run of an upstream last rejected a request, as far as a vm knows.
+fn record_rejecting(edge: &Rc<Edge>, notice: &RoomNotice) {
+    if let Some(age) = notice.rejected_age {
+        let (upstream, started_ms) = (notice.upstream.clone(), notice.started_ms);
+        let at = edge.now().saturating_sub(age);
+        quarantine::record_rejection(edge, &UpstreamCrash { upstream, started_ms }, at);
+    }
+}
+
 /// Takes upstreams that have said nothing for as brittle as the others of `entries`.
 pub fn presume_brittle(edge: &Edge, entries: &[UpstreamEntry]) {
     let mut rooms = edge.rooms.borrow_mut();
@@ -246,13 +257,20 @@
 /// Records what the head of a response tells of the room of a brittle upstream. `guard` is that of a
 /// request that was let in.
 pub fn record_head(
-    edge: &Edge,
-    name: &UpstreamName,
+    edge: &Rc<Edge>,
+    entry: &UpstreamEntry,
     guard: Option<&RoomGuard>,
     status: u16,
     kind: ResponseKind,
 ) {
+    let name = &entry.name;
     let rejected = status == 503 && kind == ResponseKind::NotExecuted;
+    if rejected {
+        let now = edge.now();
+        edge.rooms.borrow_mut().record_rejection(name, entry.started_ms, now);
+        let notice = edge.rooms.borrow().notice(name, now);
+        notice.iter().for_each(|notice| record_rejecting(edge, notice));
+    }
     match guard {
         Some(guard) => {
             guard.record(if rejected { RoomEvent::Rejected } else { RoomEvent::Accepted });
@@ -263,9 +281,9 @@
 }
 
 /// Records whether an upstream had no room for an order, or for the request for a report.
-pub fn record_unticketed(edge: &Edge, name: &UpstreamName, status: u16, headers: &HeaderMap) {
+pub fn record_unticketed(edge: &Rc<Edge>, entry: &UpstreamEntry, status: u16, headers: &HeaderMap) {
     let kind = ResponseKind::classify(status, headers, "");
-    record_head(edge, name, None, status, kind);
+    record_head(edge, entry, None, status, kind);
 }
 
 /// Returns the brittle upstreams of `service`.
@@ -296,7 +314,7 @@
 }
 
 /// Handles a datagram about rooms without its first byte.
-pub fn handle_datagram(edge: &Edge, bytes: &[u8], from: SocketAddr) {
+pub fn handle_datagram(edge: &Rc<Edge>, bytes: &[u8], from: SocketAddr) {
     let message = match postcard::from_bytes(bytes) {
         Ok(message) => message,
         Err(err) => {
--- a/src/process/prompt_quarantine/evidence.rs
+++ b/src/process/prompt_quarantine/evidence.rs
@@ -3,11 +3,12 @@
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt::{self, Display};
+use std::str::FromStr;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{ModelName, PromptPart, UpstreamName};
+use crate::{Error, ErrorKind, ModelName, PromptPart, Result, UpstreamName};
 
 /// How long a crash counts.
 const CRASH_TTL: Duration = Duration::from_secs(600);
@@ -29,6 +30,23 @@
     pub started_ms: u64,
 }
 
+impl Display for UpstreamCrash {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}#{}", self.upstream, self.started_ms)
+    }
+}
+
+impl FromStr for UpstreamCrash {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let invalid = || Error::new(ErrorKind::InvalidRequest, "not the crash of an upstream");
+        let (upstream, started_ms) = text.rsplit_once('#').ok_or_else(invalid)?;
+        let started_ms = started_ms.parse().map_err(|_| invalid())?;
+        Ok(UpstreamCrash { upstream: upstream.parse()?, started_ms })
+    }
+}
+
 /// What may crash upstreams: a part of prompts with any model, or with one model.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Suspect {
@@ -104,7 +122,7 @@
 #[derive(Clone, Debug)]
 struct Candidate<'a> {
     suspect: &'a Suspect,
-    /// Number of crashes that it needs.
+    /// Weight of the crashes that it needs.
     threshold: usize,
     position: u8,
     crashes: BTreeSet<&'a UpstreamCrash>,
@@ -117,6 +135,10 @@
         (Reverse(self.threshold), self.crashes.len(), self.position, any_model)
     }
 
+    fn weight(&self, weight: impl Fn(&UpstreamCrash) -> usize) -> usize {
+        self.crashes.iter().map(|crash| weight(crash)).sum()
+    }
+
     /// Reports whether several later parts of prompts explain the crashes too, each of them more
     /// than one: the suspect may only be what they have in common.
     fn is_ambiguous(&self, all: &[Candidate<'_>]) -> bool {
@@ -197,23 +219,43 @@
         }
     }
 
+    /// Returns when a crash was first heard of.
+    pub fn seen_at(&self, crash: &UpstreamCrash) -> Option<Duration> {
+        let states = self.suspects.values().filter_map(|record| record.crashes.get(crash));
+        states.map(|state| state.seen_at).min()
+    }
+
+    /// Returns the weight of the crashes that count against a suspect.
+    pub fn open_weight(
+        &self,
+        suspect: &Suspect,
+        weight: impl Fn(&UpstreamCrash) -> usize,
+    ) -> usize {
+        let record = self.suspects.get(suspect);
+        record.map_or(0, |record| record.open_crashes().into_iter().map(weight).sum())
+    }
+
     /// Returns the number of crashes that count against a suspect.
     pub fn open_count(&self, suspect: &Suspect) -> usize {
         self.suspects.get(suspect).map_or(0, SuspectRecord::open_count)
     }
 
-    /// Returns the fewest suspects that explain the crashes; `threshold` is the number of crashes
-    /// that a suspect needs, which no suspect before it explains.
+    /// Returns the fewest suspects that explain the crashes; `threshold` is the weight of crashes
+    /// that a suspect needs, which no suspect before it explains, and `weight` that of a crash.
     ///
     /// Suspects with a low threshold come first, and of these the one with the most crashes. Of
     /// several that were in the same requests the last part counts, since the parts before it are
     /// shared with more requests.
-    pub fn explain(&self, threshold: impl Fn(&Suspect) -> usize) -> Vec<Explanation> {
+    pub fn explain(
+        &self,
+        threshold: impl Fn(&Suspect) -> usize,
+        weight: impl Fn(&UpstreamCrash) -> usize,
+    ) -> Vec<Explanation> {
         let all = self.candidates(threshold);
         let mut left = all.clone();
         let mut explanations = Vec::new();
         loop {
-            left.retain(|candidate| candidate.crashes.len() >= candidate.threshold);
+            left.retain(|candidate| candidate.weight(&weight) >= candidate.threshold);
             let Some(best) = left.iter().max_by_key(|candidate| candidate.rank()).cloned() else {
                 return explanations;
             };
--- a/src/process/prompt_quarantine/mod.rs
+++ b/src/process/prompt_quarantine/mod.rs
@@ -3,11 +3,13 @@
 //!
 //! When an upstream crashes, the parts of the requests whose responses had begun and had no event
 //! yet are suspected. A response with a part that ends well clears the part of all crashes before
-//! it, so only a part that no response has survived gathers crashes. Processes tell each other their
+//! it, so only a part that no response has survived gathers crashes. The crash of a brittle upstream
+//! that rejected requests just before counts half, since too many rejections may have caused it. Processes tell each other their
 //! evidence and their verdicts; all reach the same verdict from the same evidence.
 
 mod block_record;
 mod evidence;
+mod overloads;
 mod survivors;
 mod verdicts;
 
@@ -19,15 +21,17 @@
 pub use self::block_record::BlockRecord;
 use self::evidence::{CrashEvidence, Explanation};
 pub use self::evidence::{Evidence, Suspect, UpstreamCrash};
+use self::overloads::{CRASH_WEIGHT, Overloads};
 use self::survivors::Survivors;
 pub use self::verdicts::PromptVerdict;
 use self::verdicts::Verdicts;
 use crate::{ModelName, PromptPart};
 
 /// Crashes without a response that ended well between them, after which a part is blocked.
-const BLOCK_THRESHOLD: usize = 3;
+const BLOCK_CRASHES: usize = 3;
+const BLOCK_THRESHOLD: usize = BLOCK_CRASHES * CRASH_WEIGHT;
 /// The same for a part with which responses ended well some minutes ago.
-const SURVIVOR_THRESHOLD: usize = 6;
+const SURVIVOR_THRESHOLD: usize = 6 * CRASH_WEIGHT;
 /// Maximum number of parts of a prompt that are looked at.
 const MAX_PARTS: usize = 16;
 
@@ -84,6 +88,8 @@
     Survived,
     /// The crashes have another part in common.
     OtherPart,
+    /// Too many rejections may have caused the crashes.
+    Overload,
     /// Another process told so.
     Reported,
 }
@@ -95,6 +101,7 @@
             VerdictReason::Crashes => "crashes",
             VerdictReason::Survived => "survived",
             VerdictReason::OtherPart => "other_part",
+            VerdictReason::Overload => "overload",
             VerdictReason::Reported => "reported",
         }
     }
@@ -131,6 +138,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct PromptQuarantine {
     evidence: CrashEvidence,
+    overloads: Overloads,
     survivors: Survivors,
     verdicts: Verdicts,
 }
@@ -142,6 +150,24 @@
         self.verdicts.set_release_delay(delay);
     }
 
+    /// Records that a run of a brittle upstream rejected a request at `at`; returns the verdicts that
+    /// changed.
+    pub fn record_rejection(
+        &mut self,
+        run: &UpstreamCrash,
+        at: Duration,
+        now: Duration,
+    ) -> Vec<VerdictChange> {
+        let seen_at = self.evidence.seen_at(run);
+        if self.overloads.record_rejection(run, at, seen_at) { self.judge(now) } else { Vec::new() }
+    }
+
+    /// Reports whether a run of a brittle upstream rejected requests lately, so that too many
+    /// rejections may explain its crash.
+    pub fn has_rejected(&self, run: &UpstreamCrash, now: Duration) -> bool {
+        self.overloads.has_rejected(run, now)
+    }
+
     /// Records that an upstream crashed while the response to a request had begun and had no event
     /// yet; returns the verdicts that changed.
     pub fn record_crash(
@@ -151,6 +177,7 @@
         now: Duration,
     ) -> Vec<VerdictChange> {
         let mut news = false;
+        self.overloads.record_crash(crash, now);
         for (position, suspect) in prompt.suspects() {
             let evidence = Evidence { suspect, crash: crash.clone(), position, cleared: false };
             news |= self.evidence.apply(&evidence, now);
@@ -172,11 +199,16 @@
         changes
     }
 
-    /// Returns the number of crashes after which a suspect is blocked.
+    /// Returns the weight of crashes from which on a suspect is blocked.
     fn threshold(&self, suspect: &Suspect) -> usize {
         if self.survivors.contains(suspect) { SURVIVOR_THRESHOLD } else { BLOCK_THRESHOLD }
     }
 
+    /// Returns the weight of the crashes that count against a suspect.
+    fn open_weight(&self, suspect: &Suspect) -> usize {
+        self.evidence.open_weight(suspect, |crash| self.overloads.weight(crash))
+    }
+
     fn lift(
         &mut self,
         suspect: &Suspect,
@@ -194,7 +226,10 @@
     /// Blocks the suspects that the evidence names, and lifts those that it no longer names.
     fn judge(&mut self, now: Duration) -> Vec<VerdictChange> {
         let mut explanations = self.relapses(now);
-        explanations.extend(self.evidence.explain(|suspect| self.threshold(suspect)));
+        explanations.extend(
+            self.evidence
+                .explain(|suspect| self.threshold(suspect), |crash| self.overloads.weight(crash)),
+        );
         let mut changes = Vec::new();
         for Explanation { suspect, crashes } in &explanations {
             if self.verdicts.blocked_for(suspect, now).is_none() {
@@ -210,9 +245,12 @@
         let named = |suspect: &Suspect| explanations.iter().any(|e| e.suspect == *suspect);
         for suspect in self.verdicts.held().into_iter().filter(|suspect| !named(suspect)) {
             // A process that lacks the evidence for a block does not judge it.
-            let known = self.evidence.open_count(&suspect) >= self.threshold(&suspect);
-            if known && self.evidence.is_explained(&suspect, &explanations) {
+            let threshold = self.threshold(&suspect);
+            let (weight, count) = (self.open_weight(&suspect), self.evidence.open_count(&suspect));
+            if weight >= threshold && self.evidence.is_explained(&suspect, &explanations) {
                 changes.extend(self.lift(&suspect, VerdictReason::OtherPart, now));
+            } else if weight < threshold && count * CRASH_WEIGHT >= threshold {
+                changes.extend(self.lift(&suspect, VerdictReason::Overload, now));
             }
         }
         changes
@@ -222,7 +260,7 @@
     fn relapses(&self, now: Duration) -> Vec<Explanation> {
         let held = self.verdicts.held().into_iter();
         let tried = held.filter(|suspect| self.verdicts.is_on_probation(suspect, now));
-        let relapsed = tried.filter(|suspect| self.evidence.open_count(suspect) > 0);
+        let relapsed = tried.filter(|suspect| self.open_weight(suspect) >= CRASH_WEIGHT);
         relapsed.map(|suspect| Explanation { suspect, crashes: Vec::new() }).collect()
     }
 
@@ -250,6 +288,7 @@
             report.verdicts.iter().flat_map(|verdict| self.apply_verdict(verdict, now)).collect();
         let mut news = false;
         for evidence in &report.evidence {
+            self.overloads.record_crash(&evidence.crash, now);
             news |= self.evidence.apply(evidence, now);
         }
         self.evidence.limit_suspects();
@@ -288,8 +327,7 @@
         }];
         if verdict.strikes == 0 {
             self.evidence.clear(suspect, now);
-        } else if self.survivors.contains(suspect)
-            && self.evidence.open_count(suspect) < SURVIVOR_THRESHOLD
+        } else if self.survivors.contains(suspect) && self.open_weight(suspect) < SURVIVOR_THRESHOLD
         {
             changes.extend(self.lift(suspect, VerdictReason::Survived, now));
         }
@@ -304,6 +342,7 @@
     /// Forgets what no longer counts.
     pub fn expire(&mut self, now: Duration) {
         self.evidence.expire(now);
+        self.overloads.expire(now, |crash| self.evidence.seen_at(crash).is_some());
         self.survivors.expire(now);
         self.verdicts.expire(now);
     }
--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -1,6 +1,6 @@
 //! Requests that were in flight when their upstreams crashed.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -17,6 +17,9 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Suspects {
     seen: BTreeMap<Fingerprint, Vec<(String, u64)>>,
+    /// Crashes that something else than a request may have caused; each counts half.
+    #[serde(skip)]
+    doubtful: BTreeSet<String>,
 }
 
 impl Suspects {
@@ -27,7 +30,11 @@
 
     /// Reports whether `request` is quarantined.
     pub fn is_quarantined(&self, request: Fingerprint) -> bool {
-        self.crash_count(request) >= QUARANTINE_THRESHOLD
+        let Some(crashes) = self.seen.get(&request) else {
+            return false;
+        };
+        let weight = |crash| if self.doubtful.contains(crash) { 1 } else { 2 };
+        crashes.iter().map(|(crash, _)| weight(crash)).sum::<usize>() >= 2 * QUARANTINE_THRESHOLD
     }
 
     /// Returns the number of suspected requests.
@@ -57,6 +64,11 @@
         }
     }
 
+    /// Records that something else than a request may have caused the crash named `crash`.
+    pub fn record_doubt(&mut self, crash: &str) {
+        self.doubtful.insert(crash.to_owned());
+    }
+
     /// Returns the latest crashes, for reports to other processes.
     pub fn recent_crashes(&self, time: u64) -> Vec<(Fingerprint, String)> {
         let all = self.seen.iter().flat_map(|(request, crashes)| {
@@ -83,5 +95,8 @@
             crashes.retain(|(_, seen)| seen + CRASH_TTL_MS > time);
         }
         self.seen.retain(|_, crashes| !crashes.is_empty());
+        let seen = &self.seen;
+        let is_seen = |crash: &String| seen.values().flatten().any(|(known, _)| known == crash);
+        self.doubtful.retain(is_seen);
     }
 }
--- a/src/process/upstream_room.rs
+++ b/src/process/upstream_room.rs
@@ -35,6 +35,8 @@
     pub age: Duration,
     /// Time since this run of the upstream first named a number.
     pub named_age: Duration,
+    /// Time since this run last rejected a request for want of room, if it did.
+    pub rejected_age: Option<Duration>,
 }
 
 /// Identifies a request that was let in, at the owner of the schedule.
@@ -73,6 +75,7 @@
     rejections: Option<RejectionLimit>,
     seen_at: Duration,
     named_at: Duration,
+    rejected_at: Option<Duration>,
     /// Time before which this process does not ask to be let in.
     ask_after: Duration,
     /// Time after which a request that is refused may come back.
@@ -87,6 +90,7 @@
             rejections: self.rejections,
             age: now.saturating_sub(self.seen_at),
             named_age: now.saturating_sub(self.named_at),
+            rejected_age: self.rejected_at.map(|at| now.saturating_sub(at)),
         }
     }
 }
@@ -140,6 +144,7 @@
             rejections,
             seen_at,
             named_at: named.map_or(named_at, |before| before.named_at.min(named_at)),
+            rejected_at: before.and_then(|before| before.rejected_at),
             ask_after: named.map_or(Duration::ZERO, |before| before.ask_after),
             return_at: named.map_or(Duration::ZERO, |before| before.return_at),
         };
@@ -157,7 +162,20 @@
     /// Applies what another process told; returns whether the number changed.
     pub fn apply(&mut self, notice: &RoomNotice, now: Duration) -> bool {
         let times = (now.saturating_sub(notice.age), now.saturating_sub(notice.named_age));
-        self.record_named(&notice.upstream, notice.started_ms, notice.rejections, times)
+        let changed =
+            self.record_named(&notice.upstream, notice.started_ms, notice.rejections, times);
+        if let Some(age) = notice.rejected_age {
+            self.record_rejection(&notice.upstream, notice.started_ms, now.saturating_sub(age));
+        }
+        changed
+    }
+
+    /// Records that the run of an upstream rejected a request at `at`.
+    pub fn record_rejection(&mut self, upstream: &UpstreamName, started_ms: u64, at: Duration) {
+        let room = self.known.get_mut(upstream).filter(|room| room.started_ms == started_ms);
+        if let Some(room) = room {
+            room.rejected_at = room.rejected_at.max(Some(at));
+        }
     }
 
     /// Records that an upstream fell over, or left: what ran there is gone, and its load must not
@@ -181,6 +199,7 @@
             rejections: Some(rejections),
             seen_at: Duration::ZERO,
             named_at: now,
+            rejected_at: None,
             ask_after: Duration::ZERO,
             return_at: Duration::ZERO,
         });
--- a/tests/prompt_quarantine.rs
+++ b/tests/prompt_quarantine.rs
@@ -188,6 +188,92 @@
     assert!(report.evidence.len() <= 60 && report.verdicts.len() <= 32);
 }
 
+/// Records the crashes `numbers` of upstreams that rejected a request just before each.
+fn fall_on(
+    quarantine: &mut PromptQuarantine,
+    prompt: &SharedPrompt,
+    numbers: std::ops::Range<u64>,
+    now: Duration,
+) -> Vec<VerdictChange> {
+    let mut changes = Vec::new();
+    for number in numbers {
+        quarantine.record_rejection(&crash(number), now - ms(200), now);
+        changes.extend(quarantine.record_crash(prompt, &crash(number), now));
+    }
+    changes
+}
+
+/// Guards against a sound request that is refused because it was sent again to one upstream after the
+/// other while they fell over from too many rejections.
+#[test]
+fn falls_of_upstreams_that_rejected_requests_count_half() {
+    let mut quarantine = PromptQuarantine::default();
+    assert!(fall_on(&mut quarantine, &prompt(&["a", "b"]), 0..5, secs(10)).is_empty());
+    // A crash without rejections lately counts in full.
+    let mut other = PromptQuarantine::default();
+    other.record_rejection(&crash(0), secs(1), secs(1));
+    let changes = crash_on(&mut other, &prompt(&["a", "b"]), 0..3, secs(10));
+    assert_eq!(changes.len(), 1, "{changes:?}");
+}
+
+/// Guards against a part that is never found because it crashes upstreams only while they are brittle.
+#[test]
+fn a_part_that_crashes_brittle_upstreams_is_found() {
+    let mut quarantine = PromptQuarantine::default();
+    for number in 0..6 {
+        assert!(!is_blocked(&quarantine, &["a", "dead"], secs(10)), "crash {number}");
+        // Requests with the part before it end well, as long as they are not at the upstream.
+        quarantine.record_survival(&prompt(&["a"]), secs(10));
+        fall_on(&mut quarantine, &prompt(&["a", "dead"]), number..number + 1, secs(10));
+    }
+    assert!(is_blocked(&quarantine, &["a", "dead"], secs(10)));
+    assert!(!is_blocked(&quarantine, &["a", "b"], secs(10)));
+    // Two crashes without rejections weigh as much as four others.
+    let mut mixed = PromptQuarantine::default();
+    crash_on(&mut mixed, &prompt(&["a", "dead"]), 0..2, secs(10));
+    fall_on(&mut mixed, &prompt(&["a", "dead"]), 2..3, secs(10));
+    assert!(!is_blocked(&mixed, &["a", "dead"], secs(10)));
+    fall_on(&mut mixed, &prompt(&["a", "dead"]), 3..4, secs(10));
+    assert!(is_blocked(&mixed, &["a", "dead"], secs(10)));
+}
+
+/// Guards against a block that stays although the news of the rejections came after that of the crashes.
+#[test]
+fn a_block_is_lifted_when_late_news_put_its_crashes_in_doubt() {
+    let (mut one, mut other) = (PromptQuarantine::default(), PromptQuarantine::default());
+    crash_on(&mut one, &prompt(&["a", "b"]), 0..3, secs(10));
+    other.apply_report(&one.report(secs(10)), secs(10));
+    assert!(is_blocked(&one, &["a", "b"], secs(10)) && is_blocked(&other, &["a", "b"], secs(10)));
+    let changes = one.record_rejection(&crash(2), ms(9900), ms(10_100));
+    assert_eq!(changes.len(), 1, "{changes:?}");
+    assert_eq!(changes[0].reason, VerdictReason::Overload);
+    other.apply_report(&one.report(secs(11)), secs(11));
+    assert!(!is_blocked(&one, &["a", "b"], secs(11)) && !is_blocked(&other, &["a", "b"], secs(11)));
+}
+
+/// Guards against upstreams that fall one after the other while none of the vms that see a crash was
+/// itself rejected: what one vm was told, all take into account.
+#[test]
+fn rejections_that_one_vm_knows_count_for_the_crashes_that_others_see() {
+    for seed in 0..50 {
+        let mut fleet = Fleet::new(seed);
+        for number in 0..5 {
+            let now = fleet.now;
+            // The notices of rooms, which all vms have before the reports of crashes.
+            for vm in &mut fleet.vms {
+                vm.record_rejection(&crash(number), now, now);
+            }
+            fleet.vms[number as usize].record_crash(&prompt(&["a", "b"]), &crash(number), now);
+            fleet.exchange();
+        }
+        for _ in 0..10 {
+            fleet.exchange();
+        }
+        let now = fleet.now;
+        assert!(fleet.vms.iter().all(|vm| vm.blocked_count(now) == 0), "seed {seed}");
+    }
+}
+
 /// A fleet of processes that exchange reports every `REPORT_INTERVAL`, some of which are lost.
 struct Fleet {
     vms: Vec<PromptQuarantine>,
