LIMIT: a new owner of a brittle upstream keeps its pause when a rejection is the first that it hears of

What callers saw: nothing yet; found while deciding what becomes of rejections that are told to an owner that is being replaced.

Cause: the owner of an upstream's schedule begins with 1.2 s without requests, since those that the owner before let in may still be rejected. When the first that it was told of was a rejection (of an order, or of a request of another owner), it began without that pause and took nothing for running. In the first second of a brittle time, which has no pause, a rejection that only the owner before was told of did not count.

Change: a schedule starts alike in both cases, takes the requests that run from the first request that asks, and counts the last rejection that any vm told of. A rejection that an owner is told of while it is replaced stays lost: the pause outlasts it.

Evidence: `a_rejection_that_a_new_owner_is_told_of_does_not_end_its_pause` failed before ("within the pause").

--- a/src/process/room_schedule.rs
+++ b/src/process/room_schedule.rs
@@ -39,8 +39,8 @@
 pub(super) struct RoomSchedule {
     started_ms: u64,
     open: BTreeMap<RoomTicket, OpenTurn>,
-    /// Requests that were let in by nobody or by another owner; never more than before.
-    untracked: u32,
+    /// Requests that were let in by nobody or by another owner, once known; never more than before.
+    untracked: Option<u32>,
     /// Requests that may run or wait at once, as far as rejections have shown.
     room: u32,
     /// When each request of the last second was rejected.
@@ -57,14 +57,14 @@
 }
 
 impl RoomSchedule {
-    /// Starts with `reported` requests at the upstream's run of `started_ms`. Unless it is the `first` schedule, the one
+    /// Starts at the upstream's run of `started_ms`. Unless it is the `first` schedule, the one
     /// before may have let requests in that are rejected within the next second.
-    pub(super) fn new(started_ms: u64, reported: u32, first: bool, now: Duration) -> Self {
+    pub(super) fn new(started_ms: u64, first: bool, now: Duration) -> Self {
         RoomSchedule {
             started_ms,
             open: BTreeMap::new(),
-            untracked: reported,
-            room: reported.max(1),
+            untracked: None,
+            room: 1,
             rejections: VecDeque::new(),
             room_found: false,
             changed_at: now,
@@ -74,6 +74,11 @@
         }
     }
 
+    /// Counts a rejection at `at`, of which the schedule before was told.
+    pub(super) fn record_earlier(&mut self, at: Duration) {
+        self.rejections.push_back(at);
+    }
+
     /// Returns the start of the upstream's run.
     pub(super) fn started_ms(&self) -> u64 {
         self.started_ms
@@ -85,7 +90,8 @@
     }
 
     fn running(&self) -> u32 {
-        self.untracked.saturating_add(u32::try_from(self.open.len()).unwrap_or(u32::MAX))
+        let untracked = self.untracked.unwrap_or_default();
+        untracked.saturating_add(u32::try_from(self.open.len()).unwrap_or(u32::MAX))
     }
 
     fn update(&mut self, reported: u32, now: Duration) {
@@ -98,7 +104,13 @@
         }
         let old = self.open.values().filter(|turn| now >= turn.since + REPORT_AGE).count();
         let untracked = reported.saturating_sub(u32::try_from(old).unwrap_or(u32::MAX));
-        self.untracked = self.untracked.min(untracked);
+        match &mut self.untracked {
+            Some(known) => *known = untracked.min(*known),
+            None => {
+                self.untracked = Some(untracked);
+                self.room = self.room.max(untracked);
+            }
+        }
     }
 
     /// Returns how many requests may be rejected, of those that were let in.
--- a/src/process/upstream_room.rs
+++ b/src/process/upstream_room.rs
@@ -83,6 +83,15 @@
 }
 
 impl KnownRoom {
+    /// Starts the schedule of a run; `other_run` tells that the one before has ended.
+    fn new_schedule(&self, started_ms: u64, other_run: bool, now: Duration) -> RoomSchedule {
+        let first = other_run || now.saturating_sub(self.named_at) < FIRST_TIME;
+        let mut schedule = RoomSchedule::new(started_ms, first, now);
+        let rejected_at = self.rejected_at.filter(|_| self.started_ms == started_ms);
+        rejected_at.into_iter().for_each(|at| schedule.record_earlier(at));
+        schedule
+    }
+
     fn notice(&self, upstream: &UpstreamName, now: Duration) -> RoomNotice {
         RoomNotice {
             upstream: upstream.clone(),
@@ -263,10 +272,9 @@
         now: Duration,
     ) -> Turn {
         let known = self.known.get(upstream);
-        let Some((known, limit)) = known.and_then(|known| Some((known, known.rejections?))) else {
+        let Some((known, limit)) = known.and_then(|known| Some((*known, known.rejections?))) else {
             return Turn::After(Duration::ZERO);
         };
-        let first = now.saturating_sub(known.named_at) < FIRST_TIME;
         let other_run = self
             .schedules
             .get(upstream)
@@ -277,10 +285,11 @@
         // Nothing runs yet at an upstream that has just started.
         let reported = if other_run { 0 } else { request.reported };
         let grows = now >= self.grows_after;
-        let schedules = &mut self.schedules;
-        let schedule = schedules.entry(upstream.clone()).or_insert_with(|| {
-            RoomSchedule::new(request.started_ms, reported, first || other_run, now)
-        });
+        let schedule = self
+            .schedules
+            .entry(upstream.clone())
+            .or_insert_with(|| known.new_schedule(request.started_ms, other_run, now));
+        let request = RoomRequest { reported, ..request };
         schedule.take_turn(limit, request, grows, now)
     }
 
@@ -298,7 +307,7 @@
             return;
         };
         if event == RoomEvent::Rejected {
-            let new = || RoomSchedule::new(known.started_ms, 0, true, now);
+            let new = || known.new_schedule(known.started_ms, false, now);
             self.schedules.entry(upstream.clone()).or_insert_with(new);
         }
         if let Some(schedule) = self.schedules.get_mut(upstream) {
