RECOVER: requests for models out of reach are refused at once

Cause: a service counted as unreachable only if no upstream of it had responded for a second.

Change: the responses of those upstreams count that hold what the request needs; that several upstreams are out of reach is still asked of the whole service, since a single one has more likely crashed.

--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -129,15 +129,17 @@
 }
 
 /// Returns the time until one of the upstreams that could take the request is tried again, if no vm
-/// reaches the service.
+/// reaches them.
 fn unreachable_time(edge: &Edge, request: &CallerRequest) -> Option<Duration> {
-    let (reachable, next_trial) =
-        paths::reachable_upstreams(edge, eligible_upstreams(edge, request, &[]));
+    let holders = eligible_upstreams(edge, request, &[]);
+    let names: Vec<UpstreamName> = holders.iter().map(|entry| entry.name.clone()).collect();
+    let (reachable, next_trial) = paths::reachable_upstreams(edge, holders);
     let next_trial = next_trial.filter(|_| reachable.is_empty())?;
     let view = edge.view.borrow();
     let accepting = view.upstreams.accepting(&request.service);
-    let names: Vec<UpstreamName> = accepting.map(|entry| entry.name.clone()).collect();
-    edge.paths.table.borrow().is_unreachable(&names, edge.now()).then_some(next_trial)
+    let service: Vec<UpstreamName> = accepting.map(|entry| entry.name.clone()).collect();
+    let table = edge.paths.table.borrow();
+    table.is_unreachable(&names, &service, edge.now()).then_some(next_trial)
 }
 
 fn unavailable_error(edge: &Edge, request: &CallerRequest) -> Error {
--- a/src/process/upstream_paths.rs
+++ b/src/process/upstream_paths.rs
@@ -222,12 +222,19 @@
         self.paths.entry(name.clone()).or_default().responded_at = Some(now);
     }
 
-    /// Reports whether no vm reaches the service of `upstreams`: several of them were tried in vain,
-    /// and none has responded for a while. A single one has more likely crashed.
-    pub fn is_unreachable(&self, upstreams: &[UpstreamName], now: Duration) -> bool {
+    /// Reports whether no vm reaches the upstreams that hold what a request needs, `holders`: several
+    /// upstreams of its service were tried in vain, and no holder has responded for a while. A single
+    /// one has more likely crashed.
+    pub fn is_unreachable(
+        &self,
+        holders: &[UpstreamName],
+        service: &[UpstreamName],
+        now: Duration,
+    ) -> bool {
         let since = now.saturating_sub(self.settings.cut_time);
-        let known = upstreams.iter().filter_map(|name| self.paths.get(name));
-        let responded = known.clone().any(|path| path.responded_at.is_some_and(|at| at > since));
+        let mut holders = holders.iter().filter_map(|name| self.paths.get(name));
+        let responded = holders.any(|path| path.responded_at.is_some_and(|at| at > since));
+        let known = service.iter().filter_map(|name| self.paths.get(name));
         let paused = known.filter(|path| path.paused_until.is_some_and(|until| until > now));
         paused.count() >= self.settings.min_lost && !responded
     }
--- a/tests/upstream_paths.rs
+++ b/tests/upstream_paths.rs
@@ -123,11 +123,24 @@
         let mut paths = paths();
         let service = [name("desk-1"), name("desk-2"), name("desk-3")];
         paths.record_unreachable(&service[0], false, ms(0));
-        assert!(!paths.is_unreachable(&service, ms(1)));
+        assert!(!paths.is_unreachable(&service, &service, ms(1)));
         paths.record_unreachable(&service[1], false, ms(10));
-        assert!(paths.is_unreachable(&service, ms(11)));
+        assert!(paths.is_unreachable(&service, &service, ms(11)));
         paths.record_response(&service[2], ms(12));
-        assert!(!paths.is_unreachable(&service, ms(13)));
+        assert!(!paths.is_unreachable(&service, &service, ms(13)));
+    }
+
+    // Guards against requests that wait because an upstream responds which does not hold their model.
+    a_response_of_an_upstream_without_the_model_tells_nothing_of_its_holders {
+        let mut paths = paths();
+        let service = [name("engine-1"), name("engine-2"), name("engine-3")];
+        paths.record_unreachable(&service[0], false, ms(0));
+        paths.record_unreachable(&service[1], false, ms(10));
+        paths.record_response(&service[2], ms(12));
+        assert!(paths.is_unreachable(&service[..2], &service, ms(13)));
+        assert!(paths.is_unreachable(&service[..1], &service, ms(13)));
+        paths.record_response(&service[0], ms(14));
+        assert!(!paths.is_unreachable(&service[..2], &service, ms(15)));
     }
 
     // Guards against a vm that keeps the duty to order engines which it does not reach.
