RECOVER: a stream goes on at its own upstream if no other has its version

Callers saw: streams of an upstream that alone has its version were broken off when the link to it, or the vm in between, was lost, though another vm reached the upstream: the caller's own resumption was served at once.

Cause: an upstream whose connection broke was never tried again for the same request. Where no other upstream has the version of the stream, there is then nothing to go on with.

Change: an upstream whose connection broke is tried once more, over a new connection, if no other can ever take the request. Attempts of the route and the retry budget bound it as before.

--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -17,12 +17,13 @@
 use tokio::sync::Notify;
 
 use crate::attempt::{AttemptFailure, AttemptResponse, send_attempt};
-use crate::choose::{Choice, choose_upstream, has_candidate};
+use crate::choose::{Choice, choose_upstream, has_bound_version, has_candidate};
 use crate::edge::Edge;
 use crate::paths;
 use crate::quarantine;
 use crate::request::{CallerRequest, charge_retry};
 use crate::rooms;
+use crate::tried::TriedUpstreams;
 
 /// Retry time after a failed attempt, which says nothing about the load.
 pub const FAILED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -67,8 +68,7 @@
 pub struct Attempts<'a> {
     edge: &'a Rc<Edge>,
     request: &'a CallerRequest,
-    /// Upstreams that are not tried again.
-    tried: RefCell<Vec<UpstreamName>>,
+    tried: TriedUpstreams,
     open: RefCell<Vec<OpenUpstream>>,
     history: Cell<AttemptHistory>,
     /// Whether a brittle upstream had no room for the request.
@@ -83,7 +83,7 @@
         Attempts {
             edge,
             request,
-            tried: RefCell::default(),
+            tried: TriedUpstreams::default(),
             open: RefCell::default(),
             history: Cell::new(history),
             rejected_for_room: Cell::default(),
@@ -154,7 +154,7 @@
     /// spends.
     async fn attempt(&self, last_id: Option<u64>, mut token: Option<RetryToken<'_>>) -> AttemptEnd {
         let (edge, request) = (self.edge, self.request);
-        let tried = self.tried.borrow().clone();
+        let tried = self.tried.excluded(|tried| has_bound_version(edge, request, tried));
         let choice = match choose_upstream(edge, request, &tried).await {
             Ok(choice) => Choice { fresh: self.history().sent() > 0, ..choice },
             Err(err) => return AttemptEnd::NotSent(err),
@@ -177,6 +177,7 @@
             Err(failure) => {
                 self.update_history(|history| history.record_outcome(failure.outcome));
                 self.record_rejection(&name, failure.outcome);
+                self.tried.record_outcome(&name, failure.outcome);
                 if let Some(token) = &mut token {
                     token.spent = failure.outcome != AttemptOutcome::Unsent;
                 }
@@ -194,7 +195,7 @@
         let brittle = rooms::brittle_upstreams(self.edge, &self.request.service);
         if brittle.contains(name) {
             self.rejected_for_room.set(true);
-            self.tried.borrow_mut().extend(brittle);
+            self.tried.extend(brittle);
         }
     }
 
@@ -203,7 +204,7 @@
         let goal = if route.kind.is_stream() { route.latency_goal } else { Duration::ZERO };
         let mut timer = HedgeTimer::new(HedgeSettings::default());
         timer.record_start(estimate, goal, self.edge.now());
-        self.tried.borrow_mut().push(name.clone());
+        self.tried.extend([name.clone()]);
         self.open.borrow_mut().push(OpenUpstream { name: name.clone(), timer, silent: false });
         self.update_history(AttemptHistory::record_start);
         self.changed.notify_one();
@@ -217,7 +218,7 @@
     /// Records that a stream goes on at `name` alone.
     pub fn record_source(&self, name: &UpstreamName) {
         let timer = HedgeTimer::new(HedgeSettings::default());
-        *self.tried.borrow_mut() = vec![name.clone()];
+        self.tried.set_source(name);
         *self.open.borrow_mut() = vec![OpenUpstream { name: name.clone(), timer, silent: false }];
         self.record_event(name);
     }
@@ -238,6 +239,7 @@
     pub fn record_broken(&self, name: &UpstreamName, outcome: AttemptOutcome) {
         self.edge.loads.borrow_mut().record_result(name, true);
         self.update_history(|history| history.record_outcome(outcome));
+        self.tried.record_outcome(name, outcome);
         self.remove_open(name);
     }
 
@@ -307,7 +309,7 @@
     /// Returns why no second attempt can start.
     fn take_hedge_token(&self) -> std::result::Result<RetryToken<'_>, &'static str> {
         let (edge, service) = (self.edge, self.request.service.as_str());
-        if !has_candidate(edge, self.request, &self.tried.borrow()) {
+        if !has_candidate(edge, self.request, &self.tried.names()) {
             return Err("no other upstream can take the request");
         }
         if !edge.withdraw_retry(service) {
@@ -369,8 +371,7 @@
 
     /// Reports whether brittle upstreams had no room and no other upstream can take the request.
     fn has_no_room(&self) -> bool {
-        self.rejected_for_room.get()
-            && !has_candidate(self.edge, self.request, &self.tried.borrow())
+        self.rejected_for_room.get() && !has_candidate(self.edge, self.request, &self.tried.names())
     }
 
     /// Turns an error into `UpstreamFailed` when an attempt may have run, because other kinds would
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -181,7 +181,7 @@
 
 /// Reports whether an upstream that is not among `tried` has the version that a stream is bound to,
 /// so that a wait for its model makes sense; true for a request that is not bound.
-fn has_bound_version(edge: &Edge, request: &CallerRequest, tried: &[UpstreamName]) -> bool {
+pub fn has_bound_version(edge: &Edge, request: &CallerRequest, tried: &[UpstreamName]) -> bool {
     let Some(version) = request.stream_version.get() else {
         return true;
     };
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -34,6 +34,7 @@
 mod settings;
 mod stop_counts;
 mod store;
+mod tried;
 mod tunnel;
 mod tunnel_server;
 mod turn_requests;
