RECOVER: carobctl explain tells what a vm believed and learned of its paths

Callers saw: nothing; who asked why a request at a cut vm was late or refused got no line about paths.

Cause: the lines of the part `paths` were not among the state that `explain` keeps.

Change: the last line about each path counts as state at the request's arrival; lines between those of the request are told as learned meanwhile. Shown are those of the upstreams that were tried, and all of them if the request was refused because no vm reaches an upstream.

--- a/crates/carobctl/src/explain.rs
+++ b/crates/carobctl/src/explain.rs
@@ -13,8 +13,12 @@
 use crate::log_lines::{Line, number_field, parse, text_field};
 
 /// Parts whose log lines tell the state of a process.
-const STATE_PARTS: [&str; 7] =
-    ["config", "ready", "follow", "duty", "upstreams", "quarantine", "main"];
+const STATE_PARTS: [&str; 8] =
+    ["config", "ready", "follow", "duty", "upstreams", "quarantine", "main", PATHS_PART];
+/// Part whose lines tell which upstreams a vm reaches.
+const PATHS_PART: &str = "paths";
+/// Start of the reason of a refusal for want of a way to an upstream.
+const NO_WAY: &str = "no vm reaches";
 
 const START_MESSAGE: &str = "The process started.";
 const UNKNOWN_VM: &str = "?"; // for lines without a vm
@@ -28,6 +32,10 @@
     latest_state: BTreeMap<(String, String), Line>,
     /// The state lines of each vm when the request arrived there.
     state_at_arrival: Vec<(String, Line)>,
+    /// What vms learned of their paths between two lines of the request.
+    path_changes: Vec<(String, Line)>,
+    /// The same since the last line of the request at each vm.
+    pending_changes: BTreeMap<String, Vec<Line>>,
     clock_samples: ClockSamples,
     /// Vms whose times were corrected, with the offsets of their clocks.
     clock_offsets: Vec<(String, ClockOffset)>,
@@ -71,6 +79,8 @@
                 self.state_at_arrival
                     .extend(own.map(|((of, _), state_line)| (of.clone(), state_line.clone())));
             }
+            let changes = self.pending_changes.remove(vm).unwrap_or_default();
+            self.path_changes.extend(changes.into_iter().map(|change| (vm.to_owned(), change)));
             self.lines.push((vm.to_owned(), line));
         } else if STATE_PARTS.contains(&text_field(&line, "part")) {
             if text_field(&line, "text") == START_MESSAGE {
@@ -81,6 +91,10 @@
                 let record = format!("{}/{offset}", state_key(&line));
                 self.clock_samples.add_sample(vm, record, number_field(&line, "time"));
             }
+            let is_at_vm = self.lines.iter().any(|(known, _)| known == vm);
+            if is_at_vm && text_field(&line, "part") == PATHS_PART {
+                self.pending_changes.entry(vm.to_owned()).or_default().push(line.clone());
+            }
             self.latest_state.insert((vm.to_owned(), state_key(&line)), line);
         }
     }
@@ -97,12 +111,14 @@
         self.clock_offsets = vms.iter().filter_map(offset).collect();
         for (vm, offset) in &self.clock_offsets {
             let lines = self.lines.iter_mut().chain(&mut self.state_at_arrival);
+            let lines = lines.chain(&mut self.path_changes);
             for (_, line) in lines.filter(|(of, _)| of == vm) {
                 let time = number_field(line, "time").saturating_add_signed(-offset.millis);
                 line.insert("time".into(), time.into());
             }
         }
         self.lines.sort_by_key(|(_, line)| number_field(line, "time"));
+        self.path_changes.sort_by_key(|(_, line)| number_field(line, "time"));
     }
 
     /// Returns the upstreams that the lines of the request name.
@@ -110,6 +126,17 @@
         self.lines.iter().map(|(_, line)| text_field(line, "upstream")).collect()
     }
 
+    /// Reports whether a state line concerns the request: one about an upstream that its lines name, or
+    /// about any path if it was refused for want of one.
+    fn is_relevant(&self, line: &Line) -> bool {
+        let upstream = text_field(line, "upstream");
+        let had_no_way =
+            || self.lines.iter().any(|(_, of)| text_field(of, "why").starts_with(NO_WAY));
+        upstream.is_empty()
+            || self.upstreams().contains(upstream)
+            || (text_field(line, "part") == PATHS_PART && had_no_way())
+    }
+
     /// Reports whether a line says that the request ended.
     fn has_ended(&self) -> bool {
         let ends =
@@ -166,12 +193,7 @@
         writeln!(out, "{at:>7} ms  {vm}  {}  {}", text_field(line, "text"), details(line, id))?;
     }
     writeln!(out, "\nwhat the vm believed when the request came:")?;
-    let named = trace.upstreams();
-    let is_relevant = |line: &Line| {
-        let upstream = text_field(line, "upstream");
-        upstream.is_empty() || named.contains(upstream)
-    };
-    for (vm, line) in trace.state_at_arrival.iter().filter(|(_, line)| is_relevant(line)) {
+    for (vm, line) in trace.state_at_arrival.iter().filter(|(_, line)| trace.is_relevant(line)) {
         let age = first.saturating_sub(number_field(line, "time"));
         writeln!(
             out,
@@ -180,10 +202,19 @@
             details(line, id)
         )?;
     }
-    let others = trace.state_at_arrival.iter().filter(|(_, line)| !is_relevant(line)).count();
+    let others = trace.state_at_arrival.iter().filter(|(_, line)| !trace.is_relevant(line)).count();
     if others > 0 {
         writeln!(out, "and lines about {others} other upstreams, which --json prints")?;
     }
+    let changes: Vec<_> =
+        trace.path_changes.iter().filter(|(_, line)| trace.is_relevant(line)).collect();
+    if !changes.is_empty() {
+        writeln!(out, "\nwhat the vm learned of its paths meanwhile:")?;
+    }
+    for (vm, line) in changes {
+        let at = number_field(line, "time").saturating_sub(first);
+        writeln!(out, "{at:>7} ms  {vm}  {}  {}", text_field(line, "text"), details(line, id))?;
+    }
     for (vm, offset) in &trace.clock_offsets {
         let (millis, samples) = (offset.millis, offset.samples);
         writeln!(out, "corrected: the clock of {vm} is {millis} ms ahead, by {samples} records")?;
@@ -205,6 +236,7 @@
         .collect();
     let document = json!({
         "id": id, "lines": lines(&trace.lines), "beliefs": lines(&trace.state_at_arrival),
+        "paths": lines(&trace.path_changes),
         "corrected": clock_offsets, "unknown": trace.limitations(),
     });
     writeln!(stdout().lock(), "{document}")?;
--- a/crates/carobctl/tests/explain.rs
+++ b/crates/carobctl/tests/explain.rs
@@ -54,6 +54,49 @@
     assert!(report.contains("not known: 1 lines cannot be read"));
 }
 
+const CUT_LOG: &str = r#"{"vm":"rennes-1","time":900,"level":"warn","part":"paths","text":"The direct path to an upstream is lost; another vm reaches it.","upstream":"i-1","direct":"no_answer","via":"rennes-2","lost":1}
+{"vm":"rennes-1","time":950,"level":"warn","part":"paths","text":"The direct path to an upstream is lost; another vm reaches it.","upstream":"i-9","direct":"no_answer","via":"rennes-2","lost":2}
+{"vm":"rennes-1","time":960,"level":"warn","part":"paths","text":"The process changed whether it counts as cut off from upstreams.","cut_off":true,"lost":2,"tunnels":1}
+{"vm":"rennes-1","time":1000,"level":"info","part":"request","text":"A request was admitted.","id":"abc","route":"plan","left":5000}
+{"vm":"rennes-1","time":1040,"level":"info","part":"request","text":"An upstream was tried.","id":"abc","upstream":"i-1","end":"broken","connection":"via rennes-2"}
+{"vm":"rennes-1","time":1300,"level":"info","part":"paths","text":"No vm reached an upstream; it takes no requests for a while.","upstream":"i-2","direct":"refused","pause":250}
+{"vm":"rennes-1","time":1301,"level":"info","part":"request","text":"An upstream was tried.","id":"abc","upstream":"i-2","end":"unsent","connection":"refused"}
+REFUSAL
+{"vm":"rennes-1","time":1400,"level":"info","part":"paths","text":"The direct path to an upstream works again.","upstream":"i-1","after":500}
+"#;
+const NO_WAY: &str = r#"{"vm":"rennes-1","time":1302,"level":"info","part":"request","text":"A request was refused.","id":"abc","kind":"upstream_unavailable","why":"no vm reaches an upstream; the next trial is in 250 ms"}"#;
+const BROKEN: &str = r#"{"vm":"rennes-1","time":1302,"level":"info","part":"request","text":"A request was refused.","id":"abc","kind":"upstream_failed","why":"the upstream's try ended as broken"}"#;
+
+fn explain_cut(refusal: &str) -> String {
+    let log = CUT_LOG.replace("REFUSAL", refusal);
+    let output = explain(&[("rennes.log", &log)], "abc", false);
+    String::from_utf8(output.stdout).unwrap()
+}
+
+// Guards against: the report hides which paths were lost, on which evidence and which way was taken.
+#[test]
+fn the_report_tells_the_paths_of_the_upstreams_that_were_tried() {
+    let report = explain_cut(BROKEN);
+    for text in [
+        "100 ms before  rennes-1  The direct path to an upstream is lost",
+        "direct=no_answer lost=1 upstream=i-1 via=rennes-2",
+        "40 ms before  rennes-1  The process changed whether it counts as cut off",
+        "connection=via rennes-2",
+        "what the vm learned of its paths meanwhile:\n    300 ms  rennes-1  No vm reached an upstream",
+        "direct=refused pause=250 upstream=i-2",
+    ] {
+        assert!(report.contains(text), "{text:?} missing in\n{report}");
+    }
+    assert!(!report.contains("i-9") && !report.contains("works again"), "{report}");
+}
+
+// Guards against: a refusal for want of a way is shown without the paths that were lost.
+#[test]
+fn the_report_of_a_request_without_a_way_tells_all_paths() {
+    let report = explain_cut(NO_WAY);
+    assert!(report.contains("upstream=i-9"), "{report}");
+}
+
 /// Returns the log lines of a vm whose clock is `ahead_ms` milliseconds ahead. Every vm reads six
 /// records at the same times and gets request `id`, vm `rennes-1` 700 ms before the others.
 fn log_lines(vm: &str, ahead_ms: u64, id: &str) -> String {
