--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -38,6 +38,7 @@
 mod settings;
 mod stop_counts;
 mod store;
+mod tried;
 mod tunnel;
 mod tunnel_server;
 mod turn_requests;
