LOST: a stopping vm takes a request by when it is expected to end

What callers saw: streams that were taken after SIGTERM with more work than the grace holds ended as "cut in the answer"; later in the stop, requests of milliseconds were refused because their deadline lay beyond it.

Cause: for 2.6 s every request was taken, then every one refused whose deadline lay beyond the end. The caller's patience stood for the work.

Change: `StopAdmission` (pure) decides from SIGTERM on, when the upstream is chosen: estimate of the first byte, output tokens, pace of the upstream's streams; a plain request by the longest time that one of its service took or has been open. Until the load balancer sends callers elsewhere, a refused caller comes back here, so only what is expected to be broken off is refused, with a Retry-After that reaches to that moment; afterwards what is not likely to end (output that 95 of 100 streams stay below, a fourth of the time as margin).

--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -23,6 +23,7 @@
 use crate::quarantine;
 use crate::request::{CallerRequest, charge_retry};
 use crate::rooms;
+use crate::stop_admission;
 
 /// Retry time after a failed attempt, which says nothing about the load.
 pub const FAILED_RETRY_AFTER: Duration = Duration::from_millis(300);
@@ -159,7 +160,11 @@
             Ok(choice) => Choice { fresh: self.history().sent() > 0, ..choice },
             Err(err) => return AttemptEnd::NotSent(err),
         };
-        if let Err(err) = quarantine::check(edge, &request.prompt) {
+        let mut checked = quarantine::check(edge, &request.prompt);
+        if checked.is_ok() && !self.history().may_have_run() {
+            checked = stop_admission::check(edge, request, &choice);
+        }
+        if let Err(err) = checked {
             return AttemptEnd::NotSent(err);
         }
         let name = choice.entry.name.clone();
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -14,6 +14,7 @@
 use crate::paths;
 use crate::request::CallerRequest;
 use crate::rooms::{self, RoomGuard};
+use crate::stop_admission;
 use crate::turns;
 
 /// Time between two output tokens of a busy engine.
@@ -34,6 +35,8 @@
     pub running: u32,
     /// Tokens of these requests.
     pub load_tokens: u64,
+    /// Output tokens that each stream of the upstream gets, in tokens a second, if known.
+    pub token_rate: Option<f64>,
     /// The place of the request at a brittle upstream.
     pub room: Option<Rc<RoomGuard>>,
     /// Whether the request goes over a new connection, since an earlier attempt failed or is silent.
@@ -71,6 +74,9 @@
         {
             return Err(unavailable_error(edge, request));
         }
+        if tried.is_empty() {
+            stop_admission::check_wait(edge, request)?;
+        }
         request_adapter(edge, request);
         if tokio::time::timeout(POLL_INTERVAL, changed).await.is_err() {
             log::trace!(target: "request", id = request.caller_headers.request_id.as_str(); "Waiting for the model or adapter to be loaded.");
@@ -303,8 +309,15 @@
             let entry =
                 eligible.into_iter().nth(index).ok_or_else(|| unavailable_error(edge, request))?;
             let candidate = dispatch_candidates[index];
-            let (running, load_tokens) = (candidate.running, candidate.memory.0);
-            Ok(Choice { entry, estimate, running, load_tokens, room: None, fresh: false })
+            Ok(Choice {
+                entry,
+                estimate,
+                running: candidate.running,
+                load_tokens: candidate.memory.0,
+                token_rate: candidate.token_rate,
+                room: None,
+                fresh: false,
+            })
         }
         DispatchDecision::RetryLater(after) => {
             let message = format!("upstreams are busy for {} ms more", after.as_millis());
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -11,8 +11,9 @@
 use carobglade::{
     DutyLeases, DutyLeasesSettings, HubSelector, HubSelectorSettings, Incarnation, Load,
     LoadTracker, ModelDemand, PlacementGossip, PlatformConfig, PromptQuarantine, RateLimiter,
-    RateLimiterSettings, RecentMaximum, RetryBudget, RetryBudgetSettings, Suspect, Suspects,
-    TokenPace, Tokens, UpstreamLimits, UpstreamName, UpstreamRooms, UsageRelay, VmName, VmProfile,
+    RateLimiterSettings, RecentMaximum, ResponseTimes, RetryBudget, RetryBudgetSettings, Suspect,
+    Suspects, TokenPace, Tokens, UpstreamLimits, UpstreamName, UpstreamRooms, UsageRelay, VmName,
+    VmProfile,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -78,6 +79,8 @@
     pub demand: RefCell<ModelDemand>,
     /// Pace at which the responses of each service have to be generated.
     pub token_pace: RefCell<TokenPace>,
+    /// How long plain requests take at each service.
+    pub response_times: RefCell<ResponseTimes>,
     /// Requests that were in flight when an upstream crashed.
     pub suspects: RefCell<Suspects>,
     /// Parts of prompts that crash upstreams.
@@ -106,8 +109,10 @@
     pub ready: Arc<AtomicBool>,
     /// Whether the process is shutting down.
     pub stopping: Cell<bool>,
-    /// Time by which all requests have to end, set once the process closes connections.
+    /// Time by which all requests have to end, set once the process stops.
     pub drain_deadline: Cell<Option<Duration>>,
+    /// Time from which callers that are refused in a stop reach another vm.
+    pub rerouted_at: Cell<Duration>,
     /// Whether requests without a response are aborted because the process is about to exit.
     pub aborting: Cell<bool>,
     /// Whether the process ended its shutdown; requests that are still open are dropped.
@@ -116,7 +121,7 @@
     pub promised_until: Cell<Duration>,
     /// What the stop did to callers.
     pub stop_counts: StopCounts,
-    /// Wakes requests when `drain_deadline` or `aborting` is set.
+    /// Wakes requests when `aborting` is set.
     pub shutdown_changed: Notify,
     /// Requests in flight.
     pub active_requests: InFlightCounter,
@@ -183,6 +188,7 @@
             largest_charges: RefCell::default(),
             demand: RefCell::default(),
             token_pace: RefCell::default(),
+            response_times: RefCell::default(),
             suspects: RefCell::default(),
             quarantine: RefCell::default(),
             retry_budgets: RefCell::default(),
@@ -198,6 +204,7 @@
             ready: Arc::new(AtomicBool::new(false)),
             stopping: Cell::new(false),
             drain_deadline: Cell::new(None),
+            rerouted_at: Cell::default(),
             aborting: Cell::new(false),
             stopped: Cell::new(false),
             promised_until: Cell::default(),
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -1,7 +1,6 @@
 //! Handles a caller's request: admission, attempts at upstreams, retries and the response.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use carobglade::{AttemptHistory, Error, ErrorKind, Result};
 use http::{Request, Response};
@@ -17,9 +16,7 @@
 use crate::relay::relay_stream;
 use crate::request::{CallerRequest, charge, discard_body, read_request, refund};
 use crate::response::{ResponseBody, error_response, forwarded_response};
-
-/// Retry time for a request that another vm can serve.
-const OTHER_VM_RETRY_AFTER: Duration = Duration::from_millis(50);
+use crate::stop_admission::draining_error;
 
 /// Serves a request and returns the response, or an error response when it is refused.
 pub async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<ResponseBody> {
@@ -58,23 +55,11 @@
     tenant.and_then(|tenant| edge.rate_limiter.borrow().level(&tenant.name)).unwrap_or_default()
 }
 
-/// Refuses a request whose deadline is after the drain deadline of this process.
-fn check_drain_deadline(edge: &Edge, request: &CallerRequest) -> Result<()> {
-    match edge.drain_deadline.get() {
-        Some(drain_deadline) if request.deadline > drain_deadline => {
-            let err = Error::new(ErrorKind::Draining, "the process is stopping");
-            Err(err.with_retry_after(OTHER_VM_RETRY_AFTER))
-        }
-        _ => Ok(()),
-    }
-}
-
 async fn serve(
     edge: &Rc<Edge>,
     request: CallerRequest,
     active: InFlightGuard,
 ) -> Result<Response<ResponseBody>> {
-    check_drain_deadline(edge, &request)?;
     edge.deposit_retry(&request.service);
     charge(edge, &request).await?;
     // Requests refused by the tenant's rate are not demand: another replica would not serve them.
@@ -91,7 +76,7 @@
     let outcome = tokio::select! {
         result = first_response(edge, &request, &attempts) => result,
         () = tokio::time::sleep(limit) => Err(timeout_error(attempts.history())),
-        () = aborted_by_shutdown(edge, &attempts) => Err(shutdown_error(attempts.history())),
+        () = aborted_by_shutdown(edge) => Err(attempts.hide_not_run(draining_error(edge))),
         err = quarantine::wait_until_blocked(edge, &request.prompt) => Err(attempts.hide_not_run(err)),
     };
     let history = attempts.history();
@@ -125,28 +110,17 @@
     attempts.first_response(None).await
 }
 
-/// Completes when the shutdown aborts a request: when draining starts, if the request was not sent
-/// to any upstream yet; before the process exits, if there is no response by then. A request
-/// accepted while draining is exempt from the first case because its deadline fits.
-async fn aborted_by_shutdown(edge: &Edge, attempts: &Attempts<'_>) {
-    let accepted_while_draining = edge.drain_deadline.get().is_some();
+/// Completes before the process exits, if the request has no response by then.
+async fn aborted_by_shutdown(edge: &Edge) {
     loop {
         let changed = edge.shutdown_changed.notified();
-        let waiting = !accepted_while_draining
-            && attempts.history().sent() == 0
-            && edge.drain_deadline.get().is_some();
-        if edge.aborting.get() || waiting {
+        if edge.aborting.get() {
             return;
         }
         changed.await;
     }
 }
 
-fn shutdown_error(history: AttemptHistory) -> Error {
-    let kind = if history.may_have_run() { ErrorKind::UpstreamFailed } else { ErrorKind::Draining };
-    Error::new(kind, "the process is stopping").with_retry_after(OTHER_VM_RETRY_AFTER)
-}
-
 fn record_response(edge: &Edge, request: &CallerRequest, status: u16) {
     let tenant = request.tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
     let took = edge.now().saturating_sub(request.arrival);
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -32,6 +32,7 @@
 mod response_budget;
 mod rooms;
 mod settings;
+mod stop_admission;
 mod stop_counts;
 mod store;
 mod tunnel;
--- a/crates/carob-edge/src/load_guard.rs
+++ b/crates/carob-edge/src/load_guard.rs
@@ -17,6 +17,8 @@
     tokens: u64,
     /// Output tokens in one event, while the progress of the stream is recorded.
     event_tokens: Option<f64>,
+    /// Number of a plain request among those whose times are recorded.
+    timed: Option<u64>,
     /// The place of the request at a brittle upstream, until the guard is dropped.
     _room: Option<Rc<RoomGuard>>,
 }
@@ -37,6 +39,8 @@
         {
             edge.placement.borrow_mut().record_use(name, model, adapter, edge.now());
         }
+        let timed = (!request.route.kind.is_stream())
+            .then(|| edge.response_times.borrow_mut().record_start(&request.service, edge.now()));
         LoadGuard {
             edge: Rc::clone(edge),
             name: name.clone(),
@@ -44,6 +48,7 @@
             prompt,
             tokens,
             event_tokens: None,
+            timed,
             _room: room,
         }
     }
@@ -72,6 +77,10 @@
 
 impl Drop for LoadGuard {
     fn drop(&mut self) {
+        if let Some(number) = self.timed {
+            let mut times = self.edge.response_times.borrow_mut();
+            times.record_end(&self.service, number, self.edge.now());
+        }
         let mut loads = self.edge.loads.borrow_mut();
         loads.record_end(&self.name, self.prompt, self.tokens);
         if self.event_tokens.is_some() {
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -17,14 +17,11 @@
 use crate::listener::{self, Phase};
 use crate::metrics::{Metrics, ProcessState};
 use crate::settings::Settings;
+use crate::stop_admission::{ABORT_MARGIN, readiness_delay};
 use crate::{follow, group, orders, origin_log, origins, paths, peers, quarantine, tunnel_server};
 
-/// Time until the load balancer stops sending new callers to a vm that is no longer ready.
-const READINESS_DELAY: Duration = Duration::from_millis(2600);
 /// Margin between the drain deadline and the end of the grace period.
 const GRACE_MARGIN: Duration = Duration::from_millis(500);
-/// Time before the drain deadline when requests without a response get an error response.
-const ABORT_MARGIN: Duration = Duration::from_millis(400);
 /// Interval at which a shutdown checks for open requests and connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const STATE_LOG_INTERVAL: Duration = Duration::from_secs(5);
@@ -185,14 +182,16 @@
     log::info!(target: "main", active = edge.active_requests.get(); "The process is stopping.");
     edge.stopping.set(true);
     edge.stop_counts.reset();
+    let end = started + edge.settings.grace().saturating_sub(GRACE_MARGIN);
+    let rerouted_at = started + readiness_delay(edge.settings.grace());
+    edge.rerouted_at.set(rerouted_at);
+    edge.drain_deadline.set(Some(end));
     phase.send_replace(Phase::Stopping);
     edge.update_ready();
     group::leave(edge).await;
-    let readiness_delay = READINESS_DELAY.min(edge.settings.grace() / 3);
-    tokio::time::sleep(readiness_delay.saturating_sub(edge.now().saturating_sub(started))).await;
-    let end = started + edge.settings.grace().saturating_sub(GRACE_MARGIN);
-    edge.drain_deadline.set(Some(end));
-    edge.shutdown_changed.notify_waiters();
+    tokio::time::sleep(rerouted_at.saturating_sub(edge.now())).await;
+    // Requests that wait for a model look for another vm.
+    edge.capacity_changed.notify_waiters();
     while has_callers(edge) && edge.now() < end {
         if edge.now() + ABORT_MARGIN >= end && !edge.aborting.replace(true) {
             edge.shutdown_changed.notify_waiters();
--- /dev/null
+++ b/crates/carob-edge/src/stop_admission.rs
@@ -0,0 +1,84 @@
+//! Refuses requests that are not expected to end before the process does.
+
+use std::time::Duration;
+
+use carobglade::{Error, ErrorKind, RequestWork, Result, StopAdmission, StopAdmissionSettings};
+
+use crate::choose::Choice;
+use crate::edge::Edge;
+use crate::request::CallerRequest;
+
+/// Shortest retry time of a request that another vm can serve.
+const OTHER_VM_RETRY_AFTER: Duration = Duration::from_millis(50);
+/// Time until the load balancer stops sending new callers to a vm that is no longer ready.
+const READINESS_DELAY: Duration = Duration::from_millis(2600);
+
+/// Time before the drain deadline when requests without a response get an error response.
+pub const ABORT_MARGIN: Duration = Duration::from_millis(400);
+
+/// Returns the time from SIGTERM until the load balancer sends new callers elsewhere.
+pub fn readiness_delay(grace: Duration) -> Duration {
+    READINESS_DELAY.min(grace / 3)
+}
+
+/// Returns the error of a request that was not sent because the process stops.
+pub fn draining_error(edge: &Edge) -> Error {
+    let wait = edge.rerouted_at.get().saturating_sub(edge.now());
+    let err = Error::new(ErrorKind::Draining, "the process is stopping");
+    err.with_retry_after(wait.max(OTHER_VM_RETRY_AFTER))
+}
+
+fn admission(edge: &Edge, request: &CallerRequest) -> Option<StopAdmission> {
+    let margin = if request.route.kind.is_stream() { Duration::ZERO } else { ABORT_MARGIN };
+    let end = edge.drain_deadline.get()?.saturating_sub(margin);
+    Some(StopAdmission::new(end, edge.rerouted_at.get(), StopAdmissionSettings::default()))
+}
+
+/// Checks a request that is about to be sent to `choice`.
+///
+/// # Errors
+///
+/// Returns an error when the process stops before the request is expected to end.
+pub fn check(edge: &Edge, request: &CallerRequest, choice: &Choice) -> Result<()> {
+    let Some(admission) = admission(edge, request) else {
+        return Ok(());
+    };
+    let work = expected_work(edge, request, choice);
+    match admission.admits(&work, request.deadline, edge.now()) {
+        true => Ok(()),
+        false => Err(draining_error(edge)),
+    }
+}
+
+/// Checks a request that has to wait until an upstream can take it.
+///
+/// # Errors
+///
+/// Returns an error when the process may stop before.
+pub fn check_wait(edge: &Edge, request: &CallerRequest) -> Result<()> {
+    match admission(edge, request) {
+        Some(admission) if !admission.admits_wait(request.deadline, edge.now()) => {
+            Err(draining_error(edge))
+        }
+        _ => Ok(()),
+    }
+}
+
+fn expected_work(edge: &Edge, request: &CallerRequest, choice: &Choice) -> RequestWork {
+    if !request.route.kind.is_stream() {
+        let longest = edge.response_times.borrow().longest(&request.service, edge.now());
+        let first_byte = choice.estimate.max(longest.unwrap_or(request.route.latency_goal));
+        return RequestWork { first_byte, ..RequestWork::default() };
+    }
+    let (pace, service) = (edge.token_pace.borrow(), request.service.as_str());
+    let received = request.caller_headers.last_event.unwrap_or(0) as f64;
+    let received = (received * pace.tokens_per_event(service).unwrap_or_default()) as u64;
+    let expected = request.expected_output();
+    let likely = pace.likely_tokens(service, expected, request.max_output());
+    RequestWork {
+        first_byte: choice.estimate,
+        expected_tokens: expected.saturating_sub(received),
+        likely_tokens: likely.saturating_sub(received),
+        token_rate: choice.token_rate,
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -68,10 +68,10 @@
     OrderTrackerSettings, OriginSource, PEER_LOAD_TTL, PathChange, PlacementGossip,
     PlacementUpdate, PromptQuarantine, PromptVerdict, QUARANTINE_THRESHOLD, QuarantineReport,
     RecentChanges, Record, Replay, ReplayPage, ReplayStatus, ReplicaPlanner,
-    ReplicaPlannerSettings, RequestOutcome, RoomEvent, RoomNotice, RoomRequest, RoomTicket,
-    SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, ServiceVersions, ServiceVersionsSettings, SharedPrompt,
-    SlotChange, SlotHolder, SlotTable, Snapshot, StateMachine, StreamKey, StreamOrigin,
-    StreamOrigins, StreamOriginsSettings, Suspect, Suspects, Suspicion, TunnelVms,
+    ReplicaPlannerSettings, RequestOutcome, ResponseTimes, RoomEvent, RoomNotice, RoomRequest,
+    RoomTicket, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, ServiceVersions, ServiceVersionsSettings,
+    SharedPrompt, SlotChange, SlotHolder, SlotTable, Snapshot, StateMachine, StreamKey,
+    StreamOrigin, StreamOrigins, StreamOriginsSettings, Suspect, Suspects, Suspicion, TunnelVms,
     TunnelVmsSettings, Turn, UpstreamCrash, UpstreamEntry, UpstreamLimits, UpstreamPaths,
     UpstreamPathsSettings, UpstreamRegistry, UpstreamRegistrySettings, UpstreamRestart,
     UpstreamRooms, UsageRelay, UsageReport, Verdict, VerdictChange, VerdictReason, VersionRecord,
@@ -85,9 +85,10 @@
 pub use request::routing::{RoutingPolicy, UpstreamCandidate, choose_upstream};
 pub use request::{
     AttemptHistory, AttemptOutcome, DispatchCandidate, DispatchDecision, DispatchSettings,
-    HedgeSettings, HedgeTimer, ModelCall, RecentMaximum, RequestClass, RequestTiming, RetryBudget,
-    RetryBudgetSettings, RetryDecision, TokenPace, dispatch, estimate_prompt_tokens,
-    extract_api_key, is_credential_header, strip_query_keys,
+    HedgeSettings, HedgeTimer, ModelCall, RecentMaximum, RequestClass, RequestTiming, RequestWork,
+    RetryBudget, RetryBudgetSettings, RetryDecision, StopAdmission, StopAdmissionSettings,
+    TokenPace, dispatch, estimate_prompt_tokens, extract_api_key, is_credential_header,
+    strip_query_keys,
 };
 pub use units::{
     ByteSize, DataCentre, Incarnation, ModelName, Offset, PromptPart, RejectionLimit, RequestRate,
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -11,6 +11,7 @@
 mod recent_maximum;
 mod retry_budget;
 pub mod routing;
+mod stop_admission;
 mod token_pace;
 
 pub use api_key::{extract_api_key, is_credential_header, strip_query_keys};
@@ -23,4 +24,5 @@
 pub use model_call::{ModelCall, estimate_prompt_tokens};
 pub use recent_maximum::RecentMaximum;
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
+pub use stop_admission::{RequestWork, StopAdmission, StopAdmissionSettings};
 pub use token_pace::TokenPace;
--- a/src/request/recent_maximum.rs
+++ b/src/request/recent_maximum.rs
@@ -13,11 +13,15 @@
 }
 
 impl RecentMaximum {
+    /// Returns the maximum at `now`.
+    pub fn value_at(&self, now: Duration) -> f64 {
+        let passed = now.saturating_sub(self.updated_at).as_secs_f64();
+        self.value * (-passed / DECAY_TIME.as_secs_f64()).exp()
+    }
+
     /// Records a value and returns the maximum.
     pub fn record(&mut self, value: f64, now: Duration) -> f64 {
-        let passed = now.saturating_sub(self.updated_at).as_secs_f64();
-        let decayed = self.value * (-passed / DECAY_TIME.as_secs_f64()).exp();
-        self.value = decayed.max(value);
+        self.value = self.value_at(now).max(value);
         self.updated_at = now;
         self.value
     }
