--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -5,15 +5,18 @@
 
 use bytes::Bytes;
 use carob_platform::{ResponseKind, UpstreamHeaders, strip_response_headers};
-use carobglade::{AttemptOutcome, EventSplitter, RequestRate, SoftwareVersion, UpstreamName};
+use carobglade::{
+    AttemptOutcome, EventSplitter, RequestRate, SoftwareVersion, UpstreamCrash, UpstreamName,
+};
 use http::HeaderMap;
 
 use crate::choose::Choice;
 use crate::connect::ConnectionSource;
 use crate::edge::Edge;
 use crate::load_guard::LoadGuard;
+use crate::outgoing_request::OutgoingRequest;
 use crate::paths;
-use crate::pool::{IncomingResponse, OutgoingRequest};
+use crate::pool::IncomingResponse;
 use crate::quarantine;
 use crate::request::CallerRequest;
 use crate::rooms;
@@ -109,11 +112,14 @@
     pub outcome: AttemptOutcome,
     /// The upstream's error response, if it sent one.
     pub response: Option<Box<FullResponse>>,
+    /// Whether the attempt broke on a kept connection before a response began. The upstream may have
+    /// closed it just before, and may serve the request over a new one.
+    pub stale_connection: bool,
 }
 
 impl From<AttemptOutcome> for AttemptFailure {
     fn from(outcome: AttemptOutcome) -> Self {
-        AttemptFailure { outcome, response: None }
+        AttemptFailure { outcome, response: None, stale_connection: false }
     }
 }
 
@@ -137,7 +143,10 @@
         send_and_receive(edge, request, choice, last_id, &mut load_guard, &mut record),
     )
     .await;
-    let result = opened.unwrap_or(Err(AttemptOutcome::TimedOut.into()));
+    let mut result = opened.unwrap_or(Err(AttemptOutcome::TimedOut.into()));
+    if let Err(failure) = &mut result {
+        failure.stale_connection = record.is_stale(failure.outcome);
+    }
     record.finish(request, choice, &result);
     match result? {
         ReceivedResponse::Full(response) => Ok(AttemptResponse::Full(response)),
@@ -212,6 +221,13 @@
         self.edge.now().saturating_sub(self.started)
     }
 
+    /// Reports whether the attempt ended with `outcome` because its kept connection was closed.
+    fn is_stale(&self, outcome: AttemptOutcome) -> bool {
+        outcome == AttemptOutcome::TransportError
+            && self.connection == ConnectionSource::Kept
+            && self.head.status == 0
+    }
+
     fn log(&self, end: &str) {
         let limit = self.head.limit.map(|limit| limit.to_string()).unwrap_or_default();
         log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, connection:% = self.connection, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
@@ -264,9 +280,8 @@
     if (200..300).contains(&status) {
         quarantine::record_broken_start(edge, &request.prompt, &choice.entry);
     }
-    let crash = format!("{}#{}", choice.entry.name, choice.entry.started_ms);
-    let unix_ms = edge.clock.unix_millis();
-    edge.suspects.borrow_mut().record_crash(request.fingerprint, &crash, unix_ms);
+    let (upstream, started_ms) = (choice.entry.name.clone(), choice.entry.started_ms);
+    quarantine::record_suspect(edge, request.fingerprint, &UpstreamCrash { upstream, started_ms });
 }
 
 async fn send_and_receive(
@@ -297,7 +312,7 @@
         ResponseHead { status, limit: turns::read_limit(edge, &choice.entry, &response.headers) };
     let kind =
         ResponseKind::classify(status, &response.headers, &request.caller_headers.request_id);
-    rooms::record_head(edge, &choice.entry.name, choice.room.as_deref(), status, kind);
+    rooms::record_head(edge, &choice.entry, choice.room.as_deref(), status, kind);
     if kind == ResponseKind::WrongRequest {
         return Err(AttemptOutcome::TransportError.into());
     }
@@ -309,13 +324,14 @@
     }
     let body = response.read_to_end(MAX_RESPONSE_BYTES, &edge.response_budget).await?;
     let full = FullResponse { status, headers: strip_response_headers(&response.headers), body };
-    let failed = |outcome| Err(AttemptFailure { outcome, response: None });
+    let failed = |outcome: AttemptOutcome| Err(outcome.into());
     match kind {
         ResponseKind::NotExecuted => failed(AttemptOutcome::NotRun),
         ResponseKind::Misdirected => failed(AttemptOutcome::Misdirected),
         _ if status >= 500 => Err(AttemptFailure {
             outcome: AttemptOutcome::ServerError,
             response: Some(Box::new(full)),
+            stale_connection: false,
         }),
         _ => Ok(ReceivedResponse::Full(full)),
     }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -41,8 +41,8 @@
 mod version;
 
 pub use connection::{
-    CircuitBreaker, CircuitBreakerSettings, EventSplitter, EventTooLong, InactivityTimeout,
-    InactivityTimeoutSettings, MAX_EVENT_BYTES,
+    CallerTimeouts, CallerTimeoutsSettings, CircuitBreaker, CircuitBreakerSettings, EventSplitter,
+    EventTooLong, InactivityTimeout, InactivityTimeoutSettings, MAX_EVENT_BYTES, TimeoutHistory,
 };
 pub use error::{Error, ErrorKind, ErrorResponse, ExecutionState, Result};
 pub use process::fleet::{
@@ -60,14 +60,14 @@
 };
 pub use process::{
     AdapterId, Backoff, BlockRecord, BlockedPrompt, Claim, ClaimOutcome, ClaimRef, ConfigChange,
-    ConnectPlan, ControlState, DECAY_INTERVAL, DutyChange, DutyLeases, DutyLeasesSettings,
-    EngineReport, EngineState, EntryChange, Evidence, Fingerprint, Freshness, FreshnessSettings,
-    GossipScope, GossipSource, GroupAssignment, HubSelector, HubSelectorSettings, Join,
-    LimitNotice, Load, LoadTracker, LoadedModel, LogEntry, LogReading, Member, ModelDemand,
-    ModelOrder, OrderIntent, OrderKind, OrderOutcome, OrderResolution, OrderTarget, OrderTracker,
-    OrderTrackerSettings, OriginSource, PEER_LOAD_TTL, PathChange, PlacementGossip,
-    PlacementUpdate, PromptQuarantine, PromptVerdict, QUARANTINE_THRESHOLD, QuarantineReport,
-    RecentChanges, Record, Replay, ReplayPage, ReplayStatus, ReplicaPlanner,
+    ConnectPlan, ControlState, DECAY_INTERVAL, DutyChange, DutyClaim, DutyLeases,
+    DutyLeasesSettings, EngineReport, EngineState, EntryChange, Evidence, Fingerprint, Freshness,
+    FreshnessSettings, GossipScope, GossipSource, GroupAssignment, HubSelector,
+    HubSelectorSettings, Join, LimitNotice, Load, LoadTracker, LoadedModel, LogEntry, LogReading,
+    Member, ModelDemand, ModelOrder, OrderIntent, OrderKind, OrderOutcome, OrderResolution,
+    OrderTarget, OrderTracker, OrderTrackerSettings, OriginSource, PEER_LOAD_TTL, PathChange,
+    PlacementGossip, PlacementUpdate, PromptQuarantine, PromptVerdict, QUARANTINE_THRESHOLD,
+    QuarantineReport, RecentChanges, Record, Replay, ReplayPage, ReplayStatus, ReplicaPlanner,
     ReplicaPlannerSettings, RequestOutcome, ResponseTimes, RoomEvent, RoomNotice, RoomRequest,
     RoomTicket, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, ServiceVersions, ServiceVersionsSettings,
     SharedPrompt, SlotChange, SlotHolder, SlotTable, Snapshot, StateMachine, StreamKey,
