LOST: a promise to callers fits the grace of a stop

What callers saw: with a grace under 3 s, each response promised two seconds (`Keep-Alive: timeout=2`) that the process does not live after SIGTERM; a request within the promise got nothing.

Cause: the promise was a constant, the end of the stop a setting.

(The time to readiness was a third of the grace at most already.)

Change: `KeepAlivePromise` (pure): the whole seconds that fit into the time from SIGTERM to the end of all requests, less half a second for the way, two at most; under 2 s of grace each response says `Connection: close`. The idle time that is kept open follows it. With the grace of 8 s nothing changes.

--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -13,24 +13,20 @@
 
 use crate::edge::Edge;
 
-/// Time for which a caller may use its connection again, as `Keep-Alive` tells it in whole seconds.
-/// It passes within the readiness delay of a stop.
-const KEEP_ALIVE_SECONDS: u64 = 2;
-/// Time in which a request that was sent at the last moment arrives.
-const PATH_MARGIN: Duration = Duration::from_millis(500);
-/// Shortest time for which an idle connection is kept open.
-pub const MIN_IDLE_TIME: Duration =
-    Duration::from_secs(KEEP_ALIVE_SECONDS).saturating_add(PATH_MARGIN);
-
 /// Tells a caller whether it may use its connection again, and for how long.
 pub fn announce_keep_alive(edge: &Edge, headers: &mut HeaderMap) {
-    if edge.stopping.get() || headers.contains_key("connection") {
+    let seconds = edge.settings.keep_alive_promise().seconds();
+    let Some(seconds) = seconds.filter(|_| !closes(edge, headers)) else {
         headers.remove("keep-alive");
         headers.insert("connection", HeaderValue::from_static("close"));
-    } else {
-        let value = HeaderValue::from_str(&format!("timeout={KEEP_ALIVE_SECONDS}"));
-        value.into_iter().for_each(|value| drop(headers.insert("keep-alive", value)));
-    }
+        return;
+    };
+    let value = HeaderValue::from_str(&format!("timeout={seconds}"));
+    value.into_iter().for_each(|value| drop(headers.insert("keep-alive", value)));
+}
+
+fn closes(edge: &Edge, headers: &HeaderMap) -> bool {
+    edge.stopping.get() || headers.contains_key("connection")
 }
 
 /// What is known about the requests on a connection.
@@ -106,7 +102,8 @@
         self.0.serving.set(false);
         self.0.idle_since.set(self.0.edge.now());
         if !self.0.edge.stopping.get() {
-            self.0.edge.keep_connections_open(MIN_IDLE_TIME);
+            let edge = &self.0.edge;
+            edge.keep_connections_open(edge.settings.keep_alive_promise().idle_time());
         }
     }
 }
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -18,7 +18,6 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use crate::caller_connection::MIN_IDLE_TIME;
 use crate::in_flight::InFlightCounter;
 use crate::metrics::Metrics;
 use crate::origin_state::OriginState;
@@ -176,8 +175,10 @@
             initial_tokens: (settings.bounds.tokens as f64 * RESTART_TOKENS_FRACTION) as u64,
             ..RateLimiterSettings::default()
         };
-        let timeout_settings =
-            CallerTimeoutsSettings { min_idle: MIN_IDLE_TIME, ..CallerTimeoutsSettings::default() };
+        let timeout_settings = CallerTimeoutsSettings {
+            min_idle: settings.keep_alive_promise().idle_time(),
+            ..CallerTimeoutsSettings::default()
+        };
         let vm: VmName = settings.vm.parse().unwrap_or_default();
         let data_centre = settings.data_centre.parse().unwrap_or_default();
         let profile = VmProfile { data_centre, cpu_capacity: settings.cpu_capacity() };
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -20,8 +20,6 @@
 use crate::stop_admission::{ABORT_MARGIN, readiness_delay};
 use crate::{follow, group, orders, origin_log, origins, paths, peers, quarantine, tunnel_server};
 
-/// Margin between the drain deadline and the end of the grace period.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
 /// Interval at which a shutdown checks for open requests and connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const STATE_LOG_INTERVAL: Duration = Duration::from_secs(5);
@@ -182,7 +180,7 @@
     log::info!(target: "main", active = edge.active_requests.get(); "The process is stopping.");
     edge.stopping.set(true);
     edge.stop_counts.reset();
-    let end = started + edge.settings.grace().saturating_sub(GRACE_MARGIN);
+    let end = started + edge.settings.stop_time();
     let rerouted_at = started + readiness_delay(edge.settings.grace());
     edge.rerouted_at.set(rerouted_at);
     edge.drain_deadline.set(Some(end));
--- a/crates/carob-edge/src/settings.rs
+++ b/crates/carob-edge/src/settings.rs
@@ -4,10 +4,13 @@
 use std::path::Path;
 use std::time::Duration;
 
-use carobglade::HubSelectorSettings;
+use carobglade::{HubSelectorSettings, KeepAlivePromise};
 use eyre::{Result, WrapErr, bail};
 use serde::{Deserialize, Serialize};
 
+/// Margin between the end of all requests in a stop and the end of the grace period.
+const GRACE_MARGIN: Duration = Duration::from_millis(500);
+
 /// Addresses that the process listens on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListenAddresses {
@@ -207,4 +210,14 @@
     pub fn grace(&self) -> Duration {
         Duration::from_secs_f64(self.bounds.grace)
     }
+
+    /// Returns the time from SIGTERM until all requests have to end.
+    pub fn stop_time(&self) -> Duration {
+        self.grace().saturating_sub(GRACE_MARGIN)
+    }
+
+    /// Returns how long callers may use idle connections again.
+    pub fn keep_alive_promise(&self) -> KeepAlivePromise {
+        KeepAlivePromise::fitting(self.stop_time())
+    }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -42,7 +42,8 @@
 
 pub use connection::{
     CallerTimeouts, CallerTimeoutsSettings, CircuitBreaker, CircuitBreakerSettings, EventSplitter,
-    EventTooLong, InactivityTimeout, InactivityTimeoutSettings, MAX_EVENT_BYTES, TimeoutHistory,
+    EventTooLong, InactivityTimeout, InactivityTimeoutSettings, KeepAlivePromise, MAX_EVENT_BYTES,
+    TimeoutHistory,
 };
 pub use error::{Error, ErrorKind, ErrorResponse, ExecutionState, Result};
 pub use process::fleet::{
