--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -21,6 +21,7 @@
     retries: Counter<u64>,
     hedges: Counter<u64>,
     room_refusals: Counter<u64>,
+    room_verdicts: Counter<u64>,
     idle_closes: Counter<u64>,
     resumptions: Counter<u64>,
     orders: Counter<u64>,
@@ -84,6 +85,10 @@
                 "room_refusals",
                 "Requests that a brittle upstream had no room for",
             ),
+            room_verdicts: counter(
+                "room_verdicts",
+                "What was learned of the room of upstreams, by verdict",
+            ),
             idle_closes: counter(
                 "caller_idle_closes",
                 "Connections of callers closed without a request, by reason",
@@ -194,6 +199,11 @@
         self.room_refusals.add(1, &[]);
     }
 
+    /// Counts what was learned of the room of an upstream.
+    pub fn record_room_verdict(&self, verdict: &'static str) {
+        self.room_verdicts.add(1, &[KeyValue::new("verdict", verdict)]);
+    }
+
     /// Counts a caller connection that was closed without a request in progress; `lost` says
     /// whether bytes of a request were lost with it.
     pub fn record_idle_close(&self, reason: &'static str, lost: bool) {
--- a/crates/carob-edge/src/rooms.rs
+++ b/crates/carob-edge/src/rooms.rs
@@ -106,8 +106,10 @@
     let mut rooms = edge.rooms.borrow_mut();
     rooms.record_event(name, ticket, event, edge.now());
     if event == RoomEvent::Rejected {
+        edge.metrics.record_room_verdict("rejected");
         let (running, room) = rooms.room(name).unwrap_or_default();
-        log::info!(target: "rooms", upstream:% = name, running = running, room = room; "An upstream had no room for a request.");
+        let number = rooms.rejections(name).map(|number| number.to_string()).unwrap_or_default();
+        log::info!(target: "rooms", upstream:% = name, rejections = number.as_str(), running = running, room = room; "An upstream had no room for a request.");
     }
 }
 
@@ -134,6 +136,7 @@
     rejections: Option<RejectionLimit>,
     source: &str,
 ) {
+    edge.metrics.record_room_verdict(if rejections.is_some() { "brittle" } else { "sound" });
     let number = rejections.map(|number| number.to_string()).unwrap_or_default();
     log::info!(target: "rooms", upstream:% = name, rejections = number.as_str(), source = source; "An upstream changed whether it is brittle.");
     edge.gossip_wakeup.notify_one();
--- a/crates/carobctl/src/explain.rs
+++ b/crates/carobctl/src/explain.rs
@@ -13,8 +13,10 @@
 use crate::log_lines::{Line, number_field, parse, text_field};
 
 /// Parts whose log lines tell the state of a process.
-const STATE_PARTS: [&str; 7] =
-    ["config", "ready", "follow", "duty", "upstreams", "quarantine", "main"];
+const STATE_PARTS: [&str; 9] =
+    ["config", "ready", "follow", "duty", "upstreams", "quarantine", "limits", "rooms", "main"];
+/// Parts whose lines tell why an upstream was not asked, so that the request does not name it.
+const ROOM_PARTS: [&str; 2] = ["limits", "rooms"];
 
 const START_MESSAGE: &str = "The process started.";
 const UNKNOWN_VM: &str = "?"; // for lines without a vm
@@ -110,6 +112,11 @@
         self.lines.iter().map(|(_, line)| text_field(line, "upstream")).collect()
     }
 
+    /// Reports whether a line says that the request was refused.
+    fn is_refused(&self) -> bool {
+        self.lines.iter().any(|(_, line)| text_field(line, "text").contains("refused"))
+    }
+
     /// Reports whether a line says that the request ended.
     fn has_ended(&self) -> bool {
         let ends =
@@ -167,9 +174,11 @@
     }
     writeln!(out, "\nwhat the vm believed when the request came:")?;
     let named = trace.upstreams();
+    let refused = trace.is_refused();
     let is_relevant = |line: &Line| {
         let upstream = text_field(line, "upstream");
-        upstream.is_empty() || named.contains(upstream)
+        let may_explain = refused && ROOM_PARTS.contains(&text_field(line, "part"));
+        upstream.is_empty() || named.contains(upstream) || may_explain
     };
     for (vm, line) in trace.state_at_arrival.iter().filter(|(_, line)| is_relevant(line)) {
         let age = first.saturating_sub(number_field(line, "time"));
--- a/crates/carobctl/tests/explain.rs
+++ b/crates/carobctl/tests/explain.rs
@@ -133,3 +133,19 @@
     let text = String::from_utf8(explain(&[("v.log", log)], "def", false).stdout).unwrap();
     assert!(text.contains("resumes=abc") && text.contains("stream_not_resumable"), "{text}");
 }
+
+/// Guards against a refusal for want of room that nothing in the report explains.
+#[test]
+fn a_refusal_comes_with_what_the_vm_knew_of_brittle_upstreams() {
+    let log = r#"{"vm":"rennes-1","time":1000,"part":"rooms","text":"An upstream changed whether it is brittle.","upstream":"i-1","rejections":"6","source":"vm"}
+{"vm":"rennes-1","time":1100,"part":"rooms","text":"An upstream had no room for a request.","upstream":"i-1","rejections":"6","running":4,"room":4}
+{"vm":"rennes-1","time":1200,"part":"limits","text":"The limit of an upstream changed.","upstream":"i-2","limit":"1","source":"upstream"}
+{"vm":"rennes-1","time":2000,"part":"request","text":"A request was admitted.","id":"abc"}
+{"vm":"rennes-1","time":2001,"part":"request","text":"A request was refused.","id":"abc","kind":"upstream_unavailable"}
+"#;
+    let output = explain(&[("rennes.log", log)], "abc", false);
+    let report = String::from_utf8(output.stdout).unwrap();
+    for known in ["rejections=6", "room=4", "limit=1"] {
+        assert!(report.contains(known), "{known} missing in\n{report}");
+    }
+}
