--- a/crates/carobctl/src/explain.rs
+++ b/crates/carobctl/src/explain.rs
@@ -13,8 +13,20 @@
 use crate::log_lines::{Line, number_field, parse, text_field};
 
 /// Parts whose log lines tell the state of a process.
-const STATE_PARTS: [&str; 8] =
-    ["config", "ready", "follow", "duty", "upstreams", "quarantine", "main", PATHS_PART];
+const STATE_PARTS: [&str; 10] = [
+    "config",
+    "ready",
+    "follow",
+    "duty",
+    "upstreams",
+    "quarantine",
+    "limits",
+    "rooms",
+    "main",
+    PATHS_PART,
+];
+/// Parts whose lines tell why an upstream was not asked, so that the request does not name it.
+const ROOM_PARTS: [&str; 2] = ["limits", "rooms"];
 /// Part whose lines tell which upstreams a vm reaches.
 const PATHS_PART: &str = "paths";
 /// Start of the reason of a refusal for want of a way to an upstream.
@@ -126,15 +138,27 @@
         self.lines.iter().map(|(_, line)| text_field(line, "upstream")).collect()
     }
 
-    /// Reports whether a state line concerns the request: one about an upstream that its lines name, or
-    /// about any path if it was refused for want of one.
+    /// Reports whether a state line concerns the request: one about an upstream that its lines name,
+    /// or about any upstream if it may tell why the request was refused.
     fn is_relevant(&self, line: &Line) -> bool {
         let upstream = text_field(line, "upstream");
-        let had_no_way =
-            || self.lines.iter().any(|(_, of)| text_field(of, "why").starts_with(NO_WAY));
-        upstream.is_empty()
-            || self.upstreams().contains(upstream)
-            || (text_field(line, "part") == PATHS_PART && had_no_way())
+        if upstream.is_empty() || self.upstreams().contains(upstream) {
+            return true;
+        }
+        match text_field(line, "part") {
+            PATHS_PART => self.had_no_way(),
+            part => ROOM_PARTS.contains(&part) && self.is_refused(),
+        }
+    }
+
+    /// Reports whether the request was refused for want of a way to an upstream.
+    fn had_no_way(&self) -> bool {
+        self.lines.iter().any(|(_, line)| text_field(line, "why").starts_with(NO_WAY))
+    }
+
+    /// Reports whether a line says that the request was refused.
+    fn is_refused(&self) -> bool {
+        self.lines.iter().any(|(_, line)| text_field(line, "text").contains("refused"))
     }
 
     /// Reports whether a line says that the request ended.
