LOST: a request whose connection breaks with its vm's path goes on over another one

The stream's link is reset; it is resumed at the other engine over a direct connection that is made just before that link is cut too and breaks 3 ms later. Both of the route's attempts are used up then ('the upstream's try ended as broken'), while the paths are found lost 6 ms later. A stream that had used an attempt for a rejection ended as 'no attempt is left' in the same way.

Change: where no other upstream may take a repeatable request, the path of the broken connection is checked; if it is lost and another vm reaches the upstream, the request goes there once more, from the retry budget. The number of its upstreams does not grow. Ruled out: a resend without the check, which would also send a prompt again to an upstream that it has crashed.

--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -22,6 +22,8 @@
 use crate::paths;
 use crate::quarantine;
 use crate::request::{CallerRequest, charge_retry};
+use crate::resend;
+use crate::retry_token::RetryToken;
 use crate::rooms;
 
 /// Retry time after a failed attempt, which says nothing about the load.
@@ -31,8 +33,8 @@
 pub enum AttemptEnd {
     /// The upstream responded, or its stream has started.
     Response(AttemptResponse),
-    /// The attempt failed.
-    Failed(AttemptFailure),
+    /// The attempt at this upstream failed.
+    Failed(UpstreamName, AttemptFailure),
     /// The request was not sent.
     NotSent(Error),
 }
@@ -48,21 +50,6 @@
     silent: bool,
 }
 
-/// A retry that was taken from the budget; given back on drop unless it was spent.
-struct RetryToken<'a> {
-    edge: &'a Edge,
-    service: &'a str,
-    spent: bool,
-}
-
-impl Drop for RetryToken<'_> {
-    fn drop(&mut self) {
-        if !self.spent {
-            self.edge.refund_retry(self.service);
-        }
-    }
-}
-
 /// The attempts of one request.
 pub struct Attempts<'a> {
     edge: &'a Rc<Edge>,
@@ -96,6 +83,22 @@
         self.history.get()
     }
 
+    /// Prepares another attempt at `name`, whose connection broke with `outcome`, if that is the only
+    /// way. Returns whether the next attempt goes there.
+    pub async fn prepare_resend(&self, name: &UpstreamName, outcome: AttemptOutcome) -> bool {
+        let (edge, request, tried) = (self.edge, self.request, self.tried.borrow().clone());
+        if !resend::is_allowed(edge, request, self.history(), &tried, name, outcome).await {
+            return false;
+        }
+        let view = edge.view.borrow();
+        let names = view.upstreams.accepting(&request.service).map(|entry| &entry.name);
+        *self.tried.borrow_mut() = names.filter(|other| *other != name).cloned().collect();
+        self.update_history(AttemptHistory::record_resend);
+        edge.metrics.record_retry();
+        log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name; "Sending the request to its upstream again over another path.");
+        true
+    }
+
     fn update_history(&self, update: impl FnOnce(&mut AttemptHistory)) {
         let mut history = self.history.get();
         update(&mut history);
@@ -132,14 +135,17 @@
                         self.update_history(AttemptHistory::record_response);
                         return Ok(response);
                     }
-                    AttemptEnd::Failed(_) | AttemptEnd::NotSent(_) if !open.is_empty() => {
+                    AttemptEnd::Failed(..) | AttemptEnd::NotSent(_) if !open.is_empty() => {
                         self.record_failed_hedge();
                     }
                     AttemptEnd::NotSent(err) => return Err(self.hide_not_run(err)),
-                    AttemptEnd::Failed(failure) => match self.end_or_retry(failure) {
-                        Some(end) => return end,
-                        None => open.push(Box::pin(self.attempt(last_id, None))),
-                    },
+                    AttemptEnd::Failed(name, failure) => {
+                        let resend = self.prepare_resend(&name, failure.outcome).await;
+                        if !resend && let Some(end) = self.end_or_retry(failure) {
+                            return end;
+                        }
+                        open.push(Box::pin(self.attempt(last_id, None)));
+                    }
                 },
                 () = self.hedge_due(), if open.len() == 1 => {
                     if let Some(hedge) = self.start_hedge(last_id) {
@@ -180,7 +186,7 @@
                 if let Some(token) = &mut token {
                     token.spent = failure.outcome != AttemptOutcome::Unsent;
                 }
-                AttemptEnd::Failed(failure)
+                AttemptEnd::Failed(name, failure)
             }
         }
     }
@@ -310,10 +316,7 @@
         if !has_candidate(edge, self.request, &self.tried.borrow()) {
             return Err("no other upstream can take the request");
         }
-        if !edge.withdraw_retry(service) {
-            return Err("the retry budget is used up");
-        }
-        Ok(RetryToken { edge, service, spent: false })
+        RetryToken::take(edge, service).ok_or("the retry budget is used up")
     }
 
     /// Records once for each silence that the upstream of the open attempt is silent; `why` says
--- a/crates/carob-edge/src/paths.rs
+++ b/crates/carob-edge/src/paths.rs
@@ -194,16 +194,29 @@
         return;
     }
     let edge = Rc::clone(edge);
-    tokio::task::spawn_local(async move {
-        let timeout = edge.paths.table.borrow().plan(&entry.name).timeout;
-        match connect(entry.address, timeout).await {
-            Ok(stream) => {
-                record_direct(&edge, &entry.name);
-                edge.pool.add_idle(&entry.name, entry.address, stream).await;
-            }
-            Err(failure) => record_failed_check(&edge, &entry, failure).await,
+    tokio::task::spawn_local(async move { check_path(&edge, &entry).await });
+}
+
+/// Checks the direct path to an upstream whose connection broke, and reports whether it is lost while
+/// another vm reaches the upstream.
+pub async fn is_cut(edge: &Rc<Edge>, name: &UpstreamName) -> bool {
+    let entry = edge.view.borrow().upstreams.entry(name).cloned();
+    let Some(entry) = entry else {
+        return false;
+    };
+    check_path(edge, &entry).await;
+    edge.paths.table.borrow().is_lost(name)
+}
+
+async fn check_path(edge: &Rc<Edge>, entry: &UpstreamEntry) {
+    let timeout = edge.paths.table.borrow().plan(&entry.name).timeout;
+    match connect(entry.address, timeout).await {
+        Ok(stream) => {
+            record_direct(edge, &entry.name);
+            edge.pool.add_idle(&entry.name, entry.address, stream).await;
         }
-    });
+        Err(failure) => record_failed_check(edge, entry, failure).await,
+    }
 }
 
 /// Finds out whether another vm reaches an upstream that this one does not, unless that is known.
--- a/crates/carob-edge/src/relay.rs
+++ b/crates/carob-edge/src/relay.rs
@@ -202,7 +202,10 @@
         let continued = match second {
             Some(second) => self.attempts.first_response_of(second, last_id).await,
             None => {
-                self.check_resumable(source, outcome)?;
+                let has_ids = last_id.is_some();
+                if !has_ids || !self.attempts.prepare_resend(&source.name, outcome).await {
+                    self.check_resumable(source, outcome)?;
+                }
                 log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = source.name, last = last_id.unwrap_or(0); "Resuming the stream at another upstream.");
                 self.attempts.first_response(last_id).await
             }
--- /dev/null
+++ b/crates/carob-edge/src/resend.rs
@@ -0,0 +1,32 @@
+//! Sends a request once more to an upstream whose connection broke, where no other one may take it.
+//!
+//! A vm that loses its path to an upstream breaks the connections to one that goes on. Another path leads
+//! there through another vm, and a route's attempts limit the upstreams that a request is sent to.
+
+use std::rc::Rc;
+
+use carobglade::{AttemptHistory, AttemptOutcome, UpstreamName};
+
+use crate::choose::has_candidate;
+use crate::edge::Edge;
+use crate::paths;
+use crate::request::CallerRequest;
+
+/// Reports whether a request with the attempts in `history` may be sent once more to the upstream
+/// `name`, whose connection broke with `outcome`: no upstream that is not among `tried` may take it,
+/// this vm has lost its path to `name`, and another vm reaches it. Takes a retry from the budget.
+pub async fn is_allowed(
+    edge: &Rc<Edge>,
+    request: &CallerRequest,
+    history: AttemptHistory,
+    tried: &[UpstreamName],
+    name: &UpstreamName,
+    outcome: AttemptOutcome,
+) -> bool {
+    let route = &request.route;
+    let has_other = history.sent() < route.max_attempts && has_candidate(edge, request, tried);
+    if has_other || !history.allows_resend(route.kind, outcome) {
+        return false;
+    }
+    paths::is_cut(edge, name).await && edge.withdraw_retry(&request.service)
+}
--- a/src/request/attempt_history.rs
+++ b/src/request/attempt_history.rs
@@ -50,6 +50,8 @@
     open: u32,
     /// Whether the request may have run in an attempt that ended.
     may_have_run: bool,
+    /// Whether the request was sent again to an upstream that it had been sent to.
+    resent: bool,
 }
 
 /// What to do after a failed attempt.
@@ -93,6 +95,18 @@
         kind.is_repeatable() && self.open == 1 && self.sent() < attempts
     }
 
+    /// Reports whether the request may be sent once more to the upstream whose connection broke, over
+    /// another path. That adds no upstream to those that it was sent to.
+    pub fn allows_resend(&self, kind: RouteKind, outcome: AttemptOutcome) -> bool {
+        let broken = outcome == AttemptOutcome::TransportError;
+        kind.is_repeatable() && broken && self.open == 0 && !self.resent
+    }
+
+    /// Records that the request is sent once more to an upstream that it was sent to.
+    pub fn record_resend(&mut self) {
+        self.resent = true;
+    }
+
     /// Records an attempt that ended with `outcome`.
     pub fn record_outcome(&mut self, outcome: AttemptOutcome) {
         self.open = self.open.saturating_sub(1);
--- a/tests/hedge.rs
+++ b/tests/hedge.rs
@@ -110,3 +110,19 @@
     history.record_outcome(AttemptOutcome::NotRun);
     assert!(history.may_have_run());
 }
+
+// Guards against: a request is sent again and again to an upstream whose connections break, or one that
+// may run once is sent again.
+#[test]
+fn a_request_is_sent_once_more_to_an_upstream_whose_connection_broke() {
+    let broken = AttemptOutcome::TransportError;
+    let mut history = history(1);
+    assert!(!history.allows_resend(RESUMABLE, broken));
+    history.record_outcome(broken);
+    assert!(history.allows_resend(RESUMABLE, broken));
+    assert!(!history.allows_resend(RESUMABLE, AttemptOutcome::TimedOut));
+    assert!(!history.allows_resend(RouteKind::Once, broken));
+    assert!(!history.allows_resend(RouteKind::Stream { resumable: false }, broken));
+    history.record_resend();
+    assert!(!history.allows_resend(RESUMABLE, broken));
+}
