--- a/crates/carob-edge/src/tried.rs
+++ b/crates/carob-edge/src/tried.rs
@@ -30,9 +30,12 @@
         names.clone()
     }
 
-    /// Lets the request go to an upstream again.
-    pub fn allow(&self, name: &UpstreamName) {
-        self.names.borrow_mut().retain(|tried| tried != name);
+    /// Lets the request go to an upstream again unless another one can take it.
+    pub fn allow_unless(&self, name: &UpstreamName, has_other: impl Fn(&[UpstreamName]) -> bool) {
+        let mut names = self.names.borrow_mut();
+        if !has_other(&names) {
+            names.retain(|tried| tried != name);
+        }
     }
 
     /// Adds upstreams.
@@ -42,7 +45,12 @@
 
     /// Records that a stream goes on at `name`, so that all others may continue it.
     pub fn set_source(&self, name: &UpstreamName) {
-        self.names.replace(vec![name.clone()]);
+        self.replace(vec![name.clone()]);
+    }
+
+    /// Replaces the upstreams.
+    pub fn replace(&self, names: Vec<UpstreamName>) {
+        self.names.replace(names);
     }
 
     /// Records how an attempt at an upstream ended.
