LOST: a request that has arrived in part in a stop is waited for or gets 408

What callers saw: a connection that a stop closed without a word, with part of a request's head or body on it.

Cause: only whole heads counted as something to wait for, and neither the end of the wait for a head nor for a body had an answer.

Change: heads that have arrived in part are counted, and the process waits for them as for requests. 0.9 s before the end of the grace, when requests without a response get one, an incomplete head gets 408 `head_timeout` and an incomplete body 408 `body_timeout`, both not run, with `Connection: close`.

--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -12,6 +12,7 @@
 use tokio::net::TcpStream;
 
 use crate::edge::Edge;
+use crate::in_flight::InFlightGuard;
 
 /// Tells a caller whether it may use its connection again, and for how long.
 pub fn announce_keep_alive(edge: &Edge, headers: &mut HeaderMap) {
@@ -39,6 +40,8 @@
     write_blocked: Cell<bool>,
     /// Time of the first byte of a head that is not complete.
     head_began: Cell<Option<Duration>>,
+    /// Counts the head that is not complete.
+    partial_head: Cell<Option<InFlightGuard>>,
 }
 
 /// Keeps a request in progress until its response was written.
@@ -52,6 +55,7 @@
             idle_since: Cell::new(edge.now()),
             write_blocked: Cell::new(false),
             head_began: Cell::new(None),
+            partial_head: Cell::new(None),
             edge,
         })
     }
@@ -60,6 +64,7 @@
     pub fn begin_request(self: &Rc<Self>) -> ServingGuard {
         self.serving.set(true);
         self.head_began.set(None);
+        self.partial_head.set(None);
         ServingGuard(Rc::clone(self))
     }
 
@@ -93,6 +98,7 @@
     fn record_read(&self) {
         if !self.serving.get() && self.head_began.get().is_none() {
             self.head_began.set(Some(self.edge.now()));
+            self.partial_head.set(Some(self.edge.partial_heads.increment()));
         }
     }
 }
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -127,6 +127,8 @@
     pub active_requests: InFlightCounter,
     /// Ends of the waits of callers' connections.
     pub caller_timeouts: RefCell<CallerTimeouts>,
+    /// Heads of requests that have arrived in part.
+    pub partial_heads: InFlightCounter,
     /// Open connections of callers.
     pub open_connections: InFlightCounter,
     /// Orders to engines without a response yet.
@@ -218,6 +220,7 @@
             shutdown_changed: Notify::new(),
             active_requests: InFlightCounter::default(),
             caller_timeouts: RefCell::new(CallerTimeouts::new(timeout_settings)),
+            partial_heads: InFlightCounter::default(),
             open_connections: InFlightCounter::default(),
             orders_in_flight: InFlightCounter::default(),
             capacity_changed: Notify::new(),
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -24,7 +24,16 @@
     let arrival = edge.now();
     let id = request.headers().get("request-id").cloned();
     let (parts, mut body) = request.into_parts();
-    let (size, result) = match read_request(&edge, parts, &mut body, arrival).await {
+    let reading = async {
+        tokio::select! {
+            biased;
+            request = read_request(&edge, parts, &mut body, arrival) => request,
+            () = aborted_by_shutdown(&edge) => {
+                Err(Error::new(ErrorKind::BodyTimeout, "the process stops before the body is whole"))
+            }
+        }
+    };
+    let (size, result) = match reading.await {
         Ok(request) => (Some(request.size()), serve(&edge, request, active).await),
         Err(err) => (None, Err(err)),
     };
--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -37,6 +37,8 @@
     Serving,
     /// Each connection is closed after its next response; idle ones stay open.
     Stopping,
+    /// A head that has arrived in part is refused.
+    Aborting,
     /// Idle connections are closed too.
     Closing,
 }
@@ -118,6 +120,8 @@
         .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut reason = None;
+    // Whether the connection can still be written to after its end.
+    let mut writable = false;
     let mut expired = pin!(wait_expired(&state));
     let ended = loop {
         tokio::select! {
@@ -126,9 +130,15 @@
             ended = &mut served => break ended,
             () = &mut expired => {
                 reason = Some(CloseReason::IdleTimeout);
+                writable = true;
                 break Ok(());
             }
             changed = phase.changed() => {
+                if *phase.borrow() >= Phase::Aborting && state.head_began().is_some() {
+                    reason = Some(CloseReason::Stop);
+                    writable = true;
+                    break Ok(());
+                }
                 let closing = changed.is_err() || *phase.borrow() == Phase::Closing;
                 if closing {
                     reason = (!state.is_serving()).then_some(CloseReason::Stop);
@@ -145,14 +155,14 @@
     if let Err(err) = ended {
         log::debug!(target: "front", error:% = err; "Caller connection ended with an error.");
     }
-    drop(open);
     if let Some(reason) = reason {
         let parts = served.into_parts();
         let mut stream = parts.io.into_inner();
-        if reason == CloseReason::IdleTimeout && !parts.read_buf.is_empty() {
+        if writable && !parts.read_buf.is_empty() {
             refuse_partial_head(&edge, &state, &mut stream).await;
             return;
         }
+        drop(open);
         record_idle_close(&edge, &state, stream, reason).await;
     }
 }
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -193,6 +193,7 @@
     while has_callers(edge) && edge.now() < end {
         if edge.now() + ABORT_MARGIN >= end && !edge.aborting.replace(true) {
             edge.shutdown_changed.notify_waiters();
+            phase.send_replace(Phase::Aborting);
         }
         tokio::time::sleep(POLL_INTERVAL).await;
     }
@@ -205,10 +206,11 @@
     edge.active_requests.get() == 0
 }
 
-/// Reports whether a request is in progress, here or on a connection that is carried for another vm,
+/// Reports whether a request is in progress or arrives, here or on a connection that is carried for another vm,
 /// or a caller may use its idle connection.
 fn has_callers(edge: &Edge) -> bool {
     edge.active_requests.get() > 0
+        || edge.partial_heads.get() > 0
         || edge.paths.carried.get() > 0
         || edge.now() < edge.promised_until.get()
 }
