--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -167,7 +167,7 @@
         };
         let mut checked = quarantine::check(edge, &request.prompt);
         if checked.is_ok() && !self.history().may_have_run() {
-            checked = stop_admission::check(edge, request, &choice);
+            checked = stop_admission::check(edge, request, choice.estimate, choice.token_rate);
         }
         if let Err(err) = checked {
             return AttemptEnd::NotSent(err);
--- a/crates/carob-edge/src/duty_claims.rs
+++ b/crates/carob-edge/src/duty_claims.rs
@@ -10,7 +10,7 @@
 
 use crate::datagram;
 use crate::edge::Edge;
-use crate::peers;
+use crate::send_interval;
 
 /// First byte of a datagram about duties, which no other message between vms begins with.
 pub const CLAIM_VERSION: u8 = 67;
@@ -33,7 +33,7 @@
 
 /// Returns what this vm tells the others of its duties.
 pub fn own_claim(edge: &Edge) -> DutyClaim {
-    edge.duty_leases.borrow().claim(peers::send_interval(edge), edge.now())
+    edge.duty_leases.borrow().claim(send_interval::longest(edge), edge.now())
 }
 
 /// Applies what another vm tells of its duties.
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -37,6 +37,7 @@
 mod response_budget;
 mod retry_token;
 mod rooms;
+mod send_interval;
 mod settings;
 mod stop_admission;
 mod stop_counts;
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -12,9 +12,10 @@
 use serde::{Deserialize, Serialize};
 
 use super::sender_role::SenderRole;
-use super::{MIN_SEND_INTERVAL, SEND_INTERVAL, UPDATE_REPEAT_TIME};
+use super::{MIN_SEND_INTERVAL, UPDATE_REPEAT_TIME};
 use crate::duty_claims;
 use crate::edge::Edge;
+use crate::send_interval::SEND_INTERVAL;
 use crate::view::{SharedChanges, Topic};
 
 /// Version of the encoding; messages with another version are ignored.
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -18,19 +18,15 @@
 use tokio::net::UdpSocket;
 
 use crate::edge::Edge;
+use crate::send_interval;
 use crate::view::PeerVm;
 
 use message::{Message, own_usage_report};
 pub use receive::listen;
 use sender_role::SenderRole;
 
-/// Interval between two messages to a vm when there is no news.
-const SEND_INTERVAL: Duration = Duration::from_millis(200);
 /// Minimum interval between two messages.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(20);
-/// Messages per second that a vm without news sends to all peers together, at most, in a fleet
-/// without hubs.
-const MAX_SEND_RATE: f64 = 40.0;
 /// Time for which every message repeats a placement update.
 const UPDATE_REPEAT_TIME: Duration = Duration::from_millis(450);
 /// Interval between two usage reports in a fleet with hubs.
@@ -55,7 +51,8 @@
     let mut reported_at = Duration::ZERO;
     loop {
         let uses_hubs = edge.hubs.borrow().uses_hubs();
-        let news = tokio::time::timeout(send_interval(&edge), edge.gossip_wakeup.notified());
+        let news =
+            tokio::time::timeout(send_interval::longest(&edge), edge.gossip_wakeup.notified());
         if news.await.is_ok() {
             tokio::time::sleep(MIN_SEND_INTERVAL).await;
         }
@@ -72,15 +69,6 @@
     }
 }
 
-/// Returns the longest time between two messages of this vm.
-pub fn send_interval(edge: &Edge) -> Duration {
-    if edge.hubs.borrow().uses_hubs() {
-        return SEND_INTERVAL;
-    }
-    let min_interval = Duration::from_secs_f64(edge.fleet_size() as f64 / MAX_SEND_RATE);
-    SEND_INTERVAL.max(min_interval)
-}
-
 fn send_to_peers(edge: &Edge, socket: &UdpSocket) {
     let responder = edge.hubs.borrow_mut().log_reader(edge.now());
     edge.hubs.borrow_mut().record_request(&responder, edge.now());
