LOST: the drain of carob-entry tells callers before it closes their connections

Callers of carob-entry that kept connections lost whole requests at the end of a drain: all connections were closed in one moment, without a word before.

Change: the promise of carob-edge becomes a part of carob-net that both use (`announce_keep_alive`, `KeepAlivePromises`): responses announce `Keep-Alive: timeout=2`, from SIGTERM on `Connection: close`; idle connections stay open, and the drain waits, within its timeout, for what was promised, counted from the end of each response. At the end the callers' listener refuses connections for 300 ms while accepted ones are answered.

--- a/platform/lab/src/kept_connection.rs
+++ b/benches/carob-bench/src/kept_connection.rs
@@ -40,9 +40,9 @@
         Ok(KeptConnection { stream: TcpStream::connect(address).await? })
     }
 
-    /// Sends a whole request to a path; `None` if the connection ends without a whole response.
-    pub async fn request(&mut self, path: &str, id: &str) -> Option<KeptResponse> {
-        self.stream.write_all(encode_request(path, id).as_bytes()).await.ok()?;
+    /// Sends the bytes of a whole request; `None` if the connection ends without a whole response.
+    pub async fn exchange(&mut self, request: &str) -> Option<KeptResponse> {
+        self.stream.write_all(request.as_bytes()).await.ok()?;
         self.read_response().await
     }
 
@@ -70,14 +70,6 @@
     }
 }
 
-/// Returns the bytes of a request with a short body.
-pub fn encode_request(path: &str, id: &str) -> String {
-    format!(
-        "POST {path} HTTP/1.1\r\nhost: site.example\r\nkey: key-one\r\ndeadline-ms: 3000\r\n\
-         request-id: {id}\r\ncontent-length: 4\r\n\r\nbody"
-    )
-}
-
 fn parse_response(bytes: &[u8]) -> Option<KeptResponse> {
     let text = String::from_utf8_lossy(bytes).to_ascii_lowercase();
     let (head, body) = text.split_once("\r\n\r\n")?;
--- a/benches/carob-bench/src/lib.rs
+++ b/benches/carob-bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod demo;
 pub mod fleet;
 pub mod history;
+pub mod kept_connection;
 pub mod log_cost;
 pub mod policies;
 pub mod process;
@@ -14,4 +15,5 @@
 
 pub use client::{Client, Response};
 pub use fleet::{Fleet, FleetOptions};
+pub use kept_connection::{KeptConnection, KeptResponse};
 pub use process::{Process, free_address};
--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -7,32 +7,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderValue};
+use carob_net::MIN_IDLE_TIME;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::edge::Edge;
 
-/// Time for which a caller may use its connection again, as `Keep-Alive` tells it in whole seconds.
-/// It passes within the readiness delay of a stop.
-const KEEP_ALIVE_SECONDS: u64 = 2;
-/// Time in which a request that was sent at the last moment arrives.
-const PATH_MARGIN: Duration = Duration::from_millis(500);
-/// Shortest time for which an idle connection is kept open.
-pub const MIN_IDLE_TIME: Duration =
-    Duration::from_secs(KEEP_ALIVE_SECONDS).saturating_add(PATH_MARGIN);
-
-/// Tells a caller whether it may use its connection again, and for how long.
-pub fn announce_keep_alive(edge: &Edge, headers: &mut HeaderMap) {
-    if edge.stopping.get() || headers.contains_key("connection") {
-        headers.remove("keep-alive");
-        headers.insert("connection", HeaderValue::from_static("close"));
-    } else {
-        let value = HeaderValue::from_str(&format!("timeout={KEEP_ALIVE_SECONDS}"));
-        value.into_iter().for_each(|value| drop(headers.insert("keep-alive", value)));
-    }
-}
-
 /// What is known about the requests on a connection.
 pub struct ConnectionState {
     edge: Rc<Edge>,
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -7,7 +7,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
-use carob_net::Clock;
+use carob_net::{Clock, MIN_IDLE_TIME};
 use carobglade::{
     CallerTimeouts, CallerTimeoutsSettings, DutyLeases, DutyLeasesSettings, HubSelector,
     HubSelectorSettings, Incarnation, Load, LoadTracker, ModelDemand, PlacementGossip,
@@ -18,7 +18,6 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
-use crate::caller_connection::MIN_IDLE_TIME;
 use crate::in_flight::InFlightCounter;
 use crate::metrics::Metrics;
 use crate::origin_state::OriginState;
--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use carob_net::announce_keep_alive;
 use eyre::{Result, WrapErr};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
@@ -13,7 +14,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
-use crate::caller_connection::{CallerStream, ConnectionState, announce_keep_alive};
+use crate::caller_connection::{CallerStream, ConnectionState};
 use crate::caller_timer::{refuse_partial_head, wait_expired};
 use crate::edge::Edge;
 use crate::handle::handle;
@@ -107,7 +108,7 @@
         let serving = service_state.begin_request();
         async move {
             let mut response = handle(Rc::clone(&edge), request).await;
-            announce_keep_alive(&edge, response.headers_mut());
+            announce_keep_alive(response.headers_mut(), edge.stopping.get());
             Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, serving)))
         }
     });
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -65,6 +65,7 @@
     tokio::task::spawn_local(origin_log::keep_versions(Rc::clone(&edge)));
     tokio::task::spawn_local(maintain(Rc::clone(&edge)));
     wait_for_stop(&edge, &path).await?;
+    servers.iter().for_each(Server::announce_stop);
     membership.abort();
     let all_finished = shut_down(&edge, &phase, &accepting).await;
     edge.stopped.set(true);
--- a/crates/carob-entry/src/drain.rs
+++ b/crates/carob-entry/src/drain.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use carob_net::Server;
 use carobglade::Record;
 
 use crate::quota_tasks;
@@ -14,10 +15,12 @@
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(3);
 
 /// Drains the process: reports not ready, then refuses new requests, then waits until every request
-/// and stream ends, releases the rate slots and leaves the fleet.
+/// and stream ends, releases the rate slots, leaves the fleet and waits until no caller may use an
+/// idle connection of `servers`, as it was told.
 ///
 /// Returns whether all requests ended before the drain timeout.
-pub async fn drain(shared: &Arc<SharedState>) -> bool {
+pub async fn drain(shared: &Arc<SharedState>, servers: &[Server]) -> bool {
+    let until = shared.now() + millis(shared.settings.times.max_drain);
     shared.lifecycle.announce_drain();
     shared.heartbeat_now.notify_one();
     log::info!(
@@ -30,9 +33,15 @@
     let ended = wait_for_requests(shared).await;
     quota_tasks::release_all(shared).await;
     leave_fleet(shared).await;
+    wait_for_promises(shared, servers, until).await;
     ended
 }
 
+async fn wait_for_promises(shared: &SharedState, servers: &[Server], until: Duration) {
+    let promised = servers.iter().map(Server::promised_time).max().unwrap_or_default();
+    tokio::time::sleep(promised.min(until.saturating_sub(shared.now()))).await;
+}
+
 async fn wait_for_requests(shared: &SharedState) -> bool {
     let until = shared.now() + millis(shared.settings.times.max_drain);
     loop {
--- a/crates/carob-entry/src/process.rs
+++ b/crates/carob-entry/src/process.rs
@@ -2,6 +2,7 @@
 
 use std::str::FromStr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use carob_net::{ServeOptions, Server, SystemClock, serve};
 use carobglade::{DataCentre, Join, Record, VmName};
@@ -17,6 +18,9 @@
     service_calls,
 };
 
+/// Time for which a server that refuses connections answers requests on its last ones.
+const STOP_DELAY: Duration = Duration::from_millis(300);
+
 /// Runs the process until it is stopped. Returns whether every request ended before the drain
 /// timeout.
 ///
@@ -36,12 +40,16 @@
         let servers = start_servers(&shared, &runtime)?;
         start_tasks(&shared)?;
         wait_for_stop(&shared).await?;
+        servers.iter().for_each(Server::announce_stop);
         let drained = tokio::select! {
-            drained = drain::drain(&shared) => drained,
+            drained = drain::drain(&shared, &servers) => drained,
             () = second_signal() => false,
         };
         shared.peer_transport.close();
-        tokio::task::spawn_blocking(move || servers.into_iter().for_each(Server::stop)).await?;
+        tokio::task::spawn_blocking(move || {
+            servers.into_iter().for_each(|server| server.stop_after(STOP_DELAY));
+        })
+        .await?;
         Ok(drained)
     })
 }
@@ -53,6 +61,7 @@
     let callers = ServeOptions {
         address: shared.settings.listen.callers,
         threads: shared.settings.limits.threads,
+        announces_idle_time: true,
         ..ServeOptions::default()
     };
     let admin = ServeOptions {
--- a/crates/carob-net/src/lib.rs
+++ b/crates/carob-net/src/lib.rs
@@ -12,6 +12,7 @@
 mod client;
 mod clock;
 mod exit_code;
+mod keep_alive;
 mod lock;
 mod log_client;
 mod metrics;
@@ -22,6 +23,7 @@
 pub use client::{HttpClient, HttpResponse, StreamingResponse};
 pub use clock::{BootClock, Clock, SystemClock};
 pub use exit_code::{exit_code, report_invalid_settings};
+pub use keep_alive::{KeepAlivePromises, MIN_IDLE_TIME, PromiseGuard, announce_keep_alive};
 pub use lock::lock;
 pub use log_client::{LogClient, LogPage};
 pub use metrics::MetricsRegistry;
--- a/crates/carob-net/src/server.rs
+++ b/crates/carob-net/src/server.rs
@@ -2,7 +2,7 @@
 
 use std::convert::Infallible;
 use std::future::Future;
-use std::net::SocketAddr;
+use std::net::{Shutdown, SocketAddr};
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
@@ -20,10 +20,10 @@
 use xitca_web::service::fn_service;
 
 use crate::chunk_channel::{ChunkReceiver, ChunkSender, IncompleteBody, chunk_channel};
+use crate::keep_alive::{KeepAlivePromises, PromiseGuard};
 
 const MAX_HEADERS: usize = 64;
 const MAX_HEAD_BYTES: usize = 32 * 1024; // of the header section of one request
-
 /// Options for [`serve`].
 #[derive(Clone, Debug)]
 pub struct ServeOptions {
@@ -35,6 +35,8 @@
     pub head_timeout: Duration,
     /// Time after which an idle connection is closed.
     pub idle_timeout: Duration,
+    /// Whether responses tell callers for how long they may use their connections again.
+    pub announces_idle_time: bool,
 }
 
 impl Default for ServeOptions {
@@ -44,6 +46,7 @@
             threads: 2,
             head_timeout: Duration::from_secs(5),
             idle_timeout: Duration::from_secs(30),
+            announces_idle_time: false,
         }
     }
 }
@@ -121,7 +124,11 @@
     Ok(buf.freeze())
 }
 
-struct ChunkBody(ChunkReceiver);
+/// A streamed body, and the promise whose time begins at its end.
+struct ChunkBody {
+    chunks: ChunkReceiver,
+    _promise: Option<PromiseGuard>,
+}
 
 impl Body for ChunkBody {
     type Data = Bytes;
@@ -131,13 +138,13 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
-        self.0.poll_chunk(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::Data)))
+        self.chunks.poll_chunk(cx).map(|chunk| chunk.map(|chunk| chunk.map(Frame::Data)))
     }
 }
 
 enum ReplyBody {
     Whole(Bytes),
-    Chunks(ChunkBody),
+    Chunks(ChunkReceiver),
 }
 
 /// The response of a handler.
@@ -171,7 +178,7 @@
     /// Creates a streamed response and the sender for its chunks.
     pub fn stream(status: u16) -> (ChunkSender, Self) {
         let (sender, receiver) = chunk_channel();
-        let body = ReplyBody::Chunks(ChunkBody(receiver));
+        let body = ReplyBody::Chunks(receiver);
         (sender, Reply { status, headers: HeaderMap::new(), body })
     }
 
@@ -195,10 +202,12 @@
         self.status
     }
 
-    fn into_web_response(self) -> WebResponse {
+    fn into_web_response(self, promise: Option<PromiseGuard>) -> WebResponse {
         let body = match self.body {
             ReplyBody::Whole(bytes) => ResponseBody::<BoxBody>::bytes(bytes),
-            ReplyBody::Chunks(chunks) => ResponseBody::boxed(chunks),
+            ReplyBody::Chunks(chunks) => {
+                ResponseBody::boxed(ChunkBody { chunks, _promise: promise })
+            }
         };
         let mut response = WebResponse::new(body);
         *response.status_mut() = http::StatusCode::from_u16(self.status)
@@ -210,18 +219,42 @@
 
 /// A running server.
 pub struct Server {
-    stop: Box<dyn Fn() + Send>,
+    stop: Box<dyn Fn() + Send + Sync>,
+    /// The same socket that the workers accept connections from.
+    listener: socket2::Socket,
     thread: Option<JoinHandle<()>>,
+    promises: Arc<KeepAlivePromises>,
 }
 
 impl Server {
-    /// Stops listening and ends the worker threads.
+    /// Tells callers with each response from now on that their connections close. Idle connections stay
+    /// open until the server stops.
+    pub fn announce_stop(&self) {
+        self.promises.end();
+    }
+
+    /// Returns the time for which callers may use idle connections, as they were told.
+    pub fn promised_time(&self) -> Duration {
+        self.promises.remaining()
+    }
+
+    /// Stops listening, closes all connections and ends the worker threads.
     pub fn stop(mut self) {
         (self.stop)();
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
     }
+
+    /// Refuses new connections, and stops after `delay`, in which requests on connections that were
+    /// just accepted get their responses.
+    pub fn stop_after(self, delay: Duration) {
+        if let Err(err) = self.listener.shutdown(Shutdown::Both) {
+            log::debug!("server: failed to stop listening: {err}");
+        }
+        std::thread::sleep(delay);
+        self.stop();
+    }
 }
 
 /// Starts a server that handles requests with `handler` on its own threads.
@@ -235,14 +268,19 @@
     Fut: Future<Output = Reply> + 'static,
 {
     let handler = Arc::new(handler);
+    let promises = Arc::new(KeepAlivePromises::default());
+    let announced = Arc::clone(&promises);
+    let announces = options.announces_idle_time;
     let service = fn_service(move |request: WebRequest| {
-        let handler = Arc::clone(&handler);
+        let (handler, promises) = (Arc::clone(&handler), Arc::clone(&announced));
         async move {
             let (parts, body) = request.into_parts();
             let remote_address = *body.socket_addr();
             let (_, body) = body.replace_body(());
-            let reply = handler(Request { parts, body, remote_address }).await;
-            Ok::<_, Infallible>(reply.into_web_response())
+            let mut reply = handler(Request { parts, body, remote_address }).await;
+            let announce = announces || promises.has_ended();
+            let promise = announce.then(|| promises.announce(&mut reply.headers)).flatten();
+            Ok::<_, Infallible>(reply.into_web_response(promise))
         }
     });
     // The standard library sets SO_REUSEADDR, so that an address with connections in TIME_WAIT can
@@ -251,6 +289,7 @@
     // Accepted connections inherit the option. Without it, the second chunk of a response waits
     // for the acknowledgement of the first.
     socket2::SockRef::from(&listener).set_tcp_nodelay(true)?;
+    let shared_listener = socket2::Socket::from(listener.try_clone()?);
     let mut running = HttpServer::serve(service)
         .worker_threads(options.threads)
         .disable_signal()
@@ -264,5 +303,10 @@
     let thread = std::thread::spawn(move || {
         let _ = running.wait();
     });
-    Ok(Server { stop: Box::new(move || handle.stop(false)), thread: Some(thread) })
+    Ok(Server {
+        stop: Box::new(move || handle.stop(false)),
+        listener: shared_listener,
+        thread: Some(thread),
+        promises,
+    })
 }
