--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -7,29 +7,12 @@
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use http::{HeaderMap, HeaderValue};
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
 use crate::edge::Edge;
 use crate::in_flight::InFlightGuard;
 
-/// Tells a caller whether it may use its connection again, and for how long.
-pub fn announce_keep_alive(edge: &Edge, headers: &mut HeaderMap) {
-    let seconds = edge.settings.keep_alive_promise().seconds();
-    let Some(seconds) = seconds.filter(|_| !closes(edge, headers)) else {
-        headers.remove("keep-alive");
-        headers.insert("connection", HeaderValue::from_static("close"));
-        return;
-    };
-    let value = HeaderValue::from_str(&format!("timeout={seconds}"));
-    value.into_iter().for_each(|value| drop(headers.insert("keep-alive", value)));
-}
-
-fn closes(edge: &Edge, headers: &HeaderMap) -> bool {
-    edge.stopping.get() || headers.contains_key("connection")
-}
-
 /// What is known about the requests on a connection.
 pub struct ConnectionState {
     edge: Rc<Edge>,
--- a/src/connection/keep_alive_promise.rs
+++ b/src/connection/keep_alive_promise.rs
@@ -13,6 +13,13 @@
     seconds: u64,
 }
 
+impl Default for KeepAlivePromise {
+    /// Returns the longest promise.
+    fn default() -> Self {
+        KeepAlivePromise { seconds: MAX_SECONDS }
+    }
+}
+
 impl KeepAlivePromise {
     /// Returns the longest promise that a process keeps which ends `stop_time` after it is told to
     /// stop.
