--- a/crates/carobctl/src/explain.rs
+++ b/crates/carobctl/src/explain.rs
@@ -20,17 +20,20 @@
     "duty",
     "upstreams",
     "quarantine",
-    "limits",
-    "rooms",
     "main",
     PATHS_PART,
+    "limits",
+    "rooms",
 ];
-/// Parts whose lines tell why an upstream was not asked, so that the request does not name it.
-const ROOM_PARTS: [&str; 2] = ["limits", "rooms"];
 /// Part whose lines tell which upstreams a vm reaches.
 const PATHS_PART: &str = "paths";
-/// Start of the reason of a refusal for want of a way to an upstream.
-const NO_WAY: &str = "no vm reaches";
+/// Parts whose lines tell why no upstream was asked, so that the request names none, with the start of the
+/// reason of such a refusal.
+const REFUSAL_PARTS: [(&str, &str); 3] = [
+    (PATHS_PART, "no vm reaches"),
+    ("limits", "upstreams take no more requests"),
+    ("rooms", "upstreams take no more requests"),
+];
 
 const START_MESSAGE: &str = "The process started.";
 const UNKNOWN_VM: &str = "?"; // for lines without a vm
@@ -138,27 +141,16 @@
         self.lines.iter().map(|(_, line)| text_field(line, "upstream")).collect()
     }
 
-    /// Reports whether a state line concerns the request: one about an upstream that its lines name,
-    /// or about any upstream if it may tell why the request was refused.
+    /// Reports whether a state line concerns the request: one about an upstream that its lines name, or
+    /// of a part that may explain its refusal.
     fn is_relevant(&self, line: &Line) -> bool {
-        let upstream = text_field(line, "upstream");
-        if upstream.is_empty() || self.upstreams().contains(upstream) {
-            return true;
-        }
-        match text_field(line, "part") {
-            PATHS_PART => self.had_no_way(),
-            part => ROOM_PARTS.contains(&part) && self.is_refused(),
-        }
-    }
-
-    /// Reports whether the request was refused for want of a way to an upstream.
-    fn had_no_way(&self) -> bool {
-        self.lines.iter().any(|(_, line)| text_field(line, "why").starts_with(NO_WAY))
-    }
-
-    /// Reports whether a line says that the request was refused.
-    fn is_refused(&self) -> bool {
-        self.lines.iter().any(|(_, line)| text_field(line, "text").contains("refused"))
+        let (upstream, part) = (text_field(line, "upstream"), text_field(line, "part"));
+        let is_reason = |why: &str| {
+            REFUSAL_PARTS.iter().any(|(of, start)| *of == part && why.starts_with(start))
+        };
+        upstream.is_empty()
+            || self.upstreams().contains(upstream)
+            || self.lines.iter().any(|(_, of)| is_reason(text_field(of, "why")))
     }
 
     /// Reports whether a line says that the request ended.
--- a/crates/carobctl/tests/explain.rs
+++ b/crates/carobctl/tests/explain.rs
@@ -184,7 +184,7 @@
 {"vm":"rennes-1","time":1100,"part":"rooms","text":"An upstream had no room for a request.","upstream":"i-1","rejections":"6","running":4,"room":4}
 {"vm":"rennes-1","time":1200,"part":"limits","text":"The limit of an upstream changed.","upstream":"i-2","limit":"1","source":"upstream"}
 {"vm":"rennes-1","time":2000,"part":"request","text":"A request was admitted.","id":"abc"}
-{"vm":"rennes-1","time":2001,"part":"request","text":"A request was refused.","id":"abc","kind":"upstream_unavailable"}
+{"vm":"rennes-1","time":2001,"part":"request","text":"A request was refused.","id":"abc","kind":"upstream_unavailable","why":"upstreams take no more requests for 300 ms"}
 "#;
     let output = explain(&[("rennes.log", log)], "abc", false);
     let report = String::from_utf8(output.stdout).unwrap();
