RECOVER: a vm's reserve of retries shrinks when the fleet grows

Cause: the retry budget of a service was made with the fleet size at its first request, and kept it.

Change: each use of the budget sets the capacity of the present fleet size and drops what lies beyond it. A larger capacity alone gives no retries (tests/regression/grown_fleet.rs).

--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -353,16 +353,15 @@
     }
 
     fn with_retry_budget<T>(&self, service: &str, act: impl FnOnce(&mut RetryBudget) -> T) -> T {
+        let bounds = self.settings.bounds;
+        let reserve = bounds.spare * RETRY_RESERVE_FRACTION;
+        let capacity = (reserve / self.fleet_size() as f64).max(1.0);
         let mut retries = self.retry_budgets.borrow_mut();
         let budget = retries.entry(service.to_owned()).or_insert_with(|| {
-            let bounds = self.settings.bounds;
-            RetryBudget::new(RetryBudgetSettings {
-                ratio: bounds.retries * RETRY_RATIO_FRACTION,
-                capacity: (bounds.spare * RETRY_RESERVE_FRACTION / self.fleet_size() as f64)
-                    .max(1.0),
-                min_rate: 0.0,
-            })
+            let ratio = bounds.retries * RETRY_RATIO_FRACTION;
+            RetryBudget::new(RetryBudgetSettings { ratio, capacity, min_rate: 0.0 })
         });
+        budget.set_capacity(capacity);
         act(budget)
     }
 }
--- a/src/request/retry_budget.rs
+++ b/src/request/retry_budget.rs
@@ -44,6 +44,12 @@
         RetryBudget { settings, balance: TokenBucket::new(settings.capacity) }
     }
 
+    /// Changes the maximum number of retries; those beyond it are dropped.
+    pub fn set_capacity(&mut self, capacity: f64) {
+        self.settings.capacity = capacity;
+        self.balance.add(0.0, capacity);
+    }
+
     /// Adds the share of a retry that one first attempt earns.
     pub fn deposit(&mut self) {
         self.balance.add(self.settings.ratio, self.settings.capacity);
--- a/tests/regression/main.rs
+++ b/tests/regression/main.rs
@@ -6,6 +6,7 @@
 mod base_with_adapters;
 mod closed_loans;
 mod empty_stream;
+mod grown_fleet;
 mod silent_upstreams;
 mod simulated_engine;
 mod starved_large_requests;
