RECOVER: vms that are cut themselves don't tell that no vm reaches an upstream

Cause: the first vms asked for a tunnel are of the same data centre, so cut as well. Each of them that had no verdict on that upstream said that it does not reach it, and three such answers ended the search.

Change: two vms of the same data centre are asked, then two of others; a vm that did not reach the upstream is asked last for a second, like one that declined; a vm that has lost paths itself declines an upstream that it does not reach, which says nothing of the upstream.

--- a/crates/carob-edge/src/tunnel.rs
+++ b/crates/carob-edge/src/tunnel.rs
@@ -62,6 +62,7 @@
                 }
                 Err(Refusal::Unreachable) => {
                     edge.metrics.record_tunnel("unreachable");
+                    edge.paths.vms.borrow_mut().record_declined(&vm, edge.now());
                     unreachable += 1;
                 }
                 Err(Refusal::Declined) => {
--- a/crates/carob-edge/src/tunnel_server.rs
+++ b/crates/carob-edge/src/tunnel_server.rs
@@ -106,7 +106,7 @@
         Err(status) => return response(status),
     };
     let Ok(upstream) = upstream else {
-        return response(StatusCode::BAD_GATEWAY);
+        return response(unreached_status(edge));
     };
     tokio::task::spawn_local(async move {
         let _guard = guard;
@@ -120,6 +120,15 @@
     response(StatusCode::OK)
 }
 
+/// Returns the status for an upstream that this vm did not reach. While it has lost paths of its own,
+/// that says nothing of the upstream.
+fn unreached_status(edge: &Edge) -> StatusCode {
+    match edge.paths.table.borrow().lost_count() {
+        0 => StatusCode::BAD_GATEWAY,
+        _ => StatusCode::SERVICE_UNAVAILABLE,
+    }
+}
+
 fn response(status: StatusCode) -> Response<Empty<Bytes>> {
     let mut response = Response::new(Empty::new());
     *response.status_mut() = status;
--- a/src/process/tunnel_vms.rs
+++ b/src/process/tunnel_vms.rs
@@ -38,9 +38,10 @@
         TunnelVms { settings, ..TunnelVms::default() }
     }
 
-    /// Returns the vms to ask for a connection, in this order: those of the data centre `own` come
-    /// first, and among equals those that carry fewer connections for this vm; those that declined
-    /// come last. `random` breaks ties, so that the vms of a data centre do not all ask the same one.
+    /// Returns the vms to ask for a connection, in this order: a few of the data centre `own` come first,
+    /// then as many of the others, since most of a data centre may be cut off, then the rest. Among
+    /// equals those come first that carry fewer connections for this vm; those that declined come last.
+    /// `random` breaks ties, so that the vms of a data centre do not all ask the same one.
     pub fn order(
         &self,
         vms: Vec<(VmName, DataCentre)>,
@@ -61,11 +62,18 @@
             })
             .collect();
         ranked.sort_unstable();
-        ranked.truncate(self.settings.max_asked);
-        ranked.into_iter().map(|(.., vm)| vm).collect()
+        let (able, declining): (Vec<_>, Vec<_>) =
+            ranked.into_iter().partition(|(declines, ..)| !*declines);
+        let (mut first, second): (Vec<_>, Vec<_>) =
+            able.into_iter().partition(|(_, second, ..)| !*second);
+        let rest = first.split_off(first.len().min(self.settings.max_declined));
+        let mut second = second.into_iter();
+        first.extend(second.by_ref().take(self.settings.max_declined));
+        let all = first.into_iter().chain(rest).chain(second).chain(declining);
+        all.take(self.settings.max_asked).map(|(.., vm)| vm).collect()
     }
 
-    /// Records that a vm declined, or did not answer in time.
+    /// Records that a vm declined, did not reach the upstream or did not answer in time.
     pub fn record_declined(&mut self, vm: &VmName, now: Duration) {
         self.declined.retain(|_, until| *until > now);
         self.declined.insert(vm.clone(), now + self.settings.decline_time);
