--- a/tests/path_fleet.rs
+++ b/tests/path_fleet.rs
@@ -86,7 +86,7 @@
         let is_fast = !self.vms[asker].paths.plan(&upstream).reuse_idle;
         self.outcome.requests += 1;
         self.outcome.slow += u32::from(learned && !is_fast);
-        match self.ask(asker, &upstream, now) {
+        match self.ask(asker, now) {
             Some(carrier) => {
                 self.vms[asker].paths.record_indirect(&upstream, true, now);
                 let name = self.vms[carrier].name.clone();
@@ -101,8 +101,8 @@
         }
     }
 
-    /// Asks vms one after the other for a tunnel; returns the one that carries it.
-    fn ask(&mut self, asker: usize, upstream: &UpstreamName, now: Duration) -> Option<usize> {
+    /// Asks vms one after the other for a tunnel to an upstream that all vms reach that are not cut; returns the one that carries it.
+    fn ask(&mut self, asker: usize, now: Duration) -> Option<usize> {
         let others = self.vms.iter().filter(|vm| vm.name != self.vms[asker].name);
         let others = others.map(|vm| (vm.name.clone(), vm.data_centre.clone())).collect();
         let own = self.vms[asker].data_centre.clone();
