LOST: a second attempt that reached no upstream is made again

What callers saw: a read that had been sent on a kept connection whose link then hung got 504 at its deadline, although the other desk could be reached through another vm for three seconds of it (reads_are_served_while_links_are_cut_one_way, 7 of 20 reads, 1 of 6 runs of cut_vms on a machine with a load of 26).

Cause, by the lines of read-early-9: its second attempt at desk-2 ended as unsent after 758 ms, since no vm answered within 250 ms for a while. The upstream stayed among those that are not tried again, so 'no other upstream' was left and the request waited for the silent one.

Change: an upstream that a second attempt did not reach may be tried again; the timer of second attempts (250 ms) spaces the tries, and upstreams in a pause take none.

--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -185,6 +185,10 @@
                 self.record_rejection(&name, failure.outcome);
                 if let Some(token) = &mut token {
                     token.spent = failure.outcome != AttemptOutcome::Unsent;
+                    if !token.spent {
+                        // The first attempt goes on, and this upstream may be reached later.
+                        self.tried.borrow_mut().retain(|tried| *tried != name);
+                    }
                 }
                 AttemptEnd::Failed(name, failure)
             }
