--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -193,6 +193,10 @@
                 }
                 if let Some(token) = &mut token {
                     token.spent = failure.outcome != AttemptOutcome::Unsent;
+                    if !token.spent {
+                        // The first attempt goes on, and this upstream may be reached later.
+                        self.tried.borrow_mut().retain(|tried| *tried != name);
+                    }
                 }
                 AttemptEnd::Failed(name, failure)
             }
