--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use carob_platform::{ResponseKind, UpstreamHeaders, strip_response_headers};
 use carobglade::{
-    AttemptOutcome, EventSplitter, RequestRate, SoftwareVersion, UpstreamCrash, UpstreamName,
+    AttemptOutcome, Error, EventSplitter, RequestRate, SoftwareVersion, UpstreamCrash, UpstreamName,
 };
 use http::HeaderMap;
 
@@ -117,6 +117,16 @@
     pub stale_connection: bool,
 }
 
+/// How an attempt ended.
+pub enum AttemptEnd {
+    /// The upstream responded, or its stream has started.
+    Response(AttemptResponse),
+    /// The attempt at this upstream failed.
+    Failed(UpstreamName, AttemptFailure),
+    /// The request was not sent.
+    NotSent(Error),
+}
+
 impl From<AttemptOutcome> for AttemptFailure {
     fn from(outcome: AttemptOutcome) -> Self {
         AttemptFailure { outcome, response: None, stale_connection: false }
--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -16,7 +16,7 @@
 use futures_util::stream::FuturesUnordered;
 use tokio::sync::Notify;
 
-use crate::attempt::{AttemptFailure, AttemptResponse, send_attempt};
+use crate::attempt::{AttemptEnd, AttemptFailure, AttemptResponse, send_attempt};
 use crate::choose::{Choice, choose_upstream, has_bound_version, has_candidate};
 use crate::edge::Edge;
 use crate::paths;
@@ -31,16 +31,6 @@
 /// Retry time after a failed attempt, which says nothing about the load.
 pub const FAILED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// How an attempt ended.
-pub enum AttemptEnd {
-    /// The upstream responded, or its stream has started.
-    Response(AttemptResponse),
-    /// The attempt at this upstream failed.
-    Failed(UpstreamName, AttemptFailure),
-    /// The request was not sent.
-    NotSent(Error),
-}
-
 /// An attempt under way.
 pub type OpenAttempt<'a> = Pin<Box<dyn Future<Output = AttemptEnd> + 'a>>;
 
@@ -90,9 +80,7 @@
         if !resend::is_allowed(edge, request, self.history(), &tried, name, outcome).await {
             return false;
         }
-        let view = edge.view.borrow();
-        let names = view.upstreams.accepting(&request.service).map(|entry| &entry.name);
-        self.tried.replace(names.filter(|other| *other != name).cloned().collect());
+        self.tried.replace(resend::other_upstreams(edge, request, name));
         self.update_history(AttemptHistory::record_resend);
         edge.metrics.record_retry();
         log::info!(target: "request", id = request.caller_headers.request_id.as_str(), upstream:% = name; "Sending the request to its upstream again over another path.");
@@ -195,7 +183,7 @@
                     token.spent = failure.outcome != AttemptOutcome::Unsent;
                     if !token.spent {
                         // The first attempt goes on, and this upstream may be reached later.
-                        self.tried.borrow_mut().retain(|tried| *tried != name);
+                        self.tried.allow(&name);
                     }
                 }
                 AttemptEnd::Failed(name, failure)
--- a/crates/carob-edge/src/relay.rs
+++ b/crates/carob-edge/src/relay.rs
@@ -8,8 +8,8 @@
 use carobglade::{AttemptHistory, AttemptOutcome, RetryDecision};
 use http::Response;
 
-use crate::attempt::{AttemptResponse, EventStream, StartedStream};
-use crate::attempts::{AttemptEnd, Attempts, OpenAttempt};
+use crate::attempt::{AttemptEnd, AttemptResponse, EventStream, StartedStream};
+use crate::attempts::{Attempts, OpenAttempt};
 use crate::edge::Edge;
 use crate::in_flight::InFlightGuard;
 use crate::open_request::OpenRequest;
--- a/crates/carob-edge/src/resend.rs
+++ b/crates/carob-edge/src/resend.rs
@@ -30,3 +30,14 @@
     }
     paths::is_cut(edge, name).await && edge.withdraw_retry(&request.service)
 }
+
+/// Returns the upstreams of the request's service but `name`.
+pub fn other_upstreams(
+    edge: &Edge,
+    request: &CallerRequest,
+    name: &UpstreamName,
+) -> Vec<UpstreamName> {
+    let view = edge.view.borrow();
+    let names = view.upstreams.accepting(&request.service).map(|entry| &entry.name);
+    names.filter(|other| *other != name).cloned().collect()
+}
--- a/crates/carob-edge/src/tried.rs
+++ b/crates/carob-edge/src/tried.rs
@@ -30,11 +30,15 @@
         names.clone()
     }
 
+    /// Lets the request go to an upstream again.
+    pub fn allow(&self, name: &UpstreamName) {
+        self.names.borrow_mut().retain(|tried| tried != name);
+    }
+
     /// Lets the request go to an upstream again unless another one can take it.
     pub fn allow_unless(&self, name: &UpstreamName, has_other: impl Fn(&[UpstreamName]) -> bool) {
-        let mut names = self.names.borrow_mut();
-        if !has_other(&names) {
-            names.retain(|tried| tried != name);
+        if !has_other(&self.names()) {
+            self.allow(name);
         }
     }
 
