LOST: a request that lies unread beyond the idle time is answered

What callers saw: after a pause of the process (a freeze, a machine held up) kept connections with a whole request on them were closed without a byte, 40 of 40.

Cause: the runtime runs its timers before it asks what lies in the sockets, so the idle timer ends a connection that is due, and what `biased` reads first is not known yet.

Change: when the time is over the task yields once, so that the sockets are read, and looks again.

--- a/crates/carob-edge/src/caller_timer.rs
+++ b/crates/carob-edge/src/caller_timer.rs
@@ -25,6 +25,18 @@
 /// It has to be polled whenever the connection made progress, since a head that begins to arrive may
 /// end the wait sooner.
 pub async fn wait_expired(state: &ConnectionState) {
+    loop {
+        wait_elapsed(state).await;
+        // A process that was held up runs its timers before it learns what lies in its sockets.
+        tokio::task::yield_now().await;
+        if state.remaining_wait().is_zero() {
+            return;
+        }
+    }
+}
+
+/// Completes when the time to wait is over, as far as the process has read its sockets.
+async fn wait_elapsed(state: &ConnectionState) {
     let mut sleep = pin!(sleep_until(Instant::now() + state.remaining_wait()));
     poll_fn(|cx| {
         loop {
