LOST: an empty line behind a request breaks no promise

What callers saw: a caller that sends an empty line after a request lost its connection within the two seconds that it was promised, with 408.

Cause: each byte that is read between requests counted as the start of a head. Servers ignore empty lines before a request (RFC 9112, 2.2).

--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -13,6 +13,9 @@
 use crate::edge::Edge;
 use crate::in_flight::InFlightGuard;
 
+/// Bytes of an empty line. Before a request they are ignored.
+const LINE_END: &[u8] = b"\r\n";
+
 /// What is known about the requests on a connection.
 pub struct ConnectionState {
     edge: Rc<Edge>,
@@ -124,7 +127,7 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled().len() > filled {
+        if buf.filled()[filled..].iter().any(|byte| !LINE_END.contains(byte)) {
             self.state.record_read();
         }
         polled
