--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -112,8 +112,8 @@
     pub outcome: AttemptOutcome,
     /// The upstream's error response, if it sent one.
     pub response: Option<Box<FullResponse>>,
-    /// Whether the attempt broke on a kept connection before a response began. The upstream may have
-    /// closed it just before, and may serve the request over a new one.
+    /// Whether the attempt broke on a kept connection before a response began. The upstream may only
+    /// have closed that connection, and may serve the request over a new one.
     pub stale_connection: bool,
 }
 
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -207,8 +207,8 @@
     edge.active_requests.get() == 0
 }
 
-/// Reports whether a request is in progress or arrives, here or on a connection that is carried for another vm,
-/// or a caller may use its idle connection.
+/// Reports whether a request is in progress or arriving, here or on a connection that is carried for
+/// another vm, or a caller may use its idle connection.
 fn has_callers(edge: &Edge) -> bool {
     edge.active_requests.get() > 0
         || edge.partial_heads.get() > 0
--- a/crates/carob-edge/src/resend.rs
+++ b/crates/carob-edge/src/resend.rs
@@ -1,7 +1,8 @@
 //! Sends a request once more to an upstream whose connection broke, where no other one may take it.
 //!
-//! A vm that loses its path to an upstream breaks the connections to one that goes on. Another path leads
-//! there through another vm, and a route's attempts limit the upstreams that a request is sent to.
+//! A vm that loses its path to an upstream loses its connections there, though the upstream goes on.
+//! Another path leads there through another vm, and the attempts of a route limit the number of
+//! upstreams that a request is sent to.
 
 use std::rc::Rc;
 
--- a/crates/carob-net/src/server.rs
+++ b/crates/carob-net/src/server.rs
@@ -24,6 +24,7 @@
 
 const MAX_HEADERS: usize = 64;
 const MAX_HEAD_BYTES: usize = 32 * 1024; // of the header section of one request
+
 /// Options for [`serve`].
 #[derive(Clone, Debug)]
 pub struct ServeOptions {
--- a/src/process/prompt_quarantine/mod.rs
+++ b/src/process/prompt_quarantine/mod.rs
@@ -4,8 +4,9 @@
 //! When an upstream crashes, the parts of the requests whose responses had begun and had no event
 //! yet are suspected. A response with a part that ends well clears the part of all crashes before
 //! it, so only a part that no response has survived gathers crashes. The crash of a brittle upstream
-//! that rejected requests just before counts half, since too many rejections may have caused it. Processes tell each other their
-//! evidence and their verdicts; all reach the same verdict from the same evidence.
+//! that rejected requests just before counts half, since too many rejections may have caused it.
+//! Processes tell each other their evidence and their verdicts; all reach the same verdict from the
+//! same evidence.
 
 mod block_record;
 mod evidence;
