--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -11,6 +11,7 @@
 use tokio::net::TcpStream;
 
 use crate::edge::Edge;
+use crate::head_limit::head_limit;
 use crate::in_flight::InFlightGuard;
 
 /// Bytes of an empty line. Before a request they are ignored.
@@ -26,6 +27,8 @@
     write_blocked: Cell<bool>,
     /// Time of the first byte of a head that is not complete.
     head_began: Cell<Option<Duration>>,
+    /// Bytes of the head that is not complete.
+    head_bytes: Cell<usize>,
     /// Counts the head that is not complete.
     partial_head: Cell<Option<InFlightGuard>>,
 }
@@ -41,6 +44,7 @@
             idle_since: Cell::new(edge.now()),
             write_blocked: Cell::new(false),
             head_began: Cell::new(None),
+            head_bytes: Cell::new(0),
             partial_head: Cell::new(None),
             edge,
         })
@@ -64,6 +68,11 @@
         self.head_began.get()
     }
 
+    /// Reports whether the part of a head that has arrived is longer than the configuration allows.
+    pub fn is_head_too_long(&self) -> bool {
+        self.head_began.get().is_some() && self.head_bytes.get() >= head_limit(&self.edge)
+    }
+
     /// Returns the time for which the connection may go on to wait for a request.
     pub fn remaining_wait(&self) -> Duration {
         let now = self.edge.now();
@@ -81,11 +90,17 @@
         self.idle_since.set(self.edge.now());
     }
 
-    fn record_read(&self) {
-        if !self.serving.get() && self.head_began.get().is_none() {
+    /// Records that `count` bytes were read.
+    fn record_read(&self, count: usize) {
+        if self.serving.get() {
+            return;
+        }
+        if self.head_began.get().is_none() {
             self.head_began.set(Some(self.edge.now()));
+            self.head_bytes.set(0);
             self.partial_head.set(Some(self.edge.partial_heads.increment()));
         }
+        self.head_bytes.set(self.head_bytes.get().saturating_add(count));
     }
 }
 
@@ -127,8 +142,9 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled()[filled..].iter().any(|byte| !LINE_END.contains(byte)) {
-            self.state.record_read();
+        let read = &buf.filled()[filled..];
+        if read.iter().any(|byte| !LINE_END.contains(byte)) {
+            self.state.record_read(read.len());
         }
         polled
     }
--- a/crates/carob-edge/src/caller_timer.rs
+++ b/crates/carob-edge/src/caller_timer.rs
@@ -54,14 +54,23 @@
     .await;
 }
 
-/// Tells a caller that the head of its request did not arrive in time, and closes the connection for
+/// Returns the error of a request whose head is late.
+pub fn head_timeout_error() -> Error {
+    Error::new(ErrorKind::HeadTimeout, "the head did not arrive in time")
+}
+
+/// Tells a caller why a head that has arrived in part is refused, and closes the connection for
 /// writing.
-pub async fn refuse_partial_head(edge: &Edge, state: &ConnectionState, stream: &mut CallerStream) {
+pub async fn refuse_partial_head(
+    edge: &Edge,
+    state: &ConnectionState,
+    stream: &mut CallerStream,
+    err: &Error,
+) {
     let took = state.head_began().map(|began| edge.now().saturating_sub(began)).unwrap_or_default();
-    let err = Error::new(ErrorKind::HeadTimeout, "the head did not arrive in time");
     edge.metrics.record_refusal(err.kind());
     log::info!(target: "request", id = "", kind = err.kind().response().code, why = err.message(), took = took.as_millis() as u64, retry = 0; "A request was refused.");
-    let sent = stream.write_all(&encode(error_response(&err, true))).await;
+    let sent = stream.write_all(&encode(error_response(err, true))).await;
     if let Err(err) = sent.and(stream.shutdown().await) {
         log::trace!(target: "front", error:% = err; "The caller had closed the connection.");
         return;
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -12,6 +12,7 @@
 mod follow;
 mod group;
 mod handle;
+mod head_limit;
 mod in_flight;
 mod keep_alive;
 mod listener;
--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -15,9 +15,10 @@
 use tokio::sync::watch;
 
 use crate::caller_connection::{CallerStream, ConnectionState};
-use crate::caller_timer::{refuse_partial_head, wait_expired};
+use crate::caller_timer::{head_timeout_error, refuse_partial_head, wait_expired};
 use crate::edge::Edge;
 use crate::handle::handle;
+use crate::head_limit::{head_exceeded, head_limit, too_long_error};
 use crate::response::ServedBody;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -25,7 +26,8 @@
 const BACKLOG: u32 = 1024;
 /// Time after which a connection with unacknowledged data is closed.
 const TCP_USER_TIMEOUT: Duration = Duration::from_secs(6);
-const MIN_BUFFER_BYTES: usize = 16 << 10;
+/// Longest head on a connection that was accepted while the configuration allowed less.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Time for the first request on a new connection, for which a stop waits.
 const FIRST_REQUEST_TIME: Duration = Duration::from_millis(300);
 /// Time for which bytes that cross the close of an idle connection are looked for.
@@ -49,6 +51,8 @@
 enum CloseReason {
     /// No request came for the idle time.
     IdleTimeout,
+    /// A head is longer than the configuration allows.
+    LongHead,
     /// The process is stopping.
     Stop,
 }
@@ -57,6 +61,7 @@
     fn as_str(self) -> &'static str {
         match self {
             CloseReason::IdleTimeout => "idle_timeout",
+            CloseReason::LongHead => "long_head",
             CloseReason::Stop => "stop",
         }
     }
@@ -100,7 +105,6 @@
             log::debug!(target: "front", error:% = err; "Failed to set a socket option on a caller connection.");
         }
     }
-    let limits = edge.config().map(|config| config.limits).unwrap_or_default();
     edge.keep_connections_open(FIRST_REQUEST_TIME);
     let state = ConnectionState::new(Rc::clone(&edge));
     let service_edge = Rc::clone(&edge);
@@ -119,7 +123,8 @@
     let mut served = http1::Builder::new()
         // A fixed time would not follow the configuration.
         .header_read_timeout(None)
-        .max_buf_size(limits.header_bytes.max(MIN_BUFFER_BYTES))
+        // The limit in force is checked for each head.
+        .max_buf_size(head_limit(&edge).max(MAX_HEAD_BYTES))
         .serve_connection(TokioIo::new(stream), service);
     let mut reason = None;
     // Whether the connection can still be written to after its end.
@@ -130,6 +135,11 @@
             // What has arrived is read before the wait ends.
             biased;
             ended = &mut served => break ended,
+            () = head_exceeded(&state) => {
+                reason = Some(CloseReason::LongHead);
+                writable = true;
+                break Ok(());
+            }
             () = &mut expired => {
                 reason = Some(CloseReason::IdleTimeout);
                 writable = true;
@@ -161,7 +171,11 @@
         let parts = served.into_parts();
         let mut stream = parts.io.into_inner();
         if writable && !parts.read_buf.is_empty() {
-            refuse_partial_head(&edge, &state, &mut stream).await;
+            let err = match reason {
+                CloseReason::LongHead => too_long_error(&edge),
+                CloseReason::IdleTimeout | CloseReason::Stop => head_timeout_error(),
+            };
+            refuse_partial_head(&edge, &state, &mut stream, &err).await;
             return;
         }
         drop(open);
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -16,6 +16,7 @@
 use hyper::body::Incoming;
 
 use crate::edge::Edge;
+use crate::head_limit::check_head;
 use crate::quarantine::{self, QUARANTINE_RETRY_AFTER};
 
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -172,6 +173,7 @@
     body: &mut Incoming,
     arrival: Duration,
 ) -> Result<CallerRequest> {
+    check_head(edge, &parts)?;
     let caller_headers = CallerHeaders::read(&parts.headers)
         .map_err(|err| request_error(ErrorKind::InvalidRequest, err.to_string()))?;
     if caller_headers.request_id.is_empty() {
