LOST: a request behind an open stream is answered in a planned stop

What callers saw: a whole request that was sent behind a stream, on a connection that the caller was told to keep, got neither a response nor a refusal when SIGTERM came during the stream. Cause: at SIGTERM the connection was set to close after the response in progress, so what had been read behind it was dropped. Now a connection in use is closed once its request has ended and no other one has begun; the response to one behind says Connection: close.

--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -9,6 +9,7 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use crate::edge::Edge;
 use crate::head_limit::head_limit;
@@ -31,6 +32,8 @@
     head_bytes: Cell<usize>,
     /// Counts the head that is not complete.
     partial_head: Cell<Option<InFlightGuard>>,
+    /// Wakes the connection when a request ended.
+    request_ended: Notify,
 }
 
 /// Keeps a request in progress until its response was written.
@@ -46,6 +49,7 @@
             head_began: Cell::new(None),
             head_bytes: Cell::new(0),
             partial_head: Cell::new(None),
+            request_ended: Notify::new(),
             edge,
         })
     }
@@ -58,6 +62,17 @@
         ServingGuard(Rc::clone(self))
     }
 
+    /// Completes once a request has ended while the process stops and no other one has begun.
+    pub async fn idle_in_stop(&self) {
+        loop {
+            self.request_ended.notified().await;
+            let is_idle = !self.serving.get() && self.head_began.get().is_none();
+            if is_idle && self.edge.stopping.get() {
+                return;
+            }
+        }
+    }
+
     /// Reports whether a request is in progress.
     pub fn is_serving(&self) -> bool {
         self.serving.get()
@@ -108,6 +123,7 @@
     fn drop(&mut self) {
         self.0.serving.set(false);
         self.0.idle_since.set(self.0.edge.now());
+        self.0.request_ended.notify_one();
         if !self.0.edge.stopping.get() {
             let edge = &self.0.edge;
             edge.keep_connections_open(edge.settings.keep_alive_promise().idle_time());
--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -38,7 +38,7 @@
 pub enum Phase {
     /// Connections are kept alive.
     Serving,
-    /// Each connection is closed after its next response; idle ones stay open.
+    /// Each connection is closed after the requests on it; idle ones stay open.
     Stopping,
     /// A head that has arrived in part is refused.
     Aborting,
@@ -145,6 +145,8 @@
                 writable = true;
                 break Ok(());
             }
+            // A request that was sent behind the one that ended has been read by now.
+            () = state.idle_in_stop() => std::pin::Pin::new(&mut served).graceful_shutdown(),
             changed = phase.changed() => {
                 if *phase.borrow() >= Phase::Aborting && state.head_began().is_some() {
                     reason = Some(CloseReason::Stop);
@@ -154,11 +156,7 @@
                 let closing = changed.is_err() || *phase.borrow() == Phase::Closing;
                 if closing {
                     reason = (!state.is_serving()).then_some(CloseReason::Stop);
-                }
-                if closing || state.is_serving() {
                     std::pin::Pin::new(&mut served).graceful_shutdown();
-                }
-                if closing {
                     break (&mut served).await;
                 }
             }
