--- a/crates/carob-edge/src/paths.rs
+++ b/crates/carob-edge/src/paths.rs
@@ -13,7 +13,7 @@
 use crate::edge::Edge;
 use crate::outgoing_request::OutgoingRequest;
 use crate::pool::IncomingResponse;
-use crate::tunnel;
+use crate::tunnel::{self, Refusals};
 
 /// Number of other upstreams whose paths are checked when one is lost.
 const MAX_CHECKS: usize = 3;
@@ -76,10 +76,10 @@
         Err(_) => None,
     };
     let mut tunnel = pin!(tunnel::open(edge, entry));
-    let mut tunnel_failed = false;
+    let mut refusals = None;
     loop {
-        if let (Some(failure), true) = (failure, tunnel_failed) {
-            record_unreachable(edge, &entry.name, failure);
+        if let (Some(failure), Some(refusals)) = (failure, refusals) {
+            record_unreachable(edge, &entry.name, failure, refusals);
             return Err(failure);
         }
         tokio::select! {
@@ -91,12 +91,12 @@
                 }
                 Err(err) => failure = Some(err),
             },
-            opened = &mut tunnel, if !tunnel_failed => match opened {
-                Some(tunnel) => {
+            opened = &mut tunnel, if refusals.is_none() => match opened {
+                Ok(tunnel) => {
                     record_indirect(edge, &entry.name, failure, &tunnel);
                     return Ok(FreshConnection::Tunnel(tunnel));
                 }
-                None => tunnel_failed = true,
+                Err(refused) => refusals = Some(refused),
             },
         }
     }
@@ -141,12 +141,17 @@
     checked.iter().for_each(|name| check(edge, name));
 }
 
-fn record_unreachable(edge: &Edge, name: &UpstreamName, failure: ConnectFailure) {
+fn record_unreachable(
+    edge: &Edge,
+    name: &UpstreamName,
+    failure: ConnectFailure,
+    refusals: Refusals,
+) {
     let refused = failure == ConnectFailure::Refused;
     let change = edge.paths.table.borrow_mut().record_unreachable(name, refused, edge.now());
     if let Some(PathChange::Unreachable(pause)) = change {
         edge.metrics.record_path_change("unreachable");
-        log::info!(target: "paths", upstream:% = name, direct = failure.as_str(), pause = pause.as_millis() as u64; "No vm reached an upstream; it takes no requests for a while.");
+        log::info!(target: "paths", upstream:% = name, direct = failure.as_str(), pause = pause.as_millis() as u64, unreachable = refusals.unreachable, declined = refusals.declined, late = refusals.late; "No vm reached an upstream; it takes no requests for a while.");
     }
 }
 
@@ -226,8 +231,8 @@
         return;
     }
     match tunnel::open(edge, entry).await {
-        Some(tunnel) => record_indirect(edge, &entry.name, Some(failure), &tunnel),
-        None => record_unreachable(edge, &entry.name, failure),
+        Ok(tunnel) => record_indirect(edge, &entry.name, Some(failure), &tunnel),
+        Err(refusals) => record_unreachable(edge, &entry.name, failure, refusals),
     }
 }
 
--- a/crates/carob-edge/src/tunnel.rs
+++ b/crates/carob-edge/src/tunnel.rs
@@ -18,7 +18,7 @@
 use rand::Rng;
 use tokio::net::TcpStream;
 
-use crate::connect::{Tunnel, connect};
+use crate::connect::{ConnectFailure, Tunnel, connect};
 use crate::edge::Edge;
 use crate::view::PeerVm;
 
@@ -37,20 +37,61 @@
 const MAX_UNREACHABLE: usize = 3;
 
 /// Why a vm opened no tunnel.
+#[derive(Clone, Copy)]
 enum Refusal {
     /// It did not reach the upstream.
     Unreachable,
-    /// It carries no connection to the upstream now, or did not answer.
+    /// It carries no connection to the upstream now.
     Declined,
+    /// It did not answer in time.
+    Late,
+}
+
+impl Refusal {
+    fn as_str(self) -> &'static str {
+        match self {
+            Refusal::Unreachable => "unreachable",
+            Refusal::Declined => "declined",
+            Refusal::Late => "late",
+        }
+    }
+}
+
+/// How many of the vms that were asked refused, and why.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Refusals {
+    /// Vms that did not reach the upstream.
+    pub unreachable: usize,
+    /// Vms that carry no connection to the upstream now.
+    pub declined: usize,
+    /// Vms that did not answer in time.
+    pub late: usize,
+}
+
+impl Refusals {
+    fn record(&mut self, refusal: Refusal) {
+        match refusal {
+            Refusal::Unreachable => self.unreachable += 1,
+            Refusal::Declined => self.declined += 1,
+            Refusal::Late => self.late += 1,
+        }
+    }
 }
 
 /// Opens a tunnel to an upstream. Vms are asked one after the other, the next one also when an answer
-/// is late. Returns `None` when no vm reaches the upstream.
-pub async fn open(edge: &Rc<Edge>, entry: &UpstreamEntry) -> Option<Tunnel> {
+/// is late.
+///
+/// # Errors
+///
+/// Returns the refusals when no vm that was asked opened one.
+pub async fn open(edge: &Rc<Edge>, entry: &UpstreamEntry) -> Result<Tunnel, Refusals> {
     let mut vms = vms_to_ask(edge).into_iter();
     let mut asked = FuturesUnordered::new();
-    let mut unreachable = 0;
-    asked.push(ask(edge, vms.next()?, entry));
+    let mut refusals = Refusals::default();
+    let Some(first) = vms.next() else {
+        return Err(refusals);
+    };
+    asked.push(ask(edge, first, entry));
     loop {
         let next_vm = tokio::time::sleep(NEXT_VM_DELAY);
         tokio::select! {
@@ -58,26 +99,22 @@
             Some((vm, answer)) = asked.next() => match answer {
                 Ok(stream) => {
                     edge.metrics.record_tunnel("opened");
-                    return Some(Tunnel::new(Rc::clone(&edge.paths.vms), vm, stream));
-                }
-                Err(Refusal::Unreachable) => {
-                    edge.metrics.record_tunnel("unreachable");
-                    edge.paths.vms.borrow_mut().record_declined(&vm, edge.now());
-                    unreachable += 1;
+                    return Ok(Tunnel::new(Rc::clone(&edge.paths.vms), vm, stream));
                 }
-                Err(Refusal::Declined) => {
-                    edge.metrics.record_tunnel("declined");
+                Err(refusal) => {
+                    edge.metrics.record_tunnel(refusal.as_str());
                     edge.paths.vms.borrow_mut().record_declined(&vm, edge.now());
+                    refusals.record(refusal);
                 }
             },
             () = next_vm, if vms.len() > 0 => {}
         }
-        if unreachable >= MAX_UNREACHABLE {
-            return None;
+        if refusals.unreachable >= MAX_UNREACHABLE {
+            return Err(refusals);
         }
         match vms.next() {
             Some(vm) => asked.push(ask(edge, vm, entry)),
-            None if asked.is_empty() => return None,
+            None if asked.is_empty() => return Err(refusals),
             None => {}
         }
     }
@@ -104,13 +141,16 @@
         return (vm, Err(Refusal::Declined));
     };
     let answer = tokio::time::timeout(ANSWER_TIMEOUT, open_through(&peer, entry)).await;
-    (vm, answer.unwrap_or(Err(Refusal::Declined)))
+    (vm, answer.unwrap_or(Err(Refusal::Late)))
 }
 
 /// Asks one vm to connect to an upstream.
 async fn open_through(peer: &PeerVm, entry: &UpstreamEntry) -> Result<TcpStream, Refusal> {
     let request = connect_request(peer, entry).ok_or(Refusal::Declined)?;
-    let stream = connect(peer.address, ANSWER_TIMEOUT).await.map_err(|_| Refusal::Declined)?;
+    let stream = connect(peer.address, ANSWER_TIMEOUT).await.map_err(|failure| match failure {
+        ConnectFailure::Refused => Refusal::Declined,
+        ConnectFailure::NoAnswer => Refusal::Late,
+    })?;
     let handshake = http1::handshake(TokioIo::new(stream)).await;
     let (mut sender, connection) = handshake.map_err(|_| Refusal::Declined)?;
     tokio::task::spawn_local(connection.with_upgrades());
