--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -9,8 +9,10 @@
 
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
+use tokio::sync::Notify;
 
 use crate::edge::Edge;
+use crate::head_limit::head_limit;
 use crate::in_flight::InFlightGuard;
 
 /// Bytes of an empty line. Before a request they are ignored.
@@ -26,8 +28,12 @@
     write_blocked: Cell<bool>,
     /// Time of the first byte of a head that is not complete.
     head_began: Cell<Option<Duration>>,
+    /// Bytes of the head that is not complete.
+    head_bytes: Cell<usize>,
     /// Counts the head that is not complete.
     partial_head: Cell<Option<InFlightGuard>>,
+    /// Wakes the connection when a request ended.
+    request_ended: Notify,
 }
 
 /// Keeps a request in progress until its response was written.
@@ -41,7 +47,9 @@
             idle_since: Cell::new(edge.now()),
             write_blocked: Cell::new(false),
             head_began: Cell::new(None),
+            head_bytes: Cell::new(0),
             partial_head: Cell::new(None),
+            request_ended: Notify::new(),
             edge,
         })
     }
@@ -54,6 +62,17 @@
         ServingGuard(Rc::clone(self))
     }
 
+    /// Completes once a request has ended while the process stops and no other one has begun.
+    pub async fn idle_in_stop(&self) {
+        loop {
+            self.request_ended.notified().await;
+            let is_idle = !self.serving.get() && self.head_began.get().is_none();
+            if is_idle && self.edge.stopping.get() {
+                return;
+            }
+        }
+    }
+
     /// Reports whether a request is in progress.
     pub fn is_serving(&self) -> bool {
         self.serving.get()
@@ -64,6 +83,11 @@
         self.head_began.get()
     }
 
+    /// Reports whether the part of a head that has arrived is longer than the configuration allows.
+    pub fn is_head_too_long(&self) -> bool {
+        self.head_began.get().is_some() && self.head_bytes.get() >= head_limit(&self.edge)
+    }
+
     /// Returns the time for which the connection may go on to wait for a request.
     pub fn remaining_wait(&self) -> Duration {
         let now = self.edge.now();
@@ -81,11 +105,17 @@
         self.idle_since.set(self.edge.now());
     }
 
-    fn record_read(&self) {
-        if !self.serving.get() && self.head_began.get().is_none() {
+    /// Records that `count` bytes were read.
+    fn record_read(&self, count: usize) {
+        if self.serving.get() {
+            return;
+        }
+        if self.head_began.get().is_none() {
             self.head_began.set(Some(self.edge.now()));
+            self.head_bytes.set(0);
             self.partial_head.set(Some(self.edge.partial_heads.increment()));
         }
+        self.head_bytes.set(self.head_bytes.get().saturating_add(count));
     }
 }
 
@@ -93,6 +123,7 @@
     fn drop(&mut self) {
         self.0.serving.set(false);
         self.0.idle_since.set(self.0.edge.now());
+        self.0.request_ended.notify_one();
         if !self.0.edge.stopping.get() {
             let edge = &self.0.edge;
             edge.keep_connections_open(edge.settings.keep_alive_promise().idle_time());
@@ -127,8 +158,9 @@
     ) -> Poll<io::Result<()>> {
         let filled = buf.filled().len();
         let polled = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if buf.filled()[filled..].iter().any(|byte| !LINE_END.contains(byte)) {
-            self.state.record_read();
+        let read = &buf.filled()[filled..];
+        if read.iter().any(|byte| !LINE_END.contains(byte)) {
+            self.state.record_read(read.len());
         }
         polled
     }
