LOST: a line tells with which numbers a stopping process decided on a request

The hypotheses on streams that are broken off could not be told apart: no line named the likely output, the rate and the time left with which a stream was taken in a stop. The line is written for each request that is about to be sent in a stop, a few tens in one.

--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -122,10 +122,15 @@
         self.caller_headers.token_usage.map_or(0, |(prompt, _)| prompt.0)
     }
 
+    /// Returns the maximum number of output tokens; 0 when the request has no token usage.
+    pub fn max_output(&self) -> u64 {
+        self.caller_headers.token_usage.map_or(0, |(_, output)| output.0)
+    }
+
     /// Returns the expected number of output tokens: the length hint, limited by the maximum
     /// output.
     pub fn expected_output(&self) -> u64 {
-        let max_output = self.caller_headers.token_usage.map_or(0, |(_, output)| output.0);
+        let max_output = self.max_output();
         self.caller_headers.output_hint.map_or(max_output, |hint| hint.0.min(max_output))
     }
 
--- a/crates/carob-edge/src/stop_admission.rs
+++ b/crates/carob-edge/src/stop_admission.rs
@@ -49,10 +49,16 @@
         return Ok(());
     };
     let work = expected_work(edge, request, estimate, token_rate);
-    match admission.admits(&work, request.deadline, edge.now()) {
-        true => Ok(()),
-        false => Err(draining_error(edge)),
-    }
+    let admitted = admission.admits(&work, request.deadline, edge.now());
+    log_decision(edge, request, &work, admitted);
+    if admitted { Ok(()) } else { Err(draining_error(edge)) }
+}
+
+fn log_decision(edge: &Edge, request: &CallerRequest, work: &RequestWork, admitted: bool) {
+    let now = edge.now();
+    let end = edge.drain_deadline.get().unwrap_or_default();
+    let rate = work.token_rate.map_or(0, |rate| rate.round() as u64);
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), admitted = admitted, rerouted = now >= edge.rerouted_at.get(), end = end.saturating_sub(now).as_millis() as u64, left = request.remaining_time(now).as_millis() as u64, first = work.first_byte.as_millis() as u64, expected = work.expected_tokens, likely = work.likely_tokens, most = request.max_output(), rate = rate; "A stopping process decided on a request.");
 }
 
 /// Checks a request that has to wait until an upstream can take it.
@@ -84,8 +90,7 @@
     let received = request.caller_headers.last_event.unwrap_or(0) as f64;
     let received = (received * pace.tokens_per_event(service).unwrap_or_default()) as u64;
     let expected = request.expected_output();
-    let max = request.caller_headers.token_usage.map_or(0, |(_, output)| output.0);
-    let likely = pace.likely_tokens(service, expected, max);
+    let likely = pace.likely_tokens(service, expected, request.max_output());
     RequestWork {
         first_byte: estimate,
         expected_tokens: expected.saturating_sub(received),
