--- a/crates/carob-edge/src/stop_admission.rs
+++ b/crates/carob-edge/src/stop_admission.rs
@@ -1,4 +1,4 @@
-//! Refuses requests that are not expected to end before the process does.
+//! Refuses requests that may not end before the process does.
 
 use std::time::Duration;
 
@@ -38,7 +38,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the process stops before the request is expected to end.
+/// Returns an error when the process may stop before the request ends.
 pub fn check(
     edge: &Edge,
     request: &CallerRequest,
@@ -57,8 +57,11 @@
 fn log_decision(edge: &Edge, request: &CallerRequest, work: &RequestWork, admitted: bool) {
     let now = edge.now();
     let end = edge.drain_deadline.get().unwrap_or_default();
-    let rate = work.token_rate.map_or(0, |rate| rate.round() as u64);
-    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), admitted = admitted, rerouted = now >= edge.rerouted_at.get(), end = end.saturating_sub(now).as_millis() as u64, left = request.remaining_time(now).as_millis() as u64, first = work.first_byte.as_millis() as u64, expected = work.expected_tokens, likely = work.likely_tokens, most = request.max_output(), rate = rate; "A stopping process decided on a request.");
+    let (first, tokens, rate) = match *work {
+        RequestWork::Plain { time } => (time, 0, None),
+        RequestWork::Stream { first_byte, tokens, token_rate } => (first_byte, tokens, token_rate),
+    };
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), admitted = admitted, rerouted = now >= edge.rerouted_at.get(), end = end.saturating_sub(now).as_millis() as u64, left = request.remaining_time(now).as_millis() as u64, first = first.as_millis() as u64, expected = tokens, most = request.max_output(), rate = rate.unwrap_or(0.0).round() as u64; "A stopping process decided on a request.");
 }
 
 /// Checks a request that has to wait until an upstream can take it.
@@ -83,18 +86,12 @@
 ) -> RequestWork {
     if !request.route.kind.is_stream() {
         let longest = edge.response_times.borrow().longest(&request.service, edge.now());
-        let first_byte = estimate.max(longest.unwrap_or(request.route.latency_goal));
-        return RequestWork { first_byte, ..RequestWork::default() };
+        let time = estimate.max(longest.unwrap_or(request.route.latency_goal));
+        return RequestWork::Plain { time };
     }
-    let (pace, service) = (edge.token_pace.borrow(), request.service.as_str());
+    let event_tokens = edge.token_pace.borrow().tokens_per_event(&request.service);
     let received = request.caller_headers.last_event.unwrap_or(0) as f64;
-    let received = (received * pace.tokens_per_event(service).unwrap_or_default()) as u64;
-    let expected = request.expected_output();
-    let likely = pace.likely_tokens(service, expected, request.max_output());
-    RequestWork {
-        first_byte: estimate,
-        expected_tokens: expected.saturating_sub(received),
-        likely_tokens: likely.saturating_sub(received),
-        token_rate,
-    }
+    let received = (received * event_tokens.unwrap_or_default()) as u64;
+    let tokens = request.expected_output().saturating_sub(received);
+    RequestWork::Stream { first_byte: estimate, tokens, token_rate }
 }
--- a/src/request/stop_admission.rs
+++ b/src/request/stop_admission.rs
@@ -1,12 +1,12 @@
-//! Admission of requests while the process stops, by when they are expected to end.
+//! Admission of requests while the process stops, by when they end.
 
 use std::time::Duration;
 
 /// Settings of [`StopAdmission`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StopAdmissionSettings {
-    /// Multiple of the likely time of a request that has to be left once refused callers reach
-    /// another vm.
+    /// Multiple of the expected time of a plain request that has to be left once refused callers
+    /// reach another vm.
     pub time_factor: f64,
     /// Output tokens of one stream where none tells, in tokens a second.
     pub token_rate: f64,
@@ -19,23 +19,33 @@
 }
 
 /// The work of a request that is about to be sent to an upstream.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-pub struct RequestWork {
-    /// Expected time to the first byte.
-    pub first_byte: Duration,
-    /// Output tokens that are expected.
-    pub expected_tokens: u64,
-    /// Output tokens that most such requests do not exceed.
-    pub likely_tokens: u64,
-    /// Output tokens that each stream of the upstream gets, in tokens a second, if known.
-    pub token_rate: Option<f64>,
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RequestWork {
+    /// A request whose response is forwarded once it is whole.
+    Plain {
+        /// Expected time to the response.
+        time: Duration,
+    },
+    /// A request whose response is forwarded while it is generated.
+    Stream {
+        /// Expected time to the first byte.
+        first_byte: Duration,
+        /// Output tokens that are expected.
+        tokens: u64,
+        /// Output tokens that each stream of the upstream gets, in tokens a second, if known.
+        token_rate: Option<f64>,
+    },
 }
 
 /// Admission of requests by a process that has to end.
 ///
 /// A refused caller loses little once the load balancer sends it to another vm. Until then it loses
 /// the wait, or comes back here and is refused again. So a request is refused earlier only if it is
-/// expected to be broken off, and later unless it is likely to end.
+/// expected to be broken off.
+///
+/// Later, a stream is taken only if its caller gives up before the process ends. Neither its length
+/// nor its pace has another bound, and a stream that has begun can only be broken off. A plain request
+/// always gets a response, if only the error that it may have run; its expected time is enough.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct StopAdmission {
     end: Duration,
@@ -60,17 +70,33 @@
     /// Reports whether a request may be sent at `now`: it ends before the process does, or its caller
     /// gives up before.
     pub fn admits(&self, work: &RequestWork, deadline: Duration, now: Duration) -> bool {
-        deadline <= self.end || now + self.needed_time(work, now) <= self.end
+        if deadline <= self.end {
+            return true;
+        }
+        let time = self.expected_time(work);
+        if now < self.rerouted_at {
+            return now.saturating_add(time) <= self.end;
+        }
+        match work {
+            RequestWork::Plain { .. } => {
+                let seconds = time.as_secs_f64() * self.settings.time_factor;
+                now.saturating_add(bounded_time(seconds)) <= self.end
+            }
+            RequestWork::Stream { .. } => false,
+        }
     }
 
-    /// Returns the time that has to be left for a request.
-    fn needed_time(&self, work: &RequestWork, now: Duration) -> Duration {
-        let (tokens, factor) = match now < self.rerouted_at {
-            true => (work.expected_tokens, 1.0),
-            false => (work.likely_tokens, self.settings.time_factor),
-        };
-        let rate = work.token_rate.unwrap_or(self.settings.token_rate).max(1.0);
-        let seconds = work.first_byte.as_secs_f64() + tokens as f64 / rate;
-        Duration::try_from_secs_f64(seconds * factor).unwrap_or(Duration::MAX / 2)
+    fn expected_time(&self, work: &RequestWork) -> Duration {
+        match *work {
+            RequestWork::Plain { time } => time,
+            RequestWork::Stream { first_byte, tokens, token_rate } => {
+                let rate = token_rate.unwrap_or(self.settings.token_rate).max(1.0);
+                bounded_time(first_byte.as_secs_f64() + tokens as f64 / rate)
+            }
+        }
     }
 }
+
+fn bounded_time(seconds: f64) -> Duration {
+    Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX)
+}
