LOST: the margins of a stop fit a short grace

What callers saw: with a grace of half a second open requests were cut without a response as soon as the process was told to stop; with one of a second they were given up after 0.33 s, with one of two seconds after 1.1 s. Streams were cut at 1.5 s of 2 s, before the last sixth of the grace.

Cause: the margins of 500 ms before SIGKILL and of 400 ms before that were fixed.

Change: the margins are at most an eighth and a tenth of the grace, the interval of the checks at most a fiftieth. From a grace of 4 s on all three are as before (500, 400, 50 ms).

--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -17,11 +17,9 @@
 use crate::listener::{self, Phase};
 use crate::metrics::{Metrics, ProcessState};
 use crate::settings::Settings;
-use crate::stop_admission::{ABORT_MARGIN, readiness_delay};
+use crate::stop_admission::readiness_delay;
 use crate::{follow, group, orders, origin_log, origins, paths, peers, quarantine, tunnel_server};
 
-/// Interval at which a shutdown checks for open requests and connections.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const STATE_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Runs the process until SIGTERM or SIGINT; returns whether every request was finished.
@@ -182,6 +180,7 @@
     edge.stopping.set(true);
     edge.stop_counts.reset();
     let end = started + edge.settings.stop_time();
+    let (abort_margin, interval) = (edge.settings.abort_margin(), edge.settings.stop_interval());
     let rerouted_at = started + readiness_delay(edge.settings.grace());
     edge.rerouted_at.set(rerouted_at);
     edge.drain_deadline.set(Some(end));
@@ -192,17 +191,17 @@
     // Requests that wait for a model look for another vm.
     edge.capacity_changed.notify_waiters();
     while has_callers(edge) && edge.now() < end {
-        if edge.now() + ABORT_MARGIN >= end && !edge.aborting.replace(true) {
+        if edge.now() + abort_margin >= end && !edge.aborting.replace(true) {
             edge.shutdown_changed.notify_waiters();
             phase.send_replace(Phase::Aborting);
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
     // Connections in the backlog were not read, so their callers can retry at another vm.
     accepting.abort();
     phase.send_replace(Phase::Closing);
     while edge.open_connections.get() > 0 && edge.now() < end {
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
     edge.active_requests.get() == 0
 }
--- a/crates/carob-edge/src/settings.rs
+++ b/crates/carob-edge/src/settings.rs
@@ -8,8 +8,16 @@
 use eyre::{Result, WrapErr, bail};
 use serde::{Deserialize, Serialize};
 
-/// Margin between the end of all requests in a stop and the end of the grace period.
-const GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Longest time from the end of all requests in a stop to the end of the grace period.
+const MAX_GRACE_MARGIN: Duration = Duration::from_millis(500);
+/// Longest time from the moment when open requests get an error response to the end of all requests.
+const MAX_ABORT_MARGIN: Duration = Duration::from_millis(400);
+/// Longest interval at which a stop checks for open requests and connections.
+const MAX_STOP_INTERVAL: Duration = Duration::from_millis(50);
+/// Parts of a short grace period that are used as these times.
+const GRACE_MARGIN_PART: u32 = 8;
+const ABORT_MARGIN_PART: u32 = 10;
+const STOP_INTERVAL_PART: u32 = 50;
 
 /// Addresses that the process listens on.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -213,7 +221,19 @@
 
     /// Returns the time from SIGTERM until all requests have to end.
     pub fn stop_time(&self) -> Duration {
-        self.grace().saturating_sub(GRACE_MARGIN)
+        let grace = self.grace();
+        grace.saturating_sub(MAX_GRACE_MARGIN.min(grace / GRACE_MARGIN_PART))
+    }
+
+    /// Returns the time before the end of all requests in a stop when those without a response get an
+    /// error response.
+    pub fn abort_margin(&self) -> Duration {
+        MAX_ABORT_MARGIN.min(self.grace() / ABORT_MARGIN_PART)
+    }
+
+    /// Returns the interval at which a stop checks for open requests and connections.
+    pub fn stop_interval(&self) -> Duration {
+        MAX_STOP_INTERVAL.min(self.grace() / STOP_INTERVAL_PART)
     }
 
     /// Returns how long callers may use idle connections again.
--- a/crates/carob-edge/src/stop_admission.rs
+++ b/crates/carob-edge/src/stop_admission.rs
@@ -12,9 +12,6 @@
 /// Time until the load balancer stops sending new callers to a vm that is no longer ready.
 const READINESS_DELAY: Duration = Duration::from_millis(2600);
 
-/// Time before the drain deadline when requests without a response get an error response.
-pub const ABORT_MARGIN: Duration = Duration::from_millis(400);
-
 /// Returns the time from SIGTERM until the load balancer sends new callers elsewhere.
 pub fn readiness_delay(grace: Duration) -> Duration {
     READINESS_DELAY.min(grace / 3)
@@ -28,7 +25,10 @@
 }
 
 fn admission(edge: &Edge, request: &CallerRequest) -> Option<StopAdmission> {
-    let margin = if request.route.kind.is_stream() { Duration::ZERO } else { ABORT_MARGIN };
+    let margin = match request.route.kind.is_stream() {
+        true => Duration::ZERO,
+        false => edge.settings.abort_margin(),
+    };
     let end = edge.drain_deadline.get()?.saturating_sub(margin);
     Some(StopAdmission::new(end, edge.rerouted_at.get(), StopAdmissionSettings::default()))
 }
