LOST: open requests get an error response though the process was suspended at that moment

What callers saw: a process that was suspended in its stop, from before the moment at which it gives open requests up until after the end of all requests, closed their connections without a response as soon as it went on.

Cause: the loop that gives them up ended before it looked.

Evidence: stops::a_pending_request_gets_an_error_after_a_suspension (SIGTERM with a grace of 4 s, suspended from 2.5 to 3.7 s). Before: "closed without a response: upstream_failed: client error (SendRequest): connection closed before message completed".

Change: requests are given up after that loop too, if it is time, and there is one interval of the checks (50 ms) to write the responses.

--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -191,21 +191,34 @@
     // Requests that wait for a model look for another vm.
     edge.capacity_changed.notify_waiters();
     while has_callers(edge) && edge.now() < end {
-        if edge.now() + abort_margin >= end && !edge.aborting.replace(true) {
-            edge.shutdown_changed.notify_waiters();
-            phase.send_replace(Phase::Aborting);
+        if edge.now() + abort_margin >= end {
+            abort_requests(edge, phase);
         }
         tokio::time::sleep(interval).await;
     }
     // Connections in the backlog were not read, so their callers can retry at another vm.
     accepting.abort();
+    if edge.now() + abort_margin >= end {
+        // The process may have been suspended until now.
+        abort_requests(edge, phase);
+    }
     phase.send_replace(Phase::Closing);
+    // Responses that were aborted just now are still to be written.
+    let end = end.max(edge.now() + interval);
     while edge.open_connections.get() > 0 && edge.now() < end {
         tokio::time::sleep(interval).await;
     }
     edge.active_requests.get() == 0
 }
 
+/// Ends requests without a response with an error response, and heads that have arrived in part.
+fn abort_requests(edge: &Edge, phase: &watch::Sender<Phase>) {
+    if !edge.aborting.replace(true) {
+        edge.shutdown_changed.notify_waiters();
+        phase.send_replace(Phase::Aborting);
+    }
+}
+
 /// Reports whether a request is in progress or arriving, here or on a connection that is carried for
 /// another vm, or a caller may use its idle connection.
 fn has_callers(edge: &Edge) -> bool {
