LOST: a stop with a short grace does not wait for the log

What callers saw: with a grace of a second, a process that is stopped while the log does not answer closed the connections of open requests without a response.

Cause: the shutdown waited for the call that leaves the duty group (0.9 s, after up to 0.7 s for orders in flight) before it looked at open requests.

Evidence: stops::a_stop_does_not_wait_for_the_log. Before: "closed without a response: upstream_failed: client error (SendRequest): connection closed before message completed".

Change: leaving the group ends at the moment from which callers are sent elsewhere (a third of the grace, 2.6 s at most). With a grace of 8 s the wait was shorter than that already.

--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -186,7 +186,7 @@
     edge.drain_deadline.set(Some(end));
     phase.send_replace(Phase::Stopping);
     edge.update_ready();
-    group::leave(edge).await;
+    leave_group(edge, rerouted_at).await;
     tokio::time::sleep(rerouted_at.saturating_sub(edge.now())).await;
     // Requests that wait for a model look for another vm.
     edge.capacity_changed.notify_waiters();
@@ -211,6 +211,14 @@
     edge.active_requests.get() == 0
 }
 
+/// Leaves the duty group, at most until `until`: a stop does not wait for the log.
+async fn leave_group(edge: &Rc<Edge>, until: Duration) {
+    let time = until.saturating_sub(edge.now());
+    if tokio::time::timeout(time, group::leave(edge)).await.is_err() {
+        log::warn!(target: "duty", limit = time.as_millis() as u64; "Leaving the duty group took too long; the duties expire on their own.");
+    }
+}
+
 /// Ends requests without a response with an error response, and heads that have arrived in part.
 fn abort_requests(edge: &Edge, phase: &watch::Sender<Phase>) {
     if !edge.aborting.replace(true) {
