LOST: a stopping process refuses late streams before it waits for anything

What callers saw: late in a stop a resumption was refused after 0.7 s, in which the process asked the other vms and the log for its version, and with the wait of a stream that cannot go on; other streams took turns and rooms at limited upstreams before they were refused.

Cause: since it is known on arrival that a late stream is not taken, but the check stood behind the choice of an upstream only.

Evidence: stops::a_late_stream_is_refused_before_a_wait (the log does not answer). Before: "refused after 706.768368ms".

Change: a stream is checked on arrival too. The line with the numbers of the decision is not written for these, since there are none; the line of the refusal is.

--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -16,7 +16,7 @@
 use crate::relay::relay_stream;
 use crate::request::{CallerRequest, charge, discard_body, read_request, refund};
 use crate::response::{ResponseBody, error_response, forwarded_response};
-use crate::stop_admission::draining_error;
+use crate::stop_admission::{self, draining_error};
 
 /// Serves a request and returns the response, or an error response when it is refused.
 pub async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<ResponseBody> {
@@ -115,6 +115,7 @@
     request: &CallerRequest,
     attempts: &Attempts<'_>,
 ) -> Result<AttemptResponse> {
+    stop_admission::check_arrival(edge, request)?;
     origins::bind(edge, request).await?;
     attempts.first_response(None).await
 }
--- a/crates/carob-edge/src/stop_admission.rs
+++ b/crates/carob-edge/src/stop_admission.rs
@@ -64,6 +64,19 @@
     log::info!(target: "request", id = request.caller_headers.request_id.as_str(), admitted = admitted, rerouted = now >= edge.rerouted_at.get(), end = end.saturating_sub(now).as_millis() as u64, left = request.remaining_time(now).as_millis() as u64, first = first.as_millis() as u64, expected = tokens, most = request.max_output(), rate = rate.unwrap_or(0.0).round() as u64; "A stopping process decided on a request.");
 }
 
+/// Checks a request before anything is asked or waited for: a stream that is not taken whatever its
+/// upstream is, is refused at once.
+///
+/// # Errors
+///
+/// Returns an error when the process may stop before the stream ends.
+pub fn check_arrival(edge: &Edge, request: &CallerRequest) -> Result<()> {
+    match request.route.kind.is_stream() {
+        true => check_wait(edge, request),
+        false => Ok(()),
+    }
+}
+
 /// Checks a request that has to wait until an upstream can take it.
 ///
 /// # Errors
