LOST: what arrives while open requests are given up is refused and not sent

What callers saw: in the last 400 ms of a stop a stream with a short deadline was sent to its upstream and given up at once, with 502 (may have run) in place of 503.

Cause: such a request is taken, since its deadline is before the end, and the select that gives requests up polls its branches in a random order.

Evidence: stops::what_arrives_at_the_end_of_a_stop_does_not_run (12 streams with 240 ms left). Before: ten 502 with `"run":"unknown"`, two 503.

Change: the check on arrival refuses them.

--- a/crates/carob-edge/src/stop_admission.rs
+++ b/crates/carob-edge/src/stop_admission.rs
@@ -65,12 +65,15 @@
 }
 
 /// Checks a request before anything is asked or waited for: a stream that is not taken whatever its
-/// upstream is, is refused at once.
+/// upstream is, is refused at once, and so is what arrives when open requests are given up.
 ///
 /// # Errors
 ///
-/// Returns an error when the process may stop before the stream ends.
+/// Returns an error when the process stops, or may stop, before the request ends.
 pub fn check_arrival(edge: &Edge, request: &CallerRequest) -> Result<()> {
+    if edge.aborting.get() {
+        return Err(draining_error(edge));
+    }
     match request.route.kind.is_stream() {
         true => check_wait(edge, request),
         false => Ok(()),
