LOST: late in a stop a request that may run once only is taken by its deadline

What callers saw: a command that was taken 3 s after SIGTERM by an estimate, at a service whose requests had become slow since, ran and got 502 at the end of the stop. Its caller may not send it again; refused, it would have been served by another vm.

Cause: as for streams: work that was taken by an estimate and given up by a clock. A repeatable request loses only time by it.

Evidence: stops::a_late_command_is_not_given_up_after_it_ran. Before: "left: 502, right: 503". stops::late_requests_that_end_in_time_are_served guards what is still taken (a read by its estimate, a command whose deadline is before the end); it passes before and after.

Change: the check on arrival refuses such a request as it refuses a stream.

--- a/crates/carob-edge/src/stop_admission.rs
+++ b/crates/carob-edge/src/stop_admission.rs
@@ -64,8 +64,9 @@
     log::info!(target: "request", id = request.caller_headers.request_id.as_str(), admitted = admitted, rerouted = now >= edge.rerouted_at.get(), end = end.saturating_sub(now).as_millis() as u64, left = request.remaining_time(now).as_millis() as u64, first = first.as_millis() as u64, expected = tokens, most = request.max_output(), rate = rate.unwrap_or(0.0).round() as u64; "A stopping process decided on a request.");
 }
 
-/// Checks a request before anything is asked or waited for: a stream that is not taken whatever its
-/// upstream is, is refused at once, and so is what arrives when open requests are given up.
+/// Checks a request before anything is asked or waited for. What arrives when open requests are given
+/// up is refused, and so is, once refused callers reach another vm, what may be broken off and cannot
+/// be sent again: a stream, or a request that may run once only.
 ///
 /// # Errors
 ///
@@ -74,7 +75,8 @@
     if edge.aborting.get() {
         return Err(draining_error(edge));
     }
-    match request.route.kind.is_stream() {
+    let kind = request.route.kind;
+    match kind.is_stream() || !kind.is_repeatable() {
         true => check_wait(edge, request),
         false => Ok(()),
     }
