--- a/crates/carob-entry/src/caller_api.rs
+++ b/crates/carob-entry/src/caller_api.rs
@@ -1,6 +1,7 @@
 //! Handles the requests of callers: authentication, routing and error responses.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use carob_net::{Reply, Request};
 use carobglade::{
@@ -28,8 +29,31 @@
 ) -> Reply {
     let started = shared.now();
     let id = request_id(request.headers());
-    let outcome = match shared.lifecycle.begin_request() {
-        Ok(guard) if headers_within_limit(&shared, request.headers()) => {
+    let outcome = tokio::select! {
+        biased;
+        outcome = admit(&shared, &runtime, &mut request, &id, started) => outcome,
+        () = shared.lifecycle.aborted() => {
+            Err(Error::new(ErrorKind::UpstreamFailed, "the process stops before the request ends"))
+        }
+    };
+    let reply = outcome.unwrap_or_else(|err| {
+        shared.metrics.count_refusal(err.kind());
+        log::info!("front: request {id} refused: {err}");
+        error_reply(&err)
+    });
+    reply.with_header(REQUEST_ID_HEADER, &id)
+}
+
+/// Reads a request and runs it, unless the process refuses it.
+async fn admit(
+    shared: &Arc<SharedState>,
+    runtime: &tokio::runtime::Handle,
+    request: &mut Request,
+    id: &str,
+    started: Duration,
+) -> Result<Reply> {
+    match shared.lifecycle.begin_request() {
+        Ok(guard) if headers_within_limit(shared, request.headers()) => {
             let limits =
                 (shared.settings.limits.body_bytes, millis(shared.settings.times.body_timeout));
             match request.read_body(limits.0, limits.1).await {
@@ -40,10 +64,10 @@
                         query: request.query().to_owned(),
                         headers: request.headers().clone(),
                         body,
-                        id: id.clone(),
+                        id: id.to_owned(),
                         started,
                     };
-                    run_detached(&shared, &runtime, incoming, guard).await
+                    run_detached(shared, runtime, incoming, guard).await
                 }
                 Err(err) => Err(err),
             }
@@ -54,13 +78,7 @@
             Err(Error::new(ErrorKind::HeadersTooLarge, message))
         }
         Err(err) => Err(err),
-    };
-    let reply = outcome.unwrap_or_else(|err| {
-        shared.metrics.count_refusal(err.kind());
-        log::info!("front: request {id} refused: {err}");
-        error_reply(&err)
-    });
-    reply.with_header(REQUEST_ID_HEADER, &id)
+    }
 }
 
 fn headers_within_limit(shared: &SharedState, headers: &HeaderMap) -> bool {
--- a/crates/carob-entry/src/drain.rs
+++ b/crates/carob-entry/src/drain.rs
@@ -51,6 +51,7 @@
         }
         if shared.now() >= until {
             log::warn!("drain: timeout with {running} requests still in flight");
+            shared.lifecycle.abort_requests();
             return false;
         }
         tokio::time::sleep(POLL_INTERVAL).await;
--- a/crates/carob-entry/src/state/lifecycle.rs
+++ b/crates/carob-entry/src/state/lifecycle.rs
@@ -6,6 +6,7 @@
 
 use carob_net::lock;
 use carobglade::{Error, ErrorKind, Result};
+use tokio::sync::watch;
 
 #[derive(Default)]
 struct Requests {
@@ -19,6 +20,8 @@
     requests: Mutex<Requests>,
     stop_announced: AtomicBool,
     heartbeat_count: AtomicU32,
+    /// Whether the drain is over and open requests are given up.
+    aborting: watch::Sender<bool>,
 }
 
 /// Guard that counts a request as in flight until it is dropped.
@@ -61,6 +64,19 @@
         lock(&self.requests).refusing = true;
     }
 
+    /// Gives up the requests that have no response yet.
+    pub fn abort_requests(&self) {
+        self.aborting.send_replace(true);
+    }
+
+    /// Completes when requests without a response are given up.
+    pub async fn aborted(&self) {
+        let mut aborting = self.aborting.subscribe();
+        if aborting.wait_for(|aborting| *aborting).await.is_err() {
+            std::future::pending().await
+        }
+    }
+
     /// Reports whether new requests are refused.
     pub fn is_draining(&self) -> bool {
         lock(&self.requests).refusing
