--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -17,11 +17,9 @@
 use crate::listener::{self, Phase};
 use crate::metrics::{Metrics, ProcessState};
 use crate::settings::Settings;
-use crate::stop_admission::{ABORT_MARGIN, readiness_delay};
+use crate::stop_admission::readiness_delay;
 use crate::{follow, group, orders, origin_log, origins, paths, peers, quarantine, tunnel_server};
 
-/// Interval at which a shutdown checks for open requests and connections.
-const POLL_INTERVAL: Duration = Duration::from_millis(50);
 const STATE_LOG_INTERVAL: Duration = Duration::from_secs(5);
 
 /// Runs the process until SIGTERM or SIGINT; returns whether every request was finished.
@@ -182,31 +180,53 @@
     edge.stopping.set(true);
     edge.stop_counts.reset();
     let end = started + edge.settings.stop_time();
+    let (abort_margin, interval) = (edge.settings.abort_margin(), edge.settings.stop_interval());
     let rerouted_at = started + readiness_delay(edge.settings.grace());
     edge.rerouted_at.set(rerouted_at);
     edge.drain_deadline.set(Some(end));
     phase.send_replace(Phase::Stopping);
     edge.update_ready();
-    group::leave(edge).await;
+    leave_group(edge, rerouted_at).await;
     tokio::time::sleep(rerouted_at.saturating_sub(edge.now())).await;
     // Requests that wait for a model look for another vm.
     edge.capacity_changed.notify_waiters();
     while has_callers(edge) && edge.now() < end {
-        if edge.now() + ABORT_MARGIN >= end && !edge.aborting.replace(true) {
-            edge.shutdown_changed.notify_waiters();
-            phase.send_replace(Phase::Aborting);
+        if edge.now() + abort_margin >= end {
+            abort_requests(edge, phase);
         }
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
     // Connections in the backlog were not read, so their callers can retry at another vm.
     accepting.abort();
+    if edge.now() + abort_margin >= end {
+        // The process may have been suspended until now.
+        abort_requests(edge, phase);
+    }
     phase.send_replace(Phase::Closing);
+    // Responses that were aborted just now are still to be written.
+    let end = end.max(edge.now() + interval);
     while edge.open_connections.get() > 0 && edge.now() < end {
-        tokio::time::sleep(POLL_INTERVAL).await;
+        tokio::time::sleep(interval).await;
     }
     edge.active_requests.get() == 0
 }
 
+/// Leaves the duty group, at most until `until`: a stop does not wait for the log.
+async fn leave_group(edge: &Rc<Edge>, until: Duration) {
+    let time = until.saturating_sub(edge.now());
+    if tokio::time::timeout(time, group::leave(edge)).await.is_err() {
+        log::warn!(target: "duty", limit = time.as_millis() as u64; "Leaving the duty group took too long; the duties expire on their own.");
+    }
+}
+
+/// Ends requests without a response with an error response, and heads that have arrived in part.
+fn abort_requests(edge: &Edge, phase: &watch::Sender<Phase>) {
+    if !edge.aborting.replace(true) {
+        edge.shutdown_changed.notify_waiters();
+        phase.send_replace(Phase::Aborting);
+    }
+}
+
 /// Reports whether a request is in progress or arriving, here or on a connection that is carried for
 /// another vm, or a caller may use its idle connection.
 fn has_callers(edge: &Edge) -> bool {
--- a/crates/carob-edge/src/stop_admission.rs
+++ b/crates/carob-edge/src/stop_admission.rs
@@ -1,4 +1,4 @@
-//! Refuses requests that are not expected to end before the process does.
+//! Refuses requests that may not end before the process does.
 
 use std::time::Duration;
 
@@ -12,9 +12,6 @@
 /// Time until the load balancer stops sending new callers to a vm that is no longer ready.
 const READINESS_DELAY: Duration = Duration::from_millis(2600);
 
-/// Time before the drain deadline when requests without a response get an error response.
-pub const ABORT_MARGIN: Duration = Duration::from_millis(400);
-
 /// Returns the time from SIGTERM until the load balancer sends new callers elsewhere.
 pub fn readiness_delay(grace: Duration) -> Duration {
     READINESS_DELAY.min(grace / 3)
@@ -28,7 +25,10 @@
 }
 
 fn admission(edge: &Edge, request: &CallerRequest) -> Option<StopAdmission> {
-    let margin = if request.route.kind.is_stream() { Duration::ZERO } else { ABORT_MARGIN };
+    let margin = match request.route.kind.is_stream() {
+        true => Duration::ZERO,
+        false => edge.settings.abort_margin(),
+    };
     let end = edge.drain_deadline.get()?.saturating_sub(margin);
     Some(StopAdmission::new(end, edge.rerouted_at.get(), StopAdmissionSettings::default()))
 }
@@ -38,7 +38,7 @@
 ///
 /// # Errors
 ///
-/// Returns an error when the process stops before the request is expected to end.
+/// Returns an error when the process may stop before the request ends.
 pub fn check(
     edge: &Edge,
     request: &CallerRequest,
@@ -49,9 +49,36 @@
         return Ok(());
     };
     let work = expected_work(edge, request, estimate, token_rate);
-    match admission.admits(&work, request.deadline, edge.now()) {
-        true => Ok(()),
-        false => Err(draining_error(edge)),
+    let admitted = admission.admits(&work, request.deadline, edge.now());
+    log_decision(edge, request, &work, admitted);
+    if admitted { Ok(()) } else { Err(draining_error(edge)) }
+}
+
+fn log_decision(edge: &Edge, request: &CallerRequest, work: &RequestWork, admitted: bool) {
+    let now = edge.now();
+    let end = edge.drain_deadline.get().unwrap_or_default();
+    let (first, tokens, rate) = match *work {
+        RequestWork::Plain { time } => (time, 0, None),
+        RequestWork::Stream { first_byte, tokens, token_rate } => (first_byte, tokens, token_rate),
+    };
+    log::info!(target: "request", id = request.caller_headers.request_id.as_str(), admitted = admitted, rerouted = now >= edge.rerouted_at.get(), end = end.saturating_sub(now).as_millis() as u64, left = request.remaining_time(now).as_millis() as u64, first = first.as_millis() as u64, expected = tokens, most = request.max_output(), rate = rate.unwrap_or(0.0).round() as u64; "A stopping process decided on a request.");
+}
+
+/// Checks a request before anything is asked or waited for. What arrives when open requests are given
+/// up is refused, and so is, once refused callers reach another vm, what may be broken off and cannot
+/// be sent again: a stream, or a request that may run once only.
+///
+/// # Errors
+///
+/// Returns an error when the process stops, or may stop, before the request ends.
+pub fn check_arrival(edge: &Edge, request: &CallerRequest) -> Result<()> {
+    if edge.aborting.get() {
+        return Err(draining_error(edge));
+    }
+    let kind = request.route.kind;
+    match kind.is_stream() || !kind.is_repeatable() {
+        true => check_wait(edge, request),
+        false => Ok(()),
     }
 }
 
@@ -77,19 +104,12 @@
 ) -> RequestWork {
     if !request.route.kind.is_stream() {
         let longest = edge.response_times.borrow().longest(&request.service, edge.now());
-        let first_byte = estimate.max(longest.unwrap_or(request.route.latency_goal));
-        return RequestWork { first_byte, ..RequestWork::default() };
+        let time = estimate.max(longest.unwrap_or(request.route.latency_goal));
+        return RequestWork::Plain { time };
     }
-    let (pace, service) = (edge.token_pace.borrow(), request.service.as_str());
+    let event_tokens = edge.token_pace.borrow().tokens_per_event(&request.service);
     let received = request.caller_headers.last_event.unwrap_or(0) as f64;
-    let received = (received * pace.tokens_per_event(service).unwrap_or_default()) as u64;
-    let expected = request.expected_output();
-    let max = request.caller_headers.token_usage.map_or(0, |(_, output)| output.0);
-    let likely = pace.likely_tokens(service, expected, max);
-    RequestWork {
-        first_byte: estimate,
-        expected_tokens: expected.saturating_sub(received),
-        likely_tokens: likely.saturating_sub(received),
-        token_rate,
-    }
+    let received = (received * event_tokens.unwrap_or_default()) as u64;
+    let tokens = request.expected_output().saturating_sub(received);
+    RequestWork::Stream { first_byte: estimate, tokens, token_rate }
 }
