--- a/crates/carob-edge/src/duty_claims.rs
+++ b/crates/carob-edge/src/duty_claims.rs
@@ -24,11 +24,13 @@
 
 /// A datagram from one vm to another, after its first byte.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct ClaimMessage {
-    vm: VmName,
-    claim: DutyClaim,
+pub struct ClaimMessage {
+    /// The sender.
+    pub vm: VmName,
+    /// The duties of the sender.
+    pub claim: DutyClaim,
     /// Whether the receiver responds with its own claim.
-    is_question: bool,
+    pub is_question: bool,
 }
 
 /// Returns what this vm tells the others of its duties.
@@ -76,7 +78,7 @@
 
 /// Handles a datagram about duties. Only a vm that has joined the group responds to a question.
 pub fn handle_datagram(edge: &Edge, bytes: &[u8], from: SocketAddr) {
-    let message: ClaimMessage = match postcard::from_bytes(bytes) {
+    let message: ClaimMessage = match datagram::decode(bytes) {
         Ok(message) => message,
         Err(err) => {
             log::debug!(target: "duty", from:% = from, error:% = err; "A datagram about duties cannot be decoded.");
--- a/crates/carob-edge/src/follow/mod.rs
+++ b/crates/carob-edge/src/follow/mod.rs
@@ -12,7 +12,8 @@
 use carobglade::{Backoff, LogReading};
 use rand::Rng;
 
-use self::sinks::{ConfigSink, UpstreamSink, VmEntry, VmSink};
+pub use self::sinks::VmEntry;
+use self::sinks::{ConfigSink, UpstreamSink, VmSink};
 use crate::edge::Edge;
 use crate::store::StoreError;
 use crate::view::Topic;
--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -132,8 +132,8 @@
 }
 
 /// The record of a vm in the list of vms.
-#[derive(Serialize, Deserialize)]
-pub(super) struct VmEntry {
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct VmEntry {
     /// The address for messages to the vm.
     pub address: SocketAddr,
     /// The data centre and the processor capacity of the vm.
--- a/crates/carob-edge/src/origin_log.rs
+++ b/crates/carob-edge/src/origin_log.rs
@@ -56,6 +56,24 @@
     }
 }
 
+/// Encodes a record of streams.
+///
+/// # Errors
+///
+/// Returns an error when the streams cannot be encoded.
+pub fn encode_streams(origins: &[StreamOrigin]) -> postcard::Result<Vec<u8>> {
+    postcard::to_allocvec(origins)
+}
+
+/// Decodes a record of streams. What a newer version appends is ignored.
+///
+/// # Errors
+///
+/// Returns an error when the bytes do not begin with a list of streams.
+pub fn decode_streams(record: &[u8]) -> postcard::Result<Vec<StreamOrigin>> {
+    postcard::from_bytes(record)
+}
+
 async fn write_streams(edge: &Edge) -> Result<(), StoreError> {
     let batch: Vec<UnkeptOrigin> = {
         let unkept = edge.origins.unkept.borrow();
@@ -63,7 +81,7 @@
     };
     let now = edge.now();
     let origins: Vec<StreamOrigin> = batch.iter().map(|origin| written(origin, now)).collect();
-    let content = postcard::to_allocvec(&origins).unwrap_or_default();
+    let content = encode_streams(&origins).unwrap_or_default();
     let call = LogRequest::append(STREAM_TOPIC, encode_plain_record(&content));
     edge.store.call(call, CALL_TIMEOUT).await?;
     edge.metrics.record_store_call(STREAM_TOPIC);
@@ -132,7 +150,7 @@
 }
 
 fn apply_streams(edge: &Edge, record: &[u8]) {
-    match postcard::from_bytes::<Vec<StreamOrigin>>(record) {
+    match decode_streams(record) {
         Ok(origins) => {
             let mut streams = edge.origins.streams.borrow_mut();
             let now = edge.now();
--- a/crates/carob-edge/src/origins.rs
+++ b/crates/carob-edge/src/origins.rs
@@ -37,7 +37,7 @@
 
 /// A datagram from one vm to another, after its first byte.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-enum OriginMessage {
+pub enum OriginMessage {
     /// Tells at which versions streams began.
     Tell(Vec<StreamOrigin>),
     /// Asks for a stream; a vm that does not know it does not answer.
@@ -210,7 +210,7 @@
 
 /// Handles a datagram about streams without its first byte.
 pub fn handle_datagram(edge: &Edge, bytes: &[u8], from: SocketAddr) {
-    match postcard::from_bytes(bytes) {
+    match datagram::decode(bytes) {
         Ok(OriginMessage::Tell(origins)) => {
             let mut streams = edge.origins.streams.borrow_mut();
             for origin in &origins {
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -27,20 +27,20 @@
 /// Load of an upstream: name hash, running requests, prompt tokens in the backlog, and tokens in
 /// memory.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct WireLoad(u32, u32, u64, u64);
+pub struct WireLoad(pub u32, pub u32, pub u64, pub u64);
 
 /// Fields that were added to the encoding later. Versions without them ignore the bytes that follow
 /// a message, and send none.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct Extension {
+pub struct Extension {
     /// Progress of the streams of each upstream.
-    streams: Vec<WireProgress>,
+    pub streams: Vec<WireProgress>,
 }
 
 /// Progress of the streams of an upstream: name hash, output tokens a second, and the average
 /// number of streams in thousandths.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct WireProgress(u32, u64, u64);
+pub struct WireProgress(pub u32, pub u64, pub u64);
 
 /// Builds the usage report of this vm.
 pub fn own_usage_report(edge: &Edge) -> UsageReport {
@@ -63,9 +63,11 @@
 
 /// The usage report of the sender, without the fields that the message holds already.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-struct OwnUsage {
-    reporter: ReporterState,
-    usage: Vec<TenantUsage>,
+pub struct OwnUsage {
+    /// What the sender knows of the tokens that others admitted.
+    pub reporter: ReporterState,
+    /// Token usage of each tenant.
+    pub usage: Vec<TenantUsage>,
 }
 
 fn is_drained(edge: &Edge) -> bool {
@@ -77,9 +79,12 @@
 pub struct WireReading {
     /// The topic that was read.
     pub topic: Topic,
-    read_to: u64,
-    changed_to: u64,
-    age_ms: u64,
+    /// The offset up to which the sender read.
+    pub read_to: u64,
+    /// The offset of the last change.
+    pub changed_to: u64,
+    /// The age of the read.
+    pub age_ms: u64,
 }
 
 /// A message from one vm to another.
@@ -98,11 +103,12 @@
     /// In a request, the time when it was sent, on the sender's clock; in a response, that of the
     /// request. `None` when no response is wanted.
     pub request_time: Option<Duration>,
-    loads: Vec<WireLoad>,
+    /// Loads of upstreams.
+    pub loads: Vec<WireLoad>,
     /// The sender's own usage, if reported.
-    own_usage: Option<OwnUsage>,
+    pub own_usage: Option<OwnUsage>,
     /// Usage reports of other vms.
-    relayed_usage: Vec<UsageReport>,
+    pub relayed_usage: Vec<UsageReport>,
     /// Demand in tokens per second, by name hash of the model.
     pub demand: Vec<(u32, u32)>,
     /// Adapters that requests wait for.
@@ -116,7 +122,7 @@
     /// How far the sender read each topic of the log.
     pub readings: Vec<WireReading>,
     /// The latest changes of the upstream list: offset, key and value.
-    changes: Vec<(u64, String, Vec<u8>)>,
+    pub changes: Vec<(u64, String, Vec<u8>)>,
     /// In a response, the offset from which `changes` is complete; in a request, the offset up to
     /// which the sender knows the upstream list.
     pub since: u64,
@@ -124,7 +130,7 @@
     pub leaving: bool,
     /// Encoded after the message.
     #[serde(skip)]
-    extension: Extension,
+    pub extension: Extension,
     /// Parts of prompts that crash upstreams; encoded after the extension.
     #[serde(skip)]
     pub quarantine: QuarantineReport,
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -21,9 +21,10 @@
 use crate::send_interval;
 use crate::view::PeerVm;
 
-use message::{Message, own_usage_report};
+use message::own_usage_report;
+pub use message::{Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading};
 pub use receive::listen;
-use sender_role::SenderRole;
+pub use sender_role::SenderRole;
 
 /// Minimum interval between two messages.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/carob-edge/src/rooms.rs
+++ b/crates/carob-edge/src/rooms.rs
@@ -30,19 +30,36 @@
 
 /// A datagram from one vm to another, after its first byte.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-enum RoomMessage {
+pub enum RoomMessage {
     /// Asks to let a request in.
     Request {
+        /// Identifies the request at the sender.
         number: u64,
+        /// What the sender knows of the upstream.
         room: RoomNotice,
+        /// Start of the upstream's run, in Unix milliseconds.
         started_ms: u64,
+        /// The ticket that the request gets if it is let in.
         ticket: RoomTicket,
+        /// Time after which the request has ended.
         max_time: Duration,
     },
     /// Answers a request.
-    Answer { number: u64, turn: Turn },
+    Answer {
+        /// The number of the request.
+        number: u64,
+        /// Whether the request is let in.
+        turn: Turn,
+    },
     /// Tells what became of a request.
-    Event { room: RoomNotice, ticket: Option<RoomTicket>, event: RoomEvent },
+    Event {
+        /// What the sender knows of the upstream.
+        room: RoomNotice,
+        /// The ticket of the request, if it has one.
+        ticket: Option<RoomTicket>,
+        /// What became of it.
+        event: RoomEvent,
+    },
 }
 
 /// A request that was let in, until its end.
@@ -318,7 +335,7 @@
 
 /// Handles a datagram about rooms without its first byte.
 pub fn handle_datagram(edge: &Rc<Edge>, bytes: &[u8], from: SocketAddr) {
-    let message = match postcard::from_bytes(bytes) {
+    let message = match datagram::decode(bytes) {
         Ok(message) => message,
         Err(err) => {
             log::debug!(target: "rooms", from:% = from, error:% = err; "A message about rooms cannot be decoded.");
--- a/crates/carob-edge/src/turns.rs
+++ b/crates/carob-edge/src/turns.rs
@@ -26,13 +26,28 @@
 
 /// A datagram from one vm to another, after its first byte.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-enum TurnMessage {
+pub enum TurnMessage {
     /// Asks for a turn of a request that can wait for `max_wait`.
-    Request { number: u64, limit: LimitNotice, max_wait: Duration },
+    Request {
+        /// Identifies the request at the sender.
+        number: u64,
+        /// What the sender knows of the limit.
+        limit: LimitNotice,
+        /// Time for which the request can wait.
+        max_wait: Duration,
+    },
     /// Answers a request.
-    Answer { number: u64, turn: Turn },
+    Answer {
+        /// The number of the request.
+        number: u64,
+        /// Whether and when the request may be sent.
+        turn: Turn,
+    },
     /// Tells of a request that needed no turn.
-    Sent { limit: LimitNotice },
+    Sent {
+        /// What the sender knows of the limit.
+        limit: LimitNotice,
+    },
 }
 
 /// Records the limit that an upstream names in a response, or that it names none, and whether it is
@@ -174,7 +189,7 @@
 
 /// Handles a datagram about turns without its first byte.
 pub fn handle_datagram(edge: &Edge, bytes: &[u8], from: SocketAddr) {
-    let message = match postcard::from_bytes(bytes) {
+    let message = match datagram::decode(bytes) {
         Ok(message) => message,
         Err(err) => {
             log::debug!(target: "limits", from:% = from, error:% = err; "A message about turns cannot be decoded.");
