--- a/crates/carob-edge/src/duty_claims.rs
+++ b/crates/carob-edge/src/duty_claims.rs
@@ -23,7 +23,7 @@
 const MAX_QUESTIONS: usize = 20;
 
 /// A datagram from one vm to another, after its first byte.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ClaimMessage {
     /// The sender.
     pub vm: VmName,
--- a/crates/carob-edge/src/origins.rs
+++ b/crates/carob-edge/src/origins.rs
@@ -36,7 +36,7 @@
 const RESUME_RETRY_AFTER: Duration = Duration::from_millis(600);
 
 /// A datagram from one vm to another, after its first byte.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum OriginMessage {
     /// Tells at which versions streams began.
     Tell(Vec<StreamOrigin>),
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -26,12 +26,12 @@
 
 /// Load of an upstream: name hash, running requests, prompt tokens in the backlog, and tokens in
 /// memory.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireLoad(pub u32, pub u32, pub u64, pub u64);
 
 /// Fields that were added to the encoding later. Versions without them ignore the bytes that follow
 /// a message, and send none.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Extension {
     /// Progress of the streams of each upstream.
     pub streams: Vec<WireProgress>,
@@ -39,7 +39,7 @@
 
 /// Progress of the streams of an upstream: name hash, output tokens a second, and the average
 /// number of streams in thousandths.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireProgress(pub u32, pub u64, pub u64);
 
 /// Builds the usage report of this vm.
@@ -62,7 +62,7 @@
 }
 
 /// The usage report of the sender, without the fields that the message holds already.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OwnUsage {
     /// What the sender knows of the tokens that others admitted.
     pub reporter: ReporterState,
@@ -75,7 +75,7 @@
 }
 
 /// How far the sender read a topic of the log, and the age of that read in milliseconds.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireReading {
     /// The topic that was read.
     pub topic: Topic,
@@ -88,7 +88,7 @@
 }
 
 /// A message from one vm to another.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// The version of the encoding.
     pub version: u8,
--- a/crates/carob-edge/src/rooms.rs
+++ b/crates/carob-edge/src/rooms.rs
@@ -29,7 +29,7 @@
 const RETURN_SPREAD: f64 = 0.5;
 
 /// A datagram from one vm to another, after its first byte.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum RoomMessage {
     /// Asks to let a request in.
     Request {
--- a/crates/carob-edge/src/turns.rs
+++ b/crates/carob-edge/src/turns.rs
@@ -25,7 +25,7 @@
 const SPREAD_FACTOR: f64 = 0.25;
 
 /// A datagram from one vm to another, after its first byte.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum TurnMessage {
     /// Asks for a turn of a request that can wait for `max_wait`.
     Request {
--- /dev/null
+++ b/crates/carob-edge/tests/old_builds/newer.rs
@@ -0,0 +1,128 @@
+//! What a newer build may add loses nothing but itself.
+
+use carob_edge::wire::{
+    ClaimMessage, Extension, Message, OriginMessage, RoomMessage, TurnMessage, VmEntry, decode,
+    decode_streams,
+};
+use carobglade::{BlockRecord, QuarantineReport, VersionRecord};
+use serde::Serialize;
+use serde_json::{Value, json};
+
+use crate::samples::bytes;
+use crate::values;
+
+/// Bytes that a newer build may append: a number of two bytes, a text and an unknown variant.
+const APPENDED: &[u8] = &[0x80, 0x01, 0x02, b'v', b'3', 0x63];
+/// A variant that no enum of this build has.
+const UNKNOWN_VARIANT: u32 = 99;
+
+macro_rules! appended_bytes {
+    ($($name:ident: $kind:ty),* $(,)?) => {
+        $(
+            #[test]
+            fn $name() {
+                let sample = bytes(concat!(stringify!($name), ".hex"));
+                let longer = [&sample[1..], APPENDED].concat();
+                assert_eq!(decode::<$kind>(&longer), Ok(values::$name()));
+            }
+        )*
+    };
+}
+
+appended_bytes! {
+    claim_message: ClaimMessage,
+    turn_request: TurnMessage,
+    turn_answer: TurnMessage,
+    turn_sent: TurnMessage,
+    room_request: RoomMessage,
+    room_answer: RoomMessage,
+    room_event: RoomMessage,
+    streams_told: OriginMessage,
+    stream_asked: OriginMessage,
+}
+
+#[test]
+fn bytes_after_a_record_of_streams_are_ignored() {
+    let longer = [&bytes("streams.hex")[..], APPENDED].concat();
+    assert_eq!(decode_streams(&longer).unwrap(), values::streams());
+}
+
+#[test]
+fn bytes_after_a_message_are_ignored() {
+    let longer = [&bytes("peer_message.hex")[..], APPENDED].concat();
+    assert_eq!(Message::decode(&longer).unwrap(), values::peer_message());
+}
+
+macro_rules! unknown_variants {
+    ($($name:ident: $kind:ty),* $(,)?) => {
+        $(
+            #[test]
+            fn $name() {
+                let unknown = postcard::to_allocvec(&(UNKNOWN_VARIANT, 5u64, "text")).unwrap();
+                assert!(decode::<$kind>(&unknown).is_err());
+            }
+        )*
+    };
+}
+
+unknown_variants! {
+    an_unknown_message_about_turns_is_an_error: TurnMessage,
+    an_unknown_message_about_rooms_is_an_error: RoomMessage,
+    an_unknown_message_about_streams_is_an_error: OriginMessage,
+}
+
+/// Returns the value without the parts that follow it.
+fn without_parts() -> Message {
+    Message {
+        extension: Extension::default(),
+        quarantine: QuarantineReport::default(),
+        limits: Vec::new(),
+        rooms: Vec::new(),
+        duties: None,
+        ..values::peer_message()
+    }
+}
+
+/// Encodes a message, with `parts` in place of those that follow it.
+fn encode_with<T: Serialize>(parts: &T) -> Vec<u8> {
+    let mut bytes = postcard::to_allocvec(&values::peer_message()).unwrap();
+    bytes.extend(postcard::to_allocvec(parts).unwrap());
+    bytes
+}
+
+#[test]
+fn a_message_without_parts_has_their_defaults() {
+    assert_eq!(Message::decode(&encode_with(&())).unwrap(), without_parts());
+}
+
+fn with_added_field(mut record: Value) -> Value {
+    record["added"] = json!({ "of": ["a", "newer", "build"] });
+    record
+}
+
+macro_rules! added_fields {
+    ($($name:ident: $kind:ty),* $(,)?) => {
+        $(
+            #[test]
+            fn $name() {
+                let record = with_added_field(serde_json::to_value(values::$name()).unwrap());
+                let decoded: $kind = serde_json::from_value(record).unwrap();
+                assert_eq!(decoded, values::$name());
+            }
+        )*
+    };
+}
+
+added_fields! {
+    vm_entry: VmEntry,
+    version_record: VersionRecord,
+    block_record: BlockRecord,
+}
+
+#[test]
+fn a_vm_entry_without_a_token_is_that_of_an_older_build() {
+    let mut record = serde_json::to_value(values::vm_entry()).unwrap();
+    record.as_object_mut().unwrap().remove("token");
+    let decoded: VmEntry = serde_json::from_value(record).unwrap();
+    assert_eq!(decoded, VmEntry { token: None, ..values::vm_entry() });
+}
