A part of a message that cannot be decoded loses only what follows it

A vm that received a message in which one of the appended parts (progress, quarantine, limits, brittle upstreams, duties) could not be decoded dropped the whole message: the sender's loads, usage, reads of the log and its leaving too. A build that changes one part was so not heard at all by the others.

Evidence: a program built on prints, for a message whose fourth part is unknown, "error: Hit the end of buffer, expected more data"; with the old decoding the tests fail with 'called `Result::unwrap()` on an `Err` value: DeserializeUnexpectedEnd'.

Message::decode keeps the message and the parts before the one that cannot be decoded; that part and those after it have their defaults, as in a message of a build that does not send them.

--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -145,11 +145,24 @@
     pub duties: Option<DutyClaim>,
 }
 
-/// Decodes a part that was added to the encoding later, which older versions do not send.
-fn take_added<'a, T: Default + Deserialize<'a>>(
-    bytes: &'a [u8],
-) -> postcard::Result<(T, &'a [u8])> {
-    if bytes.is_empty() { Ok((T::default(), bytes)) } else { postcard::take_from_bytes(bytes) }
+/// A message with what was lost of it.
+#[derive(Clone, Debug)]
+pub struct Decoded {
+    /// The message; parts that could not be decoded have their defaults.
+    pub message: Message,
+    /// The error of the first part that could not be decoded; those after it are lost too.
+    pub lost: Option<postcard::Error>,
+}
+
+/// Decodes a part that was added to the encoding later, which older versions do not send, and
+/// returns the bytes after it.
+fn take_added<'a, T: Deserialize<'a>>(bytes: &'a [u8], part: &mut T) -> postcard::Result<&'a [u8]> {
+    if bytes.is_empty() {
+        return Ok(bytes);
+    }
+    let (decoded, rest) = postcard::take_from_bytes(bytes)?;
+    *part = decoded;
+    Ok(rest)
 }
 
 impl Message {
@@ -165,19 +178,25 @@
         Ok(bytes)
     }
 
-    /// Decodes a message, with what follows it if there is anything.
+    /// Decodes a message, with what follows it if there is anything. Bytes after the parts that this
+    /// version knows are ignored.
     ///
     /// # Errors
     ///
-    /// Returns an error when the bytes are not a message, or end in an incomplete extension.
-    pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
-        let (message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
-        let (extension, rest) = take_added(rest)?;
-        let (quarantine, rest) = take_added(rest)?;
-        let (limits, rest) = take_added(rest)?;
-        let (rooms, rest) = take_added(rest)?;
-        let (duties, _) = take_added(rest)?;
-        Ok(Message { extension, quarantine, limits, rooms, duties, ..message })
+    /// Returns an error when the bytes do not begin with a message.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<Decoded> {
+        let (mut message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
+        let lost = message.decode_added(rest).err();
+        Ok(Decoded { message, lost })
+    }
+
+    fn decode_added(&mut self, bytes: &[u8]) -> postcard::Result<()> {
+        let rest = take_added(bytes, &mut self.extension)?;
+        let rest = take_added(rest, &mut self.quarantine)?;
+        let rest = take_added(rest, &mut self.limits)?;
+        let rest = take_added(rest, &mut self.rooms)?;
+        take_added(rest, &mut self.duties)?;
+        Ok(())
     }
 
     /// Builds the message that this vm sends in the role `sender`.
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -22,7 +22,7 @@
 use crate::view::PeerVm;
 
 use message::own_usage_report;
-pub use message::{Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading};
+pub use message::{Decoded, Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading};
 pub use receive::listen;
 pub use sender_role::SenderRole;
 
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -6,7 +6,7 @@
 use carobglade::{GossipSource, name_hash};
 use tokio::net::UdpSocket;
 
-use super::message::{Message, VERSION};
+use super::message::{Decoded, Message, VERSION};
 use super::sender_role::SenderRole;
 use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_digest, send_to};
 use crate::duty_claims::{self, CLAIM_VERSION};
@@ -44,8 +44,8 @@
 }
 
 fn handle_datagram(edge: &Rc<Edge>, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
-    let mut message = match Message::decode(bytes) {
-        Ok(message) => message,
+    let Decoded { mut message, lost } = match Message::decode(bytes) {
+        Ok(decoded) => decoded,
         Err(err) => {
             log::debug!(target: "peers", from:% = from, error:% = err; "Peer message cannot be decoded.");
             return;
@@ -54,6 +54,9 @@
     if message.version != VERSION || message.vm == edge.vm {
         return;
     }
+    if let Some(err) = lost {
+        log::debug!(target: "peers", from:% = from, error:% = err; "A part of a peer message cannot be decoded.");
+    }
     record_sender(edge, &message, from);
     apply_usage(edge, &mut message);
     if matches!(message.sender, SenderRole::HubTokens | SenderRole::DigestTokens) {
--- a/crates/carob-edge/tests/old_builds/newer.rs
+++ b/crates/carob-edge/tests/old_builds/newer.rs
@@ -50,7 +50,9 @@
 #[test]
 fn bytes_after_a_message_are_ignored() {
     let longer = [&bytes("peer_message.hex")[..], APPENDED].concat();
-    assert_eq!(Message::decode(&longer).unwrap(), values::peer_message());
+    let decoded = Message::decode(&longer).unwrap();
+    assert_eq!(decoded.message, values::peer_message());
+    assert_eq!(decoded.lost, None);
 }
 
 macro_rules! unknown_variants {
@@ -92,7 +94,28 @@
 
 #[test]
 fn a_message_without_parts_has_their_defaults() {
-    assert_eq!(Message::decode(&encode_with(&())).unwrap(), without_parts());
+    let decoded = Message::decode(&encode_with(&())).unwrap();
+    assert_eq!(decoded.message, without_parts());
+    assert_eq!(decoded.lost, None);
+}
+
+/// Guards against a message whose loads, usage and reads are lost with one of its parts.
+#[test]
+fn a_part_that_cannot_be_decoded_leaves_what_precedes_it() {
+    let value = values::peer_message();
+    let parts = (&value.extension, &value.quarantine, &value.limits, vec![UNKNOWN_VARIANT]);
+    let decoded = Message::decode(&encode_with(&parts)).unwrap();
+    let expected = Message { rooms: Vec::new(), duties: None, ..value };
+    assert_eq!(decoded.message, expected);
+    assert!(decoded.lost.is_some());
+}
+
+/// Guards against a message that is lost with the first of its parts.
+#[test]
+fn a_first_part_that_cannot_be_decoded_leaves_the_message() {
+    let decoded = Message::decode(&encode_with(&vec![UNKNOWN_VARIANT])).unwrap();
+    assert_eq!(decoded.message, without_parts());
+    assert!(decoded.lost.is_some());
 }
 
 fn with_added_field(mut record: Value) -> Value {
--- a/crates/carob-edge/tests/old_builds/samples.rs
+++ b/crates/carob-edge/tests/old_builds/samples.rs
@@ -58,7 +58,7 @@
 fn peer_message() {
     let sample = bytes("peer_message.hex");
     let value = values::peer_message();
-    assert_eq!(Message::decode(&sample).unwrap(), value);
+    assert_eq!(Message::decode(&sample).unwrap().message, value);
     assert_eq!(value.encode().unwrap(), sample);
 }
 
