An unknown topic or reporter state in a message loses only itself

One read of a topic, or one usage report with a state, that a newer build added made older builds drop the whole message: a hub's digest or a vm's reads for all its other topics too, and the usage of all vms that a hub relays.

Messages hold these variants as numbers (WireTopic, WireReporter), which are the same bytes. A read of an unknown topic is left out. A report with an unknown state counts as one of a vm that is leaving: its tokens count, its levels are not adopted.

--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::sender_role::SenderRole;
+use super::wire_number::{WireReporter, WireTopic};
 use super::{MIN_SEND_INTERVAL, UPDATE_REPEAT_TIME};
 use crate::duty_claims;
 use crate::edge::Edge;
@@ -65,11 +66,40 @@
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct OwnUsage {
     /// What the sender knows of the tokens that others admitted.
-    pub reporter: ReporterState,
+    pub reporter: WireReporter,
     /// Token usage of each tenant.
     pub usage: Vec<TenantUsage>,
 }
 
+/// The usage report of another vm than the sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireUsageReport {
+    /// Name of the reporting vm.
+    pub vm: VmName,
+    /// Incarnation of the vm's process.
+    pub incarnation: Incarnation,
+    /// What the vm knows of the tokens that others admitted.
+    pub reporter: WireReporter,
+    /// Whether the vm is stopping and has no requests left.
+    pub leaving: bool,
+    /// Token usage of each tenant.
+    pub usage: Vec<TenantUsage>,
+}
+
+impl From<UsageReport> for WireUsageReport {
+    fn from(report: UsageReport) -> Self {
+        let UsageReport { vm, incarnation, reporter, leaving, usage } = report;
+        WireUsageReport { vm, incarnation, reporter: reporter.into(), leaving, usage }
+    }
+}
+
+impl From<WireUsageReport> for UsageReport {
+    fn from(wire: WireUsageReport) -> Self {
+        let WireUsageReport { vm, incarnation, reporter, leaving, usage } = wire;
+        UsageReport { vm, incarnation, reporter: reporter.into(), leaving, usage }
+    }
+}
+
 fn is_drained(edge: &Edge) -> bool {
     edge.stopping.get() && edge.active_requests.get() == 0
 }
@@ -78,7 +108,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireReading {
     /// The topic that was read.
-    pub topic: Topic,
+    pub topic: WireTopic,
     /// The offset up to which the sender read.
     pub read_to: u64,
     /// The offset of the last change.
@@ -108,7 +138,7 @@
     /// The sender's own usage, if reported.
     pub own_usage: Option<OwnUsage>,
     /// Usage reports of other vms.
-    pub relayed_usage: Vec<UsageReport>,
+    pub relayed_usage: Vec<WireUsageReport>,
     /// Demand in tokens per second, by name hash of the model.
     pub demand: Vec<(u32, u32)>,
     /// Adapters that requests wait for.
@@ -263,7 +293,7 @@
         let mut message = Message { request_time, ..self };
         let view = edge.view.borrow();
         let readings = view.readings.iter().map(|(topic, reading)| WireReading {
-            topic: *topic,
+            topic: (*topic).into(),
             read_to: reading.read_to,
             changed_to: reading.changed_to,
             // Rounded up, so that a read never appears newer than it is.
@@ -301,11 +331,17 @@
         }
     }
 
+    /// Returns the reads of the topics that this version knows.
+    pub fn known_readings(&self) -> impl Iterator<Item = (Topic, &WireReading)> {
+        self.readings.iter().filter_map(|wire| Some((Topic::try_from(wire.topic).ok()?, wire)))
+    }
+
     /// Reports whether the message holds reads and all of them are recent enough to be used.
     pub fn is_fresh(&self, now: Duration) -> bool {
         let request_time = self.request_time.unwrap_or_default();
-        !self.readings.is_empty()
-            && self.readings.iter().all(|w| w.reading(request_time).is_fresh(now))
+        let mut readings = self.known_readings().peekable();
+        readings.peek().is_some()
+            && readings.all(|(_, wire)| wire.reading(request_time).is_fresh(now))
     }
 
     /// Names the receiver that responds to the message.
@@ -320,23 +356,25 @@
 
     /// Adds usage reports of other vms.
     pub fn with_relayed_usage(self, reports: Vec<UsageReport>) -> Self {
-        Message { relayed_usage: reports, ..self }
+        let relayed_usage = reports.into_iter().map(WireUsageReport::from).collect();
+        Message { relayed_usage, ..self }
     }
 
     /// Adds the sender's own usage.
     pub fn with_own_usage(self, report: Option<UsageReport>) -> Self {
         let own_usage =
-            report.map(|report| OwnUsage { reporter: report.reporter, usage: report.usage });
+            report.map(|report| OwnUsage { reporter: report.reporter.into(), usage: report.usage });
         Message { own_usage, ..self }
     }
 
     /// Takes all usage reports out of the message, including the sender's.
     pub fn take_reports(&mut self) -> Vec<UsageReport> {
-        let mut all = std::mem::take(&mut self.relayed_usage);
+        let relayed = std::mem::take(&mut self.relayed_usage);
+        let mut all: Vec<UsageReport> = relayed.into_iter().map(UsageReport::from).collect();
         all.extend(self.own_usage.take().map(|own| UsageReport {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
-            reporter: own.reporter,
+            reporter: own.reporter.into(),
             leaving: self.leaving,
             usage: own.usage,
         }));
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod message;
 mod receive;
 mod sender_role;
+mod wire_number;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -22,9 +23,12 @@
 use crate::view::PeerVm;
 
 use message::own_usage_report;
-pub use message::{Decoded, Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading};
+pub use message::{
+    Decoded, Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading, WireUsageReport,
+};
 pub use receive::listen;
 pub use sender_role::SenderRole;
+pub use wire_number::{UnknownNumber, WireReporter, WireTopic};
 
 /// Minimum interval between two messages.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -139,10 +139,9 @@
     };
     let mut view = edge.view.borrow_mut();
     let changes = message.changes();
-    message
-        .readings
-        .iter()
-        .for_each(|wire| view.accept_reading(wire.topic, wire.reading(request_time), &changes));
+    for (topic, wire) in message.known_readings() {
+        view.accept_reading(topic, wire.reading(request_time), &changes);
+    }
 }
 
 /// Responds to a member's report with a digest, to a message that names this vm as responder with
--- a/crates/carob-edge/src/wire.rs
+++ b/crates/carob-edge/src/wire.rs
@@ -9,7 +9,8 @@
 pub use crate::origin_log::{decode_streams, encode_streams};
 pub use crate::origins::{ORIGIN_VERSION, OriginMessage};
 pub use crate::peers::{
-    Decoded, Extension, Message, OwnUsage, SenderRole, WireLoad, WireProgress, WireReading,
+    Decoded, Extension, Message, OwnUsage, SenderRole, UnknownNumber, WireLoad, WireProgress,
+    WireReading, WireReporter, WireTopic, WireUsageReport,
 };
 pub use crate::rooms::{ROOM_VERSION, RoomMessage};
 pub use crate::turns::{TURN_VERSION, TurnMessage};
--- a/crates/carob-edge/tests/old_builds/newer.rs
+++ b/crates/carob-edge/tests/old_builds/newer.rs
@@ -1,10 +1,10 @@
 //! What a newer build may add loses nothing but itself.
 
 use carob_edge::wire::{
-    ClaimMessage, Extension, Message, OriginMessage, RoomMessage, TurnMessage, VmEntry, decode,
-    decode_streams,
+    ClaimMessage, Extension, Message, OriginMessage, RoomMessage, TurnMessage, VmEntry,
+    WireReading, WireReporter, WireTopic, decode, decode_streams,
 };
-use carobglade::{BlockRecord, QuarantineReport, VersionRecord};
+use carobglade::{BlockRecord, QuarantineReport, ReporterState, VersionRecord};
 use serde::Serialize;
 use serde_json::{Value, json};
 
@@ -118,6 +118,32 @@
     assert!(decoded.lost.is_some());
 }
 
+/// Guards against a message that is lost because one of its reads is of a topic of a newer build.
+#[test]
+fn a_read_of_an_unknown_topic_loses_only_itself() {
+    let mut value = values::peer_message();
+    let topic = WireTopic(UNKNOWN_VARIANT);
+    value.readings.insert(1, WireReading { topic, read_to: 1, changed_to: 1, age_ms: 1 });
+    let decoded = Message::decode(&value.encode().unwrap()).unwrap();
+    assert_eq!(decoded.message, value);
+    let known: Vec<WireReading> = value.known_readings().map(|(_, reading)| *reading).collect();
+    assert_eq!(known, values::peer_message().readings);
+}
+
+/// Guards against a message that is lost because one of its usage reports has a state of a newer
+/// build; the tokens of that report count, its levels do not.
+#[test]
+fn an_unknown_reporter_state_counts_as_one_whose_levels_are_not_used() {
+    let mut value = values::peer_message();
+    value.relayed_usage[0].reporter = WireReporter(UNKNOWN_VARIANT);
+    let mut decoded = Message::decode(&value.encode().unwrap()).unwrap().message;
+    assert_eq!(decoded, value);
+    let reports = decoded.take_reports();
+    assert_eq!(reports.len(), 2);
+    assert_eq!(reports[0].reporter, ReporterState::Leaving);
+    assert_eq!(reports, values::peer_message().take_reports());
+}
+
 fn with_added_field(mut record: Value) -> Value {
     record["added"] = json!({ "of": ["a", "newer", "build"] });
     record
--- a/crates/carob-edge/tests/old_builds/values.rs
+++ b/crates/carob-edge/tests/old_builds/values.rs
@@ -135,8 +135,8 @@
         responder: Some(name_hash("vm-3")),
         request_time: Some(Duration::from_millis(81_250)),
         loads: vec![WireLoad(name_hash("engine-1"), 3, 1200, 90_000), WireLoad(7, 1, 0, 40)],
-        own_usage: Some(OwnUsage { reporter: ReporterState::Settled, usage: usage() }),
-        relayed_usage: vec![report()],
+        own_usage: Some(OwnUsage { reporter: ReporterState::Settled.into(), usage: usage() }),
+        relayed_usage: vec![report().into()],
         demand: vec![(name_hash("large"), 880)],
         adapter_requests: vec![AdapterId {
             service: "engines".to_owned(),
@@ -168,7 +168,7 @@
 }
 
 fn reading(topic: Topic, read_to: u64, changed_to: u64, age_ms: u64) -> WireReading {
-    WireReading { topic, read_to, changed_to, age_ms }
+    WireReading { topic: topic.into(), read_to, changed_to, age_ms }
 }
 
 pub fn vm_entry() -> VmEntry {
