Messages and records that cannot be decoded are counted and have one line in an interval

A vm dropped what another build sent and it could not decode without a trace: the lines were of level debug. Records of streams were the other way round: a warning for each record, up to 10,000 in a read.

Evidence: 50 datagrams with an unknown variant to a running process; each of five kinds, before: "assertion `left == right` failed, left: -0.0, right: 50.0" (no such metric).

undecoded_messages counts them by role (message, message_part, turn, room, stream, duties, stream_record); each role has one warning in 30 s, with the number since the line before.

--- a/crates/carob-edge/src/duty_claims.rs
+++ b/crates/carob-edge/src/duty_claims.rs
@@ -81,7 +81,7 @@
     let message: ClaimMessage = match datagram::decode(bytes) {
         Ok(message) => message,
         Err(err) => {
-            log::debug!(target: "duty", from:% = from, error:% = err; "A datagram about duties cannot be decoded.");
+            edge.report_undecoded(ROLE, &from.to_string(), &err);
             return;
         }
     };
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -28,6 +28,7 @@
 use crate::stop_counts::StopCounts;
 use crate::store::StoreClient;
 use crate::turn_requests::TurnRequests;
+use crate::undecoded::Undecoded;
 use crate::view::ClusterView;
 
 /// Fraction of `bounds.spare` that the retry budgets of all vms hold in reserve together.
@@ -143,6 +144,8 @@
     pub rooms: RefCell<UpstreamRooms>,
     /// Turns at limited upstreams that other vms were asked for.
     pub turn_requests: TurnRequests,
+    /// Messages and records that could not be decoded.
+    pub undecoded: Undecoded,
     /// The socket for messages to other vms, once it is open.
     pub peer_socket: OnceCell<Rc<UdpSocket>>,
     /// Versions of upstreams' software, and the streams that began at them.
@@ -228,6 +231,7 @@
             limits: RefCell::default(),
             rooms: RefCell::default(),
             turn_requests: TurnRequests::default(),
+            undecoded: Undecoded::default(),
             peer_socket: OnceCell::new(),
             origins: OriginState::new(settings.first),
             kept_verdicts: RefCell::default(),
@@ -245,6 +249,15 @@
         self.clock.now()
     }
 
+    /// Counts a message or a record that cannot be decoded, and logs one line in an interval. `role`
+    /// is the label in metrics, `from` the sender or the topic of the log.
+    pub fn report_undecoded(&self, role: &'static str, from: &str, err: &postcard::Error) {
+        self.metrics.record_undecoded(role);
+        if let Some(count) = self.undecoded.record(role, self.now()) {
+            log::warn!(target: "peers", role = role, from = from, error:% = err, count = count; "A message or record cannot be decoded.");
+        }
+    }
+
     /// Keeps idle connections of callers open for at least `time` from now.
     pub fn keep_connections_open(&self, time: Duration) {
         self.promised_until.set(self.promised_until.get().max(self.now() + time));
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -47,6 +47,7 @@
 mod tunnel_server;
 mod turn_requests;
 mod turns;
+mod undecoded;
 mod view;
 pub mod wire;
 
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -28,6 +28,7 @@
     store_calls: Counter<u64>,
     store_failures: Counter<u64>,
     messages: Counter<u64>,
+    undecoded: Counter<u64>,
     message_bytes: Counter<u64>,
     config_version: Gauge<u64>,
     config_age: Gauge<f64>,
@@ -100,6 +101,10 @@
                 "Calls to the platform's log without an answer",
             ),
             messages: counter("peer_messages", "Messages sent to other vms, by sender's role"),
+            undecoded: counter(
+                "undecoded_messages",
+                "Messages of other vms and records that could not be decoded, by role",
+            ),
             message_bytes: counter("peer_bytes", "Bytes sent to other vms, by sender's role"),
             config_version: gauge("config_version", "Version of the configuration in force"),
             config_age: age.build(),
@@ -248,6 +253,11 @@
         self.message_bytes.add(bytes as u64, &role);
     }
 
+    /// Counts a message or a record that could not be decoded.
+    pub fn record_undecoded(&self, role_name: &'static str) {
+        self.undecoded.add(1, &[KeyValue::new("role", role_name)]);
+    }
+
     /// Sets the version of the configuration in force.
     pub fn record_version(&self, version: u64) {
         self.config_version.record(version, &[]);
--- a/crates/carob-edge/src/origin_log.rs
+++ b/crates/carob-edge/src/origin_log.rs
@@ -15,6 +15,8 @@
 use crate::origin_state::UnkeptOrigin;
 use crate::store::StoreError;
 
+/// Label of records of streams in metrics.
+const ROLE: &str = "stream_record";
 /// Time limit for a call to the log.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
 /// Time for which streams are gathered before they are written, in a small fleet.
@@ -157,7 +159,7 @@
             origins.iter().for_each(|origin| streams.record(origin, OriginSource::Log, now));
         }
         Err(err) => {
-            log::warn!(target: "versions", error:% = err; "A record of streams cannot be decoded.");
+            edge.report_undecoded(ROLE, STREAM_TOPIC, &err);
         }
     }
 }
--- a/crates/carob-edge/src/origins.rs
+++ b/crates/carob-edge/src/origins.rs
@@ -20,6 +20,9 @@
 /// First byte of a datagram about streams, which no other message between vms begins with.
 pub const ORIGIN_VERSION: u8 = 65;
 
+/// Label of these datagrams in metrics.
+const ROLE: &str = "stream";
+
 /// Time within which other vms answer the question for a stream.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Vms that know of a stream in a fleet with hubs; in a smaller one, all do.
@@ -205,7 +208,7 @@
 }
 
 fn send(edge: &Edge, address: SocketAddr, message: &OriginMessage) {
-    datagram::send(edge, address, ORIGIN_VERSION, "stream", message);
+    datagram::send(edge, address, ORIGIN_VERSION, ROLE, message);
 }
 
 /// Handles a datagram about streams without its first byte.
@@ -225,7 +228,7 @@
             }
         }
         Err(err) => {
-            log::debug!(target: "peers", from:% = from, error:% = err; "A message about streams cannot be decoded.");
+            edge.report_undecoded(ROLE, &from.to_string(), &err);
         }
     }
 }
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -17,6 +17,11 @@
 use crate::turns::{self, TURN_VERSION};
 use crate::view::PeerVm;
 
+/// Label of messages that cannot be decoded in metrics.
+const MESSAGE_ROLE: &str = "message";
+/// Label of parts that follow a message and cannot be decoded.
+const PART_ROLE: &str = "message_part";
+
 /// Receives messages until the task is dropped.
 pub async fn listen(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_MESSAGE_BYTES];
@@ -47,7 +52,7 @@
     let Decoded { mut message, lost } = match Message::decode(bytes) {
         Ok(decoded) => decoded,
         Err(err) => {
-            log::debug!(target: "peers", from:% = from, error:% = err; "Peer message cannot be decoded.");
+            edge.report_undecoded(MESSAGE_ROLE, &from.to_string(), &err);
             return;
         }
     };
@@ -55,7 +60,7 @@
         return;
     }
     if let Some(err) = lost {
-        log::debug!(target: "peers", from:% = from, error:% = err; "A part of a peer message cannot be decoded.");
+        edge.report_undecoded(PART_ROLE, &from.to_string(), &err);
     }
     record_sender(edge, &message, from);
     apply_usage(edge, &mut message);
--- a/crates/carob-edge/src/rooms.rs
+++ b/crates/carob-edge/src/rooms.rs
@@ -21,6 +21,9 @@
 /// First byte of a datagram about rooms, which no other message between vms begins with.
 pub const ROOM_VERSION: u8 = 66;
 
+/// Label of these datagrams in metrics.
+const ROLE: &str = "room";
+
 /// Time within which another vm answers a request.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time without requests after one that was not answered, or while the vms are not known.
@@ -330,7 +333,7 @@
 }
 
 fn send(edge: &Edge, address: SocketAddr, message: &RoomMessage) {
-    datagram::send(edge, address, ROOM_VERSION, "room", message);
+    datagram::send(edge, address, ROOM_VERSION, ROLE, message);
 }
 
 /// Handles a datagram about rooms without its first byte.
@@ -338,7 +341,7 @@
     let message = match datagram::decode(bytes) {
         Ok(message) => message,
         Err(err) => {
-            log::debug!(target: "rooms", from:% = from, error:% = err; "A message about rooms cannot be decoded.");
+            edge.report_undecoded(ROLE, &from.to_string(), &err);
             return;
         }
     };
--- a/crates/carob-edge/src/turns.rs
+++ b/crates/carob-edge/src/turns.rs
@@ -17,6 +17,9 @@
 /// First byte of a datagram about turns, which no other message between vms begins with.
 pub const TURN_VERSION: u8 = 64;
 
+/// Label of these datagrams in metrics.
+const ROLE: &str = "turn";
+
 /// Time within which another vm answers a request for a turn.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time without turns after a request for one that was not answered, or while the vms are not known.
@@ -184,7 +187,7 @@
 }
 
 fn send(edge: &Edge, address: SocketAddr, message: &TurnMessage) {
-    datagram::send(edge, address, TURN_VERSION, "turn", message);
+    datagram::send(edge, address, TURN_VERSION, ROLE, message);
 }
 
 /// Handles a datagram about turns without its first byte.
@@ -192,7 +195,7 @@
     let message = match datagram::decode(bytes) {
         Ok(message) => message,
         Err(err) => {
-            log::debug!(target: "limits", from:% = from, error:% = err; "A message about turns cannot be decoded.");
+            edge.report_undecoded(ROLE, &from.to_string(), &err);
             return;
         }
     };
