--- a/crates/carob-edge/tests/old_builds/samples.rs
+++ b/crates/carob-edge/tests/old_builds/samples.rs
@@ -93,3 +93,8 @@
 fn agreed_numbers() {
     assert_eq!(values::agreed_numbers().trim_end(), text("agreed_numbers.txt"));
 }
+
+#[test]
+fn agreed_vms() {
+    assert_eq!(values::agreed_vms().trim_end(), text("agreed_vms.txt"));
+}
--- a/crates/carob-edge/tests/old_builds/values.rs
+++ b/crates/carob-edge/tests/old_builds/values.rs
@@ -1,5 +1,6 @@
 //! The values of the samples: one of each kind, with every field set to a value of its own.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use carob_edge::wire::{
@@ -7,10 +8,10 @@
     TurnMessage, VmEntry, WireLoad, WireProgress, WireReading,
 };
 use carobglade::{
-    AdapterId, BlockRecord, DutyClaim, Evidence, Fingerprint, Incarnation, LimitNotice,
-    PlacementUpdate, PromptPart, PromptVerdict, QuarantineReport, ReporterState, RoomEvent,
-    RoomNotice, RoomTicket, StreamKey, StreamOrigin, Suspect, TenantUsage, Turn, UpstreamCrash,
-    UsageReport, VersionRecord, VmProfile, name_hash,
+    AdapterId, BlockRecord, DutyClaim, Evidence, Fingerprint, HubSelector, HubSelectorSettings,
+    Incarnation, LimitNotice, PlacementUpdate, PromptPart, PromptVerdict, QuarantineReport,
+    ReporterState, RoomEvent, RoomNotice, RoomTicket, StreamKey, StreamOrigin, Suspect,
+    TenantUsage, Turn, UpstreamCrash, UsageReport, VersionRecord, VmProfile, name_hash,
 };
 
 /// Version of the encoding of messages.
@@ -201,3 +202,26 @@
     let vm = name_hash("vm-1");
     format!("name {vm}\nstream {stream}\nrequest {request}\npart {part}\n")
 }
+
+/// The vms of a fleet that all builds choose alike, from names and data centres alone.
+pub fn agreed_vms() -> String {
+    let now = Duration::from_secs(1);
+    let profile = |place: &str| VmProfile { data_centre: parsed(place), cpu_capacity: 160 };
+    let mut hubs =
+        HubSelector::new(HubSelectorSettings::default(), parsed("vm-0"), profile("rennes"));
+    for number in 1..24 {
+        let place = if number % 3 == 0 { "rennes" } else { "brest" };
+        hubs.add_listed(&parsed(&format!("vm-{number}")), profile(place), now);
+    }
+    let mut text =
+        format!("uses hubs: {}\nlog reader: {}\n", hubs.uses_hubs(), hubs.log_reader(now));
+    for place in ["rennes", "brest"] {
+        writeln!(text, "hub of {place}: {:?}", hubs.hub_of(&parsed(place), now)).unwrap();
+    }
+    for key in ["engine-1", "engine-2", "desk-1", "25af64626d5f25ada7fb2ccba4633d3f"] {
+        let owners: Vec<String> =
+            hubs.owners_of(key, 3, now).iter().map(ToString::to_string).collect();
+        writeln!(text, "owners of {key}: {}", owners.join(" ")).unwrap();
+    }
+    text
+}
