--- a/crates/carob-edge/tests/old_builds/newer.rs
+++ b/crates/carob-edge/tests/old_builds/newer.rs
@@ -1,5 +1,6 @@
 //! What a newer build may add loses nothing but itself.
 
+use carob_edge::Settings;
 use carob_edge::wire::{
     ClaimMessage, Extension, Message, OriginMessage, RoomMessage, TurnMessage, VmEntry,
     WireReading, WireReporter, WireTopic, decode, decode_streams,
@@ -166,6 +167,7 @@
     vm_entry: VmEntry,
     version_record: VersionRecord,
     block_record: BlockRecord,
+    settings: Settings,
 }
 
 #[test]
--- a/crates/carob-edge/tests/old_builds/samples.rs
+++ b/crates/carob-edge/tests/old_builds/samples.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use carob_edge::Settings;
 use carob_edge::wire::{
     CLAIM_VERSION, Message, ORIGIN_VERSION, ROOM_VERSION, TURN_VERSION, VmEntry, decode,
     decode_streams, encode, encode_streams,
@@ -87,6 +88,7 @@
     vm_entry: VmEntry,
     version_record: VersionRecord,
     block_record: BlockRecord,
+    settings: Settings,
 }
 
 #[test]
--- a/crates/carob-edge/tests/old_builds/values.rs
+++ b/crates/carob-edge/tests/old_builds/values.rs
@@ -3,6 +3,7 @@
 use std::fmt::Write;
 use std::time::Duration;
 
+use carob_edge::Settings;
 use carob_edge::wire::{
     ClaimMessage, Extension, Message, OriginMessage, OwnUsage, RoomMessage, SenderRole, Topic,
     TurnMessage, VmEntry, WireLoad, WireProgress, WireReading,
@@ -225,3 +226,14 @@
     }
     text
 }
+
+/// The settings of a vm; those that may be left out have their defaults.
+pub fn settings() -> Settings {
+    let text = r#"{
+        "vm": "vm-1", "data_centre": "rennes", "ip": "127.0.0.1",
+        "listen": { "callers": "127.0.0.1:8080", "ready": "127.0.0.1:8081" },
+        "ports": { "first": 7001, "last": 7004 },
+        "store": { "address": "127.0.0.1:9000" }
+    }"#;
+    serde_json::from_str(text).unwrap()
+}
