Datagrams of an unknown kind are counted too

A datagram whose first byte is that of a newer build's kind was decoded as a message between vms; one that could be decoded so was dropped without a trace by its version.

The first byte of a message is its version, so it is looked at before the rest is decoded.

--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt::Display;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -251,7 +252,7 @@
 
     /// Counts a message or a record that cannot be decoded, and logs one line in an interval. `role`
     /// is the label in metrics, `from` the sender or the topic of the log.
-    pub fn report_undecoded(&self, role: &'static str, from: &str, err: &postcard::Error) {
+    pub fn report_undecoded(&self, role: &'static str, from: &str, err: &dyn Display) {
         self.metrics.record_undecoded(role);
         if let Some(count) = self.undecoded.record(role, self.now()) {
             log::warn!(target: "peers", role = role, from = from, error:% = err, count = count; "A message or record cannot be decoded.");
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -19,7 +19,7 @@
 use crate::send_interval::SEND_INTERVAL;
 use crate::view::{SharedChanges, Topic};
 
-/// Version of the encoding; messages with another version are ignored.
+/// Version of the encoding, the first byte of a message; those with another one are of an unknown kind.
 pub const VERSION: u8 = 3;
 
 /// Maximum size of the changes of the upstream list in one message.
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -19,6 +19,8 @@
 
 /// Label of messages that cannot be decoded in metrics.
 const MESSAGE_ROLE: &str = "message";
+/// Label of datagrams of an unknown kind.
+const KIND_ROLE: &str = "kind";
 /// Label of parts that follow a message and cannot be decoded.
 const PART_ROLE: &str = "message_part";
 
@@ -39,7 +41,13 @@
             Ok((len, from)) if buf[..len].starts_with(&[CLAIM_VERSION]) => {
                 duty_claims::handle_datagram(&edge, &buf[1..len], from);
             }
-            Ok((len, from)) => handle_datagram(&edge, &socket, &buf[..len], from),
+            Ok((len, from)) if buf[..len].starts_with(&[VERSION]) => {
+                handle_datagram(&edge, &socket, &buf[..len], from);
+            }
+            Ok((len, from)) => {
+                let kind = buf[..len].first().copied().unwrap_or_default();
+                edge.report_undecoded(KIND_ROLE, &from.to_string(), &format!("kind {kind}"));
+            }
             Err(err) => {
                 log::debug!(target: "peers", error:% = err; "Receiving a peer message failed.");
                 tokio::time::sleep(MIN_SEND_INTERVAL).await;
@@ -56,7 +64,7 @@
             return;
         }
     };
-    if message.version != VERSION || message.vm == edge.vm {
+    if message.vm == edge.vm {
         return;
     }
     if let Some(err) = lost {
