--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -48,7 +48,9 @@
 mod tunnel_server;
 mod turn_requests;
 mod turns;
+mod undecoded;
 mod view;
+pub mod wire;
 
 pub use logging::start as start_logging;
 pub use process::run;
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -6,7 +6,7 @@
 use carobglade::{GossipSource, name_hash};
 use tokio::net::UdpSocket;
 
-use super::message::{Message, VERSION};
+use super::message::{Decoded, Message, VERSION};
 use super::sender_role::SenderRole;
 use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_digest, send_to};
 use crate::duty_claims::{self, CLAIM_VERSION};
@@ -17,6 +17,13 @@
 use crate::turns::{self, TURN_VERSION};
 use crate::view::PeerVm;
 
+/// Label of messages that cannot be decoded in metrics.
+const MESSAGE_ROLE: &str = "message";
+/// Label of datagrams of an unknown kind.
+const KIND_ROLE: &str = "kind";
+/// Label of parts that follow a message and cannot be decoded.
+const PART_ROLE: &str = "message_part";
+
 /// Receives messages until the task is dropped.
 pub async fn listen(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_MESSAGE_BYTES];
@@ -34,7 +41,13 @@
             Ok((len, from)) if buf[..len].starts_with(&[CLAIM_VERSION]) => {
                 duty_claims::handle_datagram(&edge, &buf[1..len], from);
             }
-            Ok((len, from)) => handle_datagram(&edge, &socket, &buf[..len], from),
+            Ok((len, from)) if buf[..len].starts_with(&[VERSION]) => {
+                handle_datagram(&edge, &socket, &buf[..len], from);
+            }
+            Ok((len, from)) => {
+                let kind = buf[..len].first().copied().unwrap_or_default();
+                edge.report_undecoded(KIND_ROLE, &from.to_string(), &format!("kind {kind}"));
+            }
             Err(err) => {
                 log::debug!(target: "peers", error:% = err; "Receiving a peer message failed.");
                 tokio::time::sleep(MIN_SEND_INTERVAL).await;
@@ -44,16 +57,19 @@
 }
 
 fn handle_datagram(edge: &Rc<Edge>, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
-    let mut message = match Message::decode(bytes) {
-        Ok(message) => message,
+    let Decoded { mut message, lost } = match Message::decode(bytes) {
+        Ok(decoded) => decoded,
         Err(err) => {
-            log::debug!(target: "peers", from:% = from, error:% = err; "Peer message cannot be decoded.");
+            edge.report_undecoded(MESSAGE_ROLE, &from.to_string(), &err);
             return;
         }
     };
-    if message.version != VERSION || message.vm == edge.vm {
+    if message.vm == edge.vm {
         return;
     }
+    if let Some(err) = lost {
+        edge.report_undecoded(PART_ROLE, &from.to_string(), &err);
+    }
     record_sender(edge, &message, from);
     apply_usage(edge, &mut message);
     if matches!(message.sender, SenderRole::HubTokens | SenderRole::DigestTokens) {
@@ -136,10 +152,9 @@
     };
     let mut view = edge.view.borrow_mut();
     let changes = message.changes();
-    message
-        .readings
-        .iter()
-        .for_each(|wire| view.accept_reading(wire.topic, wire.reading(request_time), &changes));
+    for (topic, wire) in message.known_readings() {
+        view.accept_reading(topic, wire.reading(request_time), &changes);
+    }
 }
 
 /// Responds to a member's report with a digest, to a message that names this vm as responder with
