A resumption is timed by what is left of its stream

Cause: a resumption was judged like a new stream. Its output time was that of the whole stream, though `Last-Event-Id` tells what the caller has; it was shed by the latency goal of the first event, which has passed, and for the pace of other streams. The same held for a stream that is moved within its response. "Busy" was not what the engines were: 1,433 ms were named for a prompt that an idle engine reads in 169 ms.

Change: the output time is that of the expected tokens less those of the events that the caller has, by the observed size of an event (one token where it is not known yet). What is left is refused only if it cannot end in the time left, at once, with the time until it could. New streams are judged as before.

--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -149,7 +149,7 @@
     async fn attempt(&self, last_id: Option<u64>, mut token: Option<RetryToken<'_>>) -> AttemptEnd {
         let (edge, request) = (self.edge, self.request);
         let tried = self.tried.excluded(|tried| has_bound_version(edge, request, tried));
-        let choice = match choose_upstream(edge, request, &tried).await {
+        let choice = match choose_upstream(edge, request, &tried, last_id).await {
             Ok(choice) => Choice { fresh: self.history().sent() > 0, ..choice },
             Err(err) => return AttemptEnd::NotSent(err),
         };
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -43,7 +43,7 @@
     pub fresh: bool,
 }
 
-/// Chooses an upstream that is not among `tried`.
+/// Chooses an upstream that is not among `tried`, for the events of a stream after `last_id`.
 ///
 /// # Errors
 ///
@@ -52,6 +52,7 @@
     edge: &Rc<Edge>,
     request: &CallerRequest,
     tried: &[UpstreamName],
+    last_id: Option<u64>,
 ) -> Result<Choice> {
     let until = edge.now() + request.remaining_time(edge.now()).mul_f64(MAX_WAIT_FRACTION);
     loop {
@@ -59,7 +60,7 @@
         let eligible = eligible_upstreams(edge, request, tried);
         let (reachable, _) = paths::reachable_upstreams(edge, eligible);
         if !reachable.is_empty() {
-            if let Some(choice) = take_turn(edge, request, reachable).await? {
+            if let Some(choice) = take_turn(edge, request, reachable, last_id).await? {
                 return Ok(choice);
             }
             continue;
@@ -94,6 +95,7 @@
     edge: &Rc<Edge>,
     request: &CallerRequest,
     eligible: Vec<UpstreamEntry>,
+    last_id: Option<u64>,
 ) -> Result<Option<Choice>> {
     let max_wait = match turns::has_unlimited(edge, &eligible) {
         true => Duration::ZERO,
@@ -104,7 +106,7 @@
         let message = format!("upstreams take no more requests for {} ms", wait.as_millis());
         return Err(Error::new(ErrorKind::UpstreamUnavailable, message).with_retry_after(wait));
     }
-    let mut choice = dispatch_request(edge, request, open)?;
+    let mut choice = dispatch_request(edge, request, open, last_id)?;
     edge.paths.table.borrow_mut().record_trial(&choice.entry.name, edge.now());
     let mut has_turn = turns::wait_for_turn(edge, &choice.entry, max_wait).await;
     if has_turn {
@@ -276,8 +278,13 @@
     }
 }
 
-fn request_timing(edge: &Edge, request: &CallerRequest) -> RequestTiming {
-    let tokens = u32::try_from(request.expected_output()).unwrap_or(u32::MAX);
+/// Returns the timing of what is left of a response after the event `last_id`.
+fn request_timing(edge: &Edge, request: &CallerRequest, last_id: Option<u64>) -> RequestTiming {
+    let last_id = last_id.or(request.caller_headers.last_event);
+    let events = if request.route.kind.is_stream() { last_id.unwrap_or(0) } else { 0 };
+    let expected = request.expected_output();
+    let tokens = edge.token_pace.borrow().remaining_tokens(&request.service, expected, events);
+    let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
     RequestTiming {
         latency_goal: request.route.latency_goal,
         time_left: request.remaining_time(edge.now()),
@@ -289,6 +296,7 @@
         token_rate: request.token_rate(),
         needed_rate: edge.token_pace.borrow().needed_rate(&request.service),
         service_time: Duration::from_millis(20),
+        resumes: events > 0,
     }
 }
 
@@ -296,10 +304,11 @@
     edge: &Edge,
     request: &CallerRequest,
     eligible: Vec<UpstreamEntry>,
+    last_id: Option<u64>,
 ) -> Result<Choice> {
     let dispatch_candidates: Vec<DispatchCandidate> =
         eligible.iter().map(|entry| dispatch_candidate(edge, request, entry)).collect();
-    let timing = request_timing(edge, request);
+    let timing = request_timing(edge, request, last_id);
     let tie_breaker = rand::rng().random::<u32>();
     match dispatch(
         &dispatch_candidates,
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -80,7 +80,7 @@
     pub latency_goal: Duration,
     /// Time until the deadline of the caller or the route.
     pub time_left: Duration,
-    /// Time that the response takes after its first byte.
+    /// Time that the response, or what is left of it, takes after its first byte.
     pub output_time: Duration,
     /// Rate that the response needs to end in time, in tokens a second.
     pub token_rate: f64,
@@ -88,6 +88,32 @@
     pub needed_rate: f64,
     /// Time that the request occupies a slot of a plain service.
     pub service_time: Duration,
+    /// Whether the caller has the first part of the response. What is left of it is rejected only if
+    /// it cannot end in time, since its first byte has met the latency goal or missed it.
+    pub resumes: bool,
+}
+
+impl RequestTiming {
+    /// Returns the longest time to the first byte with which the response can end in time.
+    fn available_time(&self, settings: &DispatchSettings) -> Duration {
+        self.time_left.mul_f64(settings.time_fraction).saturating_sub(self.output_time)
+    }
+
+    /// Returns the longest time to the first byte with which the request is sent.
+    fn max_wait(&self, settings: &DispatchSettings) -> Duration {
+        let available = self.available_time(settings);
+        if self.resumes {
+            return available;
+        }
+        let goal = self.latency_goal.mul_f64(settings.goal_factor).max(self.latency_goal);
+        available.min(goal)
+    }
+
+    /// Returns the time to the first byte from which on a rejected request could be sent.
+    fn wanted_wait(&self, settings: &DispatchSettings) -> Duration {
+        let available = self.available_time(settings);
+        if self.resumes { available } else { available.min(self.latency_goal) }
+    }
 }
 
 /// Result of [`dispatch`].
@@ -169,12 +195,9 @@
     let Some((index, estimate, penalty, _)) = best else {
         return DispatchDecision::NoUpstream;
     };
-    let wait = estimate + penalty;
-    let available =
-        timing.time_left.mul_f64(settings.time_fraction).saturating_sub(timing.output_time);
-    let max_wait = timing.latency_goal.mul_f64(settings.goal_factor);
-    if wait > available || wait > max_wait.max(timing.latency_goal) {
-        let excess = wait.saturating_sub(timing.latency_goal.min(available));
+    let wait = if timing.resumes { estimate } else { estimate + penalty };
+    if wait > timing.max_wait(settings) {
+        let excess = wait.saturating_sub(timing.wanted_wait(settings));
         return DispatchDecision::RetryLater(excess.max(Duration::from_millis(100)));
     }
     DispatchDecision::Send(index, estimate)
--- a/src/request/token_pace.rs
+++ b/src/request/token_pace.rs
@@ -107,6 +107,13 @@
         self.services.get(service)?.tokens_per_event()
     }
 
+    /// Returns the output tokens that are left of a stream whose caller expects `expected` tokens and
+    /// has `events` events. An event of unknown size counts as one token.
+    pub fn remaining_tokens(&self, service: &str, expected: u64, events: u64) -> u64 {
+        let size = self.tokens_per_event(service).unwrap_or(1.0).max(1.0);
+        expected.saturating_sub((events as f64 * size).round() as u64)
+    }
+
     /// Returns the output tokens that most streams do not exceed whose callers expect `expected`
     /// tokens and allow `max`.
     pub fn likely_tokens(&self, service: &str, expected: u64, max: u64) -> u64 {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -36,6 +36,7 @@
         token_rate: 0.0,
         needed_rate: 0.0,
         service_time: ms(20),
+        resumes: false,
     }
 }
 
@@ -111,6 +112,7 @@
         token_rate: 0.0,
         needed_rate: 0.0,
         service_time: ms(15),
+        resumes: false,
     };
     assert_eq!(chosen_index(&[plain(9), plain(5)], &timing), 1);
     assert_eq!(plain(5).estimate(&timing, &DispatchSettings::default()), ms(0));
@@ -249,3 +251,63 @@
     let slow = DispatchCandidate { token_rate: Some(0.0), ..candidate(0) };
     assert_eq!(chosen_index(&[slow], &endless), 0);
 }
+
+/// Returns a resumption with the timing of a new request that is rejected.
+fn resumption(timing: RequestTiming) -> RequestTiming {
+    RequestTiming { resumes: true, ..timing }
+}
+
+fn is_sent(candidate: DispatchCandidate, timing: &RequestTiming) -> bool {
+    matches!(decide(&[candidate], timing), DispatchDecision::Send(..))
+}
+
+macro_rules! resumptions {
+    ($($name:ident: $candidate:expr, $timing:expr => new $new:literal, resumed $resumed:literal;)*) => {$(
+        /// Guards against a resumption that is refused for limits of new streams.
+        #[test]
+        fn $name() {
+            let (candidate, timing): (DispatchCandidate, RequestTiming) = ($candidate, $timing);
+            assert_eq!(is_sent(candidate, &timing), $new);
+            assert_eq!(is_sent(candidate, &resumption(timing)), $resumed);
+        }
+    )*};
+}
+
+resumptions! {
+    a_resumption_may_miss_the_latency_goal: candidate(16_000), timing() => new false, resumed true;
+    a_resumption_is_not_rejected_for_a_slow_engine:
+        DispatchCandidate { token_rate: Some(5.0), ..candidate(0) },
+        RequestTiming { needed_rate: 30.0, ..timing() } => new false, resumed true;
+    a_resumption_that_cannot_end_in_time_is_rejected:
+        candidate(0), RequestTiming { time_left: ms(400), ..timing() } => new false, resumed false;
+    a_resumption_with_a_long_queue_before_it_is_rejected:
+        candidate(200_000), timing() => new false, resumed false;
+}
+
+#[test]
+fn a_rejected_resumption_may_come_back_when_the_queue_lets_it_end_in_time() {
+    let timing = resumption(timing());
+    let DispatchDecision::RetryLater(after) = decide(&[candidate(198_000)], &timing) else {
+        panic!("the resumption is sent");
+    };
+    // 200,000 tokens at 18 a ms and 45 ms, less the 4,200 ms before which the first byte is needed.
+    assert_eq!(after.as_millis(), 6956);
+}
+
+macro_rules! remaining_tokens {
+    ($($name:ident: $streams:literal streams, $expected:literal, $events:literal events => $left:literal;)*) => {$(
+        #[test]
+        fn $name() {
+            let mut pace = TokenPace::default();
+            (0..$streams).for_each(|_| pace.record_stream("plans", 120, 40));
+            assert_eq!(pace.remaining_tokens("plans", $expected, $events), $left);
+        }
+    )*};
+}
+
+remaining_tokens! {
+    nothing_of_a_new_stream_is_there: 20 streams, 90, 0 events => 90;
+    the_events_that_are_there_count_by_their_size: 20 streams, 90, 10 events => 60;
+    an_event_of_unknown_size_counts_as_one_token: 0 streams, 90, 10 events => 80;
+    a_stream_longer_than_expected_has_nothing_left: 20 streams, 90, 50 events => 0;
+}
--- a/tests/regression/silent_upstreams.rs
+++ b/tests/regression/silent_upstreams.rs
@@ -85,6 +85,7 @@
         token_rate: 0.0,
         needed_rate: 0.0,
         service_time: Duration::ZERO,
+        resumes: false,
     }
 }
 
--- a/tests/regression/starved_large_requests.rs
+++ b/tests/regression/starved_large_requests.rs
@@ -97,6 +97,7 @@
         token_rate: kind.token_rate(request),
         needed_rate,
         service_time: Duration::ZERO,
+        resumes: false,
     };
     match dispatch(&[candidate], &timing, &DispatchSettings::default(), 0) {
         DispatchDecision::Send(_, estimate) => Some(estimate),
