--- a/src/request/token_pace.rs
+++ b/src/request/token_pace.rs
@@ -72,4 +72,11 @@
     pub fn tokens_per_event(&self, service: &str) -> Option<f64> {
         self.services.get(service)?.tokens_per_event()
     }
+
+    /// Returns the output tokens that are left of a stream whose caller expects `expected` tokens and
+    /// has `events` events. An event of unknown size counts as one token.
+    pub fn remaining_tokens(&self, service: &str, expected: u64, events: u64) -> u64 {
+        let size = self.tokens_per_event(service).unwrap_or(1.0).max(1.0);
+        expected.saturating_sub((events as f64 * size).round() as u64)
+    }
 }
