--- a/crates/carob-edge/src/follow/mod.rs
+++ b/crates/carob-edge/src/follow/mod.rs
@@ -291,18 +291,17 @@
 ) -> Result<u64, StoreError> {
     let mut records: Vec<KeyedRecord> = Vec::new();
     let mut first = None;
+    let mut after: Option<String> = None;
     loop {
-        let after = records.last().map(|record| record.key.as_str());
-        let response = edge
-            .store
-            .call(LogRequest::newest(settings.topic, after), settings.response_timeout)
-            .await?;
+        let call = LogRequest::newest(settings.topic, after.as_deref());
+        let response = edge.store.call(call, settings.response_timeout).await?;
         edge.metrics.record_store_call(settings.topic);
         let page = decode_newest_page(&response.body)?;
         // The pages are not from one moment, so reading continues from the end of the first page.
         let (end, sent) = *first.get_or_insert((page.end_offset, response.sent_at));
+        after = page.next_after(after.as_deref())?;
         records.extend(page.records);
-        if !page.has_more {
+        if after.is_none() {
             sink.on_response(edge);
             sink.on_snapshot(edge, &records);
             sink.on_confirmed(edge, sent);
--- a/crates/carobctl/src/platform_commands.rs
+++ b/crates/carobctl/src/platform_commands.rs
@@ -24,8 +24,8 @@
 async fn read_newest(log: SocketAddr, topic: &str) -> Result<Vec<KeyedRecord>> {
     let client = HttpClient::unpooled();
     let mut records: Vec<KeyedRecord> = Vec::new();
+    let mut after: Option<String> = None;
     loop {
-        let after = records.last().map(|record| record.key.clone());
         let request = LogRequest::newest(topic, after.as_deref());
         let answer = client.get(&format!("http://{log}{}", request.target), LOG_TIMEOUT).await;
         let answer = answer.map_err(|err| eyre!("log {log}: {err}"))?;
@@ -33,8 +33,9 @@
             return Err(eyre!("log {log} answered {} for {topic}", answer.status));
         }
         let page = decode_newest_page(&answer.body)?;
+        after = page.next_after(after.as_deref())?;
         records.extend(page.records);
-        if !page.has_more {
+        if after.is_none() {
             return Ok(records);
         }
     }
