--- a/crates/carob-edge/src/follow/mod.rs
+++ b/crates/carob-edge/src/follow/mod.rs
@@ -188,6 +188,9 @@
                 }
                 edge.metrics.record_store_failure(settings.topic);
                 edge.hubs.borrow_mut().record_read_failure(edge.now());
+                if matches!(err, StoreError::Unreadable(_)) {
+                    next = None; // The same read may fail again; a snapshot holds what it held.
+                }
                 let max_backoff = settings.max_backoff(&edge, reads_for_others);
                 let pause = backoff.record_failure(max_backoff, rand::rng().random());
                 back_off(&edge, settings, next, pause).await;
