A log line with a long value stays whole

Operators saw: a line on an odd value of 200 KB was cut off at 4,000 bytes, inside its text, and was no JSON; time, part and text came after the cut. Evidence, before: an_odd_record_of_a_known_upstream_changes_nothing and odd_records_leave_the_other_vms_known: "EOF while parsing a string at line 1 column 4000". Change: the texts of a line that is too long lose their middle until it fits; the end of an error names the position. After: both tests pass.

--- a/crates/carob-edge/src/logging.rs
+++ b/crates/carob-edge/src/logging.rs
@@ -7,10 +7,10 @@
 use std::time::{Duration, UNIX_EPOCH};
 
 use logforth::filter::env_filter::EnvFilterBuilder;
-use logforth::kv::{Key, Value, Visitor};
+use logforth::kv::{Key, Value as FieldValue, Visitor};
 use logforth::record::Record;
 use logforth::{Append, Diagnostic, Error};
-use serde_json::Map;
+use serde_json::{Map, Value};
 
 /// Maximum number of lines of each log target in a second.
 const MAX_LINES_PER_SECOND: u32 = 400;
@@ -27,16 +27,43 @@
     dropped: AtomicU64,
 }
 
-struct Fields<'a>(&'a mut Map<String, serde_json::Value>);
+struct Fields<'a>(&'a mut Map<String, Value>);
 
 impl Visitor for Fields<'_> {
-    fn visit(&mut self, key: Key, value: Value) -> Result<(), Error> {
+    fn visit(&mut self, key: Key, value: FieldValue) -> Result<(), Error> {
         let value = serde_json::to_value(&value).unwrap_or_else(|_| value.to_string().into());
         self.0.insert(key.to_string(), value);
         Ok(())
     }
 }
 
+/// Encodes the fields of a line; long texts are shortened until the line has its maximum size.
+fn encode_line(fields: &mut Map<String, Value>) -> Vec<u8> {
+    let mut max_text = MAX_LINE_BYTES;
+    loop {
+        let line = serde_json::to_vec(fields).unwrap_or_default();
+        if line.len() <= MAX_LINE_BYTES || max_text == 0 {
+            return line;
+        }
+        max_text /= 2;
+        for value in fields.values_mut() {
+            if let Value::String(text) = value {
+                *text = shorten(text, max_text);
+            }
+        }
+    }
+}
+
+/// Leaves out the middle of a text that is too long: the end of an error names the position.
+fn shorten(text: &str, max_bytes: usize) -> String {
+    if text.len() <= max_bytes {
+        return text.to_owned();
+    }
+    let start = text.floor_char_boundary(max_bytes * 3 / 4);
+    let end = text.ceil_char_boundary(text.len() - max_bytes / 4);
+    format!("{}...{}", &text[..start], &text[end..])
+}
+
 impl StdoutAppend {
     /// Counts a line and reports whether the target `part` may write it in this second.
     fn within_rate_limit(&self, part: &str, now: Duration) -> bool {
@@ -80,8 +107,7 @@
         if dropped > 0 {
             fields.insert("dropped".into(), dropped.into());
         }
-        let mut line = serde_json::to_vec(&fields).unwrap_or_default();
-        line.truncate(MAX_LINE_BYTES);
+        let mut line = encode_line(&mut fields);
         line.push(b'\n');
         self.write(&line);
         Ok(())
