An entry of an unknown service takes no upstream's place

Callers saw: an entry with a service that no configuration names, under the id of an upstream that lives, took that upstream out of use until its own next entry. Cause: such an entry was valid by itself and replaced the one in force. Evidence, before: an_entry_of_no_service_changes_no_known_upstream: "assertion failed: executed(&cluster, &process).await[0] > 0". Change: a known upstream moves to another service only if the configuration names it; the line is that of an entry that cannot be decoded. After: the test passes, also for a service that is named later.

--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use carob_platform::{CONFIG_KEY, KeyedRecord, decode_config, decode_upstream};
-use carobglade::{BlockRecord, EntryChange, UpstreamName, VersionRecord, VmName, VmProfile};
+use carob_platform::{CONFIG_KEY, DecodeError, KeyedRecord, decode_config, decode_upstream};
+use carobglade::{
+    BlockRecord, EntryChange, UpstreamEntry, UpstreamName, VersionRecord, VmName, VmProfile,
+};
 use serde::{Deserialize, Serialize};
 
 use super::RecordSink;
@@ -75,7 +77,7 @@
         if record.value.is_empty() {
             return self.remove(edge, &record.key);
         }
-        let entry = match decode_upstream(&record.key, &record.value) {
+        let entry = match decode_listed(edge, record) {
             Ok(entry) => entry,
             Err(err) => {
                 self.unreadable += 1;
@@ -122,6 +124,22 @@
     }
 }
 
+/// Decodes an entry of the list. An upstream stays in the service that it has until an entry names
+/// another one of the configuration.
+fn decode_listed(edge: &Edge, record: &KeyedRecord) -> Result<UpstreamEntry, DecodeError> {
+    let entry = decode_upstream(&record.key, &record.value)?;
+    let view = edge.view.borrow();
+    let held = view.upstreams.entry(&entry.name);
+    let moves = held.is_some_and(|held| held.service != entry.service);
+    let is_named =
+        view.config.as_ref().is_none_or(|config| config.services.contains_key(&entry.service));
+    if moves && !is_named {
+        let problem = "the configuration names no such service".to_owned();
+        return Err(DecodeError { field: format!("{}.service", record.key), problem });
+    }
+    Ok(entry)
+}
+
 /// Records the version of an upstream; an older entry than the known one does not count.
 fn record_version(edge: &Edge, name: &UpstreamName) {
     let view = edge.view.borrow();
