One odd record of the log stops no reader of carob-entry

Callers would see: vms of carob-entry whose configuration and claims no longer advance, since a page with one record that cannot be decoded failed whole and was read again and again from the same offset. Change: records are decoded one by one; one that cannot be decoded leaves a line and is left out, in every process of a build alike. So a kind of record that a later build adds has to be one that older builds may pass over. Shown on the reader of pages, not on a running carob-entry: the fake log of its tests takes only records that it can decode itself.

--- a/crates/carob-net/src/log_client.rs
+++ b/crates/carob-net/src/log_client.rs
@@ -4,11 +4,14 @@
 
 use carobglade::{Error, ErrorKind, LogEntry, Offset, Record};
 use serde::{Deserialize, Serialize};
+use serde_json::value::RawValue;
 
 use crate::HttpClient;
 
 const READ_TIMEOUT_MARGIN: Duration = Duration::from_millis(1500); // added to the wait of a read
 
+const MAX_ERROR_CHARS: usize = 300; // of an error in a log line
+
 #[derive(Serialize)]
 struct AppendRequest<'a> {
     id: &'a str,
@@ -31,6 +34,48 @@
     pub entries: Vec<LogEntry>,
 }
 
+/// A page whose records are not decoded yet, so that one that is odd hides no other.
+#[derive(Deserialize)]
+struct RawPage {
+    first: Offset,
+    next: Offset,
+    entries: Vec<RawEntry>,
+}
+
+#[derive(Deserialize)]
+struct RawEntry {
+    offset: Offset,
+    time: u64,
+    id: String,
+    records: Vec<Box<RawValue>>,
+}
+
+impl From<RawPage> for LogPage {
+    fn from(page: RawPage) -> Self {
+        let entries = page.entries.into_iter().map(LogEntry::from);
+        LogPage { first: page.first, next: page.next, entries: entries.collect() }
+    }
+}
+
+impl From<RawEntry> for LogEntry {
+    /// Decodes the records; one that cannot be decoded is left out, in every process alike.
+    fn from(entry: RawEntry) -> Self {
+        let records = entry.records.iter().filter_map(|record| {
+            let decoded = serde_json::from_str(record.get());
+            let offset = entry.offset;
+            decoded.inspect_err(|err| log_unreadable(offset, &entry.id, err)).ok()
+        });
+        let records = records.collect();
+        LogEntry { offset: entry.offset, time_ms: entry.time, id: entry.id, records }
+    }
+}
+
+fn log_unreadable(offset: Offset, id: &str, err: &serde_json::Error) {
+    let error: String = err.to_string().chars().take(MAX_ERROR_CHARS).collect();
+    let id: String = id.chars().take(MAX_ERROR_CHARS).collect();
+    log::warn!("tail: a record of entry {id:?} at offset {offset} cannot be decoded: {error}");
+}
+
 /// Client for one stream of the platform's log.
 #[derive(Clone, Debug)]
 pub struct LogClient {
@@ -67,7 +112,8 @@
         Ok(appended.offset)
     }
 
-    /// Reads entries from the offset `from` on, and waits up to `wait` for the first entry.
+    /// Reads entries from the offset `from` on, and waits up to `wait` for the first entry. A record
+    /// that cannot be decoded is left out of its entry.
     ///
     /// # Errors
     ///
@@ -76,7 +122,8 @@
         let url = format!("{}/read?from={from}&wait_ms={}", self.stream_url, wait.as_millis());
         let response =
             self.client.get(&url, wait + READ_TIMEOUT_MARGIN).await.map_err(unavailable_error)?;
-        decode(response.status, &response.body)
+        let page: RawPage = decode(response.status, &response.body)?;
+        Ok(page.into())
     }
 }
 
