--- a/src/process/upstream_registry.rs
+++ b/src/process/upstream_registry.rs
@@ -1,6 +1,6 @@
 //! The upstreams in the platform's list, and which of them accept new work.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -156,6 +156,7 @@
     /// Removes the entries that a complete read of the list does not name. Returns the names
     /// removed.
     pub fn retain_listed(&mut self, listed: &[UpstreamName], now: Duration) -> Vec<UpstreamName> {
+        let listed: BTreeSet<&UpstreamName> = listed.iter().collect();
         let missing = self.entries.keys().filter(|name| !listed.contains(name)).cloned();
         let missing: Vec<UpstreamName> = missing.collect();
         missing.into_iter().filter(|name| self.record_removal(name, now)).collect()
--- a/tests/upstream_registry.rs
+++ b/tests/upstream_registry.rs
@@ -1,6 +1,6 @@
 //! Tests of the upstream registry: restarts, outdated entries and outages of the list.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use carobglade::{
     EntryChange, LoadedModel, UpstreamEntry, UpstreamName, UpstreamRegistry,
@@ -102,3 +102,18 @@
     assert!(!upstream.holds(&"large".parse().unwrap(), Some("a2")));
     assert!(!upstream.holds(&"small".parse().unwrap(), Some("a1")));
 }
+
+// Guards against: a snapshot of a large list stops the process for longer than a vm waits for a
+// message.
+#[test]
+fn a_snapshot_of_a_large_list_is_applied_in_time() {
+    let mut registry = UpstreamRegistry::new(UpstreamRegistrySettings::default());
+    let names: Vec<UpstreamName> = (0..10_000).map(|i| name(&format!("upstream-{i}"))).collect();
+    names.iter().for_each(|name| drop(registry.upsert(entry(name.as_str(), 5, 1))));
+    let started = Instant::now();
+    assert!(registry.retain_listed(&names, ms(10)).is_empty());
+    let took = started.elapsed();
+    assert!(took < ms(100), "{took:?}");
+    let gone = registry.retain_listed(&names[1..], ms(10));
+    assert_eq!(gone, names[..1]);
+}
