--- a/crates/carob-net/tests/log_client.rs
+++ b/crates/carob-net/tests/log_client.rs
@@ -13,9 +13,9 @@
 }
 
 /// Reads a page with a record between two others.
-async fn read_page(record: &str) -> carobglade::Result<LogPage> {
+async fn read_page(record: impl AsRef<str>) -> carobglade::Result<LogPage> {
     let leave = |vm: &str| format!("{{\"leave\":{{\"vm\":\"{vm}\",\"incarnation\":1}}}}");
-    let records = [leave("vm-1"), record.to_owned(), leave("vm-2")].join(",");
+    let records = [leave("vm-1"), record.as_ref().to_owned(), leave("vm-2")].join(",");
     let page = format!(
         "{{\"first\":0,\"next\":5,\"entries\":[{{\"offset\":4,\"time\":7,\"id\":\"a\",\"records\":[{records}]}}]}}"
     );
@@ -36,7 +36,7 @@
         $(
             #[tokio::test(flavor = "multi_thread")]
             async fn $name() {
-                let page = read_page(&$record).await.unwrap();
+                let page = read_page($record).await.unwrap();
                 assert_eq!(page.next, Offset(5));
                 let records = &page.entries[0].records;
                 let leaves = records.iter().filter(|record| matches!(record, Record::Leave(_)));
@@ -49,13 +49,13 @@
 // Guards against: one record that cannot be decoded makes a process read the same page of the log
 // again and again.
 odd_records! {
-    a_record_of_another_type => "7".to_owned();
-    a_record_of_an_unknown_kind => "{\"other\":{}}".to_owned();
-    a_record_with_a_wrong_field => "{\"leave\":{\"vm\":[],\"incarnation\":1}}".to_owned();
-    a_record_with_a_number_out_of_range => "{\"leave\":{\"vm\":\"a\",\"incarnation\":1e400}}".to_owned();
-    a_record_with_a_large_number => "{\"cleared\":18446744073709551616}".to_owned();
+    a_record_of_another_type => "7";
+    a_record_of_an_unknown_kind => "{\"other\":{}}";
+    a_record_with_a_wrong_field => "{\"leave\":{\"vm\":[],\"incarnation\":1}}";
+    a_record_with_a_number_out_of_range => "{\"leave\":{\"vm\":\"a\",\"incarnation\":1e400}}";
+    a_record_with_a_large_number => "{\"cleared\":18446744073709551616}";
     a_record_with_a_port_out_of_range => "{\"join\":{\"vm\":{\"vm\":\"a\",\"incarnation\":1},\
-        \"data_centre\":\"b\",\"peer\":\"127.0.0.1:70000\",\"admin\":\"127.0.0.1:1\"}}".to_owned();
+        \"data_centre\":\"b\",\"peer\":\"127.0.0.1:70000\",\"admin\":\"127.0.0.1:1\"}}";
     a_record_that_is_nested_deep => "[".repeat(DEPTH) + &"]".repeat(DEPTH);
     a_kind_that_is_nested_deep => format!("{{\"leave\":{}1{}}}", "[".repeat(DEPTH), "]".repeat(DEPTH));
 }
