--- a/crates/carob-edge/src/rooms.rs
+++ b/crates/carob-edge/src/rooms.rs
@@ -45,6 +45,7 @@
         /// The ticket that the request gets if it is let in.
         ticket: RoomTicket,
         /// Time after which the request has ended.
+        #[serde(deserialize_with = "carobglade::deserialize_told_time")]
         max_time: Duration,
     },
     /// Answers a request.
--- a/crates/carob-edge/src/turns.rs
+++ b/crates/carob-edge/src/turns.rs
@@ -37,6 +37,7 @@
         /// What the sender knows of the limit.
         limit: LimitNotice,
         /// Time for which the request can wait.
+        #[serde(deserialize_with = "carobglade::deserialize_told_time")]
         max_wait: Duration,
     },
     /// Answers a request.
