Upstreams: a response without an id on a kept connection belongs to no known request

What callers saw: 503 "not run" for a request that its upstream ran (REFUSED), a once-only request that ran at two upstreams (TWICE), and a 200 with the body of another response.

Cause: `ResponseKind::classify` checked the id only of responses that have one. Reports and orders carry no id, and their connections serve requests afterwards; their refusals, written once more where the response to a request is expected, were believed.

Change: on a kept connection a response must carry the id of its request. Without it the request counts as one that may have run; a repeatable request goes again over a new connection, as after one that was closed. A new connection carried nothing before, so its refusals are believed without an id too (an address dealt to another service, a server that does not read the head): a caller of a once-only request would lose its retry there and nothing would be won. Such a response is no evidence for a crash at the start of a stream either: its status is no longer that of the attempt.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -112,8 +112,8 @@
     pub outcome: AttemptOutcome,
     /// The upstream's error response, if it sent one.
     pub response: Option<Box<FullResponse>>,
-    /// Whether the attempt broke on a kept connection before a response began. The upstream may only
-    /// have closed that connection, and may serve the request over a new one.
+    /// Whether the attempt broke on a kept connection before a response to it began. The fault may be
+    /// that connection's alone, and the upstream may serve the request over a new one.
     pub stale_connection: bool,
 }
 
@@ -183,7 +183,7 @@
 /// What the head of a response tells about the upstream.
 #[derive(Clone, Copy, Debug, Default)]
 struct ResponseHead {
-    /// The HTTP status; 0 while no response has begun.
+    /// The HTTP status; 0 while no response to the request has begun.
     status: u16,
     /// The requests a second that the upstream takes, if it names a limit.
     limit: Option<RequestRate>,
@@ -231,11 +231,15 @@
         self.edge.now().saturating_sub(self.started)
     }
 
-    /// Reports whether the attempt ended with `outcome` because its kept connection was closed.
+    /// Reports whether the attempt uses a connection that was kept.
+    fn is_reused(&self) -> bool {
+        self.connection == ConnectionSource::Kept
+    }
+
+    /// Reports whether the attempt ended with `outcome` because its kept connection was closed, or
+    /// brought the response to an earlier request.
     fn is_stale(&self, outcome: AttemptOutcome) -> bool {
-        outcome == AttemptOutcome::TransportError
-            && self.connection == ConnectionSource::Kept
-            && self.head.status == 0
+        outcome == AttemptOutcome::TransportError && self.is_reused() && self.head.status == 0
     }
 
     fn log(&self, end: &str) {
@@ -318,14 +322,15 @@
     let mut response =
         paths::send(edge, &choice.entry, !choice.fresh, outgoing, &mut record.connection).await?;
     let status = response.status;
-    record.head =
-        ResponseHead { status, limit: turns::read_limit(edge, &choice.entry, &response.headers) };
-    let kind =
-        ResponseKind::classify(status, &response.headers, &request.caller_headers.request_id);
+    let limit = turns::read_limit(edge, &choice.entry, &response.headers);
+    let (id, reused) = (&request.caller_headers.request_id, record.is_reused());
+    let kind = ResponseKind::classify(status, &response.headers, id, reused);
     rooms::record_head(edge, &choice.entry, choice.room.as_deref(), status, kind);
     if kind == ResponseKind::WrongRequest {
+        log::info!(target: "pool", id = id.as_str(), upstream:% = choice.entry.name, status = status, reused = reused; "A response does not belong to its request.");
         return Err(AttemptOutcome::TransportError.into());
     }
+    record.head = ResponseHead { status, limit };
     if request.route.kind.is_stream() && (200..300).contains(&status) {
         let mut splitter = EventSplitter::resuming_after(last_id);
         let events = receive_first_events(&mut response, &mut splitter, &choice.entry.name).await?;
--- a/crates/carob-edge/src/rooms.rs
+++ b/crates/carob-edge/src/rooms.rs
@@ -285,7 +285,7 @@
 
 /// Records whether an upstream had no room for an order, or for the request for a report.
 pub fn record_unticketed(edge: &Rc<Edge>, entry: &UpstreamEntry, status: u16, headers: &HeaderMap) {
-    let kind = ResponseKind::classify(status, headers, "");
+    let kind = ResponseKind::classify(status, headers, "", false);
     record_head(edge, entry, None, status, kind);
 }
 
