Orders: each order and report uses a connection of its own

What was seen: orders that counted as fenced, though their engine accepted them: the holder of the duty took an earlier 412 for the response to its order. The same holds for 200, 202, 409 and for the content of a report, which is an input of the placement.

Cause: orders and reports carry no id, and went over connections that were kept after requests, so that a response that is written once more cannot be told from theirs.

Change: they open a connection and close it after the response, in place of an idle one, since an upstream limits the number of its connections. So a late response to them reaches no request either.

--- a/crates/carob-edge/src/orders/mod.rs
+++ b/crates/carob-edge/src/orders/mod.rs
@@ -323,7 +323,7 @@
         body: encode_order(order).into(),
     };
     turns::count_request(edge, &upstream.name);
-    let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
+    let mut response = edge.pool.send_alone(&upstream.name, upstream.address, request).await?;
     turns::read_limit(edge, upstream, &response.headers);
     rooms::record_unticketed(edge, upstream, response.status, &response.headers);
     response.read_to_end(MAX_REPORT_BYTES, &edge.response_budget).await?;
@@ -342,7 +342,7 @@
     };
     let read = async {
         turns::count_request(edge, &upstream.name);
-        let mut response = edge.pool.send(&upstream.name, upstream.address, request).await?;
+        let mut response = edge.pool.send_alone(&upstream.name, upstream.address, request).await?;
         turns::read_limit(edge, upstream, &response.headers);
         rooms::record_unticketed(edge, upstream, response.status, &response.headers);
         let body = response.read_to_end(MAX_REPORT_BYTES, &edge.response_budget).await?;
--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -170,6 +170,30 @@
         }
     }
 
+    /// Sends a call whose response carries no id over a new connection, which is closed after it. An
+    /// idle connection to the upstream, which limits their number, is closed instead: a response that
+    /// lies there could be taken for that of the call.
+    ///
+    /// # Errors
+    ///
+    /// As [`send`](Self::send).
+    pub async fn send_alone(
+        self: &Rc<Self>,
+        name: &UpstreamName,
+        address: SocketAddr,
+        request: OutgoingRequest,
+    ) -> Result<IncomingResponse, AttemptOutcome> {
+        let request = request.build().ok_or(AttemptOutcome::Unsent)?;
+        if let Some(idle) = self.take_idle(&(name.clone(), address)) {
+            idle.task.abort();
+        }
+        let mut response = self.send_new(name, address, request).await?;
+        if let Some(connection) = &mut response.connection {
+            connection.idle_timeout = None;
+        }
+        Ok(response)
+    }
+
     /// Sends a request over a new direct connection.
     async fn send_new(
         self: &Rc<Self>,
