Kept connections: what arrived before a request is read before it is written

Cause: hyper reads an idle connection before it writes a request, and gives the request back if anything is there. But the runtime knows of bytes only from its last question to the operating system, up to 61 task polls ago or before a pause of the process; until then the read says "nothing", the request is written, and the old bytes are read as its response. Calls to the log have no id that would show it.

Change: while a connection is idle, a read that the runtime has nothing for asks the operating system itself. hyper reads before each write, so the time in which old bytes go unseen is that between two system calls of one task. Cost: one system call for each request over a kept connection.

--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -21,14 +21,21 @@
 use crate::keep_alive::{DEFAULT_IDLE_TIMEOUT, IDLE_FRACTION, idle_timeout, is_delimited};
 use crate::outgoing_request::OutgoingRequest;
 use crate::response_budget::ResponseBudget;
+use crate::watched_stream::{IdleFlag, WatchedStream};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size of the head of a response, and of what is read ahead of its body.
 const MAX_BUFFER_BYTES: usize = 64 << 10;
-/// A connection that waits for its next request.
-struct IdleConnection {
+/// A connection that speaks HTTP.
+struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    idle: IdleFlag,
+}
+
+/// A connection that waits for its next request.
+struct IdleConnection {
+    http: HttpConnection,
     expires_at: Duration,
 }
 
@@ -42,18 +49,17 @@
 struct PooledConnection {
     pool: Weak<ConnectionPool>,
     key: (UpstreamName, SocketAddr),
-    sender: Option<SendRequest<Full<Bytes>>>,
-    task: AbortHandle,
+    /// None once it was returned to the pool.
+    http: Option<HttpConnection>,
     idle_timeout: Option<Duration>,
-    released: bool,
     /// The tunnel that the connection uses; it carries one request.
     tunnel: Option<Tunnel>,
 }
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        if !self.released {
-            self.task.abort();
+        if let Some(http) = &self.http {
+            http.task.abort();
         }
     }
 }
@@ -80,7 +86,7 @@
         self.idle.borrow_mut().retain(|(known, _), list| {
             let keep = known != name;
             if !keep {
-                list.iter().for_each(|idle| idle.task.abort());
+                list.iter().for_each(|idle| idle.http.task.abort());
             }
             keep
         });
@@ -91,9 +97,9 @@
         let now = self.clock.now();
         self.idle.borrow_mut().retain(|_, list| {
             list.retain(|idle| {
-                let keep = now < idle.expires_at && !idle.sender.is_closed();
+                let keep = now < idle.expires_at && !idle.http.sender.is_closed();
                 if !keep {
-                    idle.task.abort();
+                    idle.http.task.abort();
                 }
                 keep
             });
@@ -101,15 +107,16 @@
         });
     }
 
-    fn take_idle(&self, key: &(UpstreamName, SocketAddr)) -> Option<IdleConnection> {
+    fn take_idle(&self, key: &(UpstreamName, SocketAddr)) -> Option<HttpConnection> {
         let now = self.clock.now();
         let mut idle = self.idle.borrow_mut();
         let list = idle.get_mut(key)?;
         while let Some(found) = list.pop() {
-            if now < found.expires_at && found.sender.is_ready() {
-                return Some(found);
+            let IdleConnection { http, expires_at } = found;
+            if now < expires_at && http.sender.is_ready() {
+                return Some(http);
             }
-            found.task.abort();
+            http.task.abort();
         }
         None
     }
@@ -218,7 +225,7 @@
         let key = (name.clone(), address);
         while let Some(idle) = self.take_idle(&key) {
             *source = ConnectionSource::Kept;
-            let connection = self.pooled_connection(&key, idle.sender, idle.task);
+            let connection = self.pooled_connection(&key, idle);
             match exchange(connection, request).await {
                 Ok(response) => return Ok(Ok(response)),
                 Err(Some(unsent)) => request = unsent,
@@ -245,9 +252,9 @@
             FreshConnection::Tunnel(mut tunnel) => (tunnel.take_stream(), Some(tunnel)),
         };
         let started = start_http(stream.ok_or(AttemptOutcome::Unsent)?).await;
-        let (sender, task) = started.ok_or(AttemptOutcome::Unsent)?;
+        let http = started.ok_or(AttemptOutcome::Unsent)?;
         let key = (name.clone(), address);
-        let mut connection = self.pooled_connection(&key, sender, task);
+        let mut connection = self.pooled_connection(&key, http);
         connection.tunnel = tunnel;
         match exchange(connection, request).await {
             Ok(response) => Ok(response),
@@ -258,50 +265,45 @@
 
     /// Keeps a new direct connection for further requests.
     pub async fn add_idle(&self, name: &UpstreamName, address: SocketAddr, stream: TcpStream) {
-        let Some((sender, task)) = start_http(stream).await else {
+        let Some(http) = start_http(stream).await else {
             return;
         };
         let expires_at = self.clock.now() + DEFAULT_IDLE_TIMEOUT.mul_f64(IDLE_FRACTION);
-        let idle = IdleConnection { sender, task, expires_at };
+        let idle = IdleConnection { http, expires_at };
         self.idle.borrow_mut().entry((name.clone(), address)).or_default().push(idle);
     }
 
     fn pooled_connection(
         self: &Rc<Self>,
         key: &(UpstreamName, SocketAddr),
-        sender: SendRequest<Full<Bytes>>,
-        task: AbortHandle,
+        http: HttpConnection,
     ) -> PooledConnection {
         PooledConnection {
             pool: Rc::downgrade(self),
             key: key.clone(),
-            sender: Some(sender),
-            task,
+            http: Some(http),
             idle_timeout: None,
-            released: false,
             tunnel: None,
         }
     }
 
     fn release(&self, connection: &mut PooledConnection) {
-        let (Some(sender), Some(keep)) = (connection.sender.take(), connection.idle_timeout) else {
+        let Some(keep) = connection.idle_timeout.filter(|_| connection.tunnel.is_none()) else {
             return;
         };
-        if sender.is_closed() || connection.tunnel.is_some() {
+        let Some(http) = connection.http.take_if(|http| !http.sender.is_closed()) else {
             return;
-        }
-        connection.released = true;
-        let idle = IdleConnection {
-            sender,
-            task: connection.task.clone(),
-            expires_at: self.clock.now() + keep,
         };
+        http.idle.set(true);
+        let idle = IdleConnection { http, expires_at: self.clock.now() + keep };
         self.idle.borrow_mut().entry(connection.key.clone()).or_default().push(idle);
     }
 }
 
 /// Starts to speak HTTP on a new connection.
-async fn start_http(stream: TcpStream) -> Option<(SendRequest<Full<Bytes>>, AbortHandle)> {
+async fn start_http(stream: TcpStream) -> Option<HttpConnection> {
+    let stream = WatchedStream::new(stream);
+    let idle = stream.idle_flag();
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_BUFFER_BYTES);
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
@@ -310,7 +312,7 @@
             log::debug!(target: "pool", error:% = err; "Upstream connection ended with an error.");
         }
     });
-    Some((sender, task.abort_handle()))
+    Some(HttpConnection { sender, task: task.abort_handle(), idle })
 }
 
 /// Sends a request over a connection. On failure, returns the request if no byte of it was sent.
@@ -318,7 +320,7 @@
     mut connection: PooledConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<IncomingResponse, Option<Request<Full<Bytes>>>> {
-    let Some(sender) = connection.sender.as_mut() else {
+    let Some(HttpConnection { sender, .. }) = &mut connection.http else {
         return Err(Some(request));
     };
     if sender.ready().await.is_err() {
