HTTP client: what arrived before a request is read before it is written

Cause: as for the connections of carob-edge.

Change: the stream that looks before it writes moves to carob-net, and the client's connector uses it. carob-edge switches its questions off while a response is under way.

--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -48,7 +48,6 @@
 mod turn_requests;
 mod turns;
 mod view;
-mod watched_stream;
 
 pub use logging::start as start_logging;
 pub use process::run;
--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use carob_net::Clock;
+use carob_net::{Clock, WatchFlag, WatchedStream};
 use carobglade::{AttemptOutcome, UpstreamName};
 use http::{HeaderMap, Request};
 use http_body_util::{BodyExt, Full};
@@ -21,7 +21,6 @@
 use crate::keep_alive::{DEFAULT_IDLE_TIMEOUT, IDLE_FRACTION, idle_timeout, is_delimited};
 use crate::outgoing_request::OutgoingRequest;
 use crate::response_budget::ResponseBudget;
-use crate::watched_stream::{IdleFlag, WatchedStream};
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size of the head of a response, and of what is read ahead of its body.
@@ -30,7 +29,7 @@
 struct HttpConnection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
-    idle: IdleFlag,
+    watch: WatchFlag,
 }
 
 /// A connection that waits for its next request.
@@ -294,7 +293,7 @@
         let Some(http) = connection.http.take_if(|http| !http.sender.is_closed()) else {
             return;
         };
-        http.idle.set(true);
+        http.watch.set(true);
         let idle = IdleConnection { http, expires_at: self.clock.now() + keep };
         self.idle.borrow_mut().entry(connection.key.clone()).or_default().push(idle);
     }
@@ -303,7 +302,7 @@
 /// Starts to speak HTTP on a new connection.
 async fn start_http(stream: TcpStream) -> Option<HttpConnection> {
     let stream = WatchedStream::new(stream);
-    let idle = stream.idle_flag();
+    let watch = stream.watch_flag();
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_BUFFER_BYTES);
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
@@ -312,7 +311,7 @@
             log::debug!(target: "pool", error:% = err; "Upstream connection ended with an error.");
         }
     });
-    Some(HttpConnection { sender, task: task.abort_handle(), idle })
+    Some(HttpConnection { sender, task: task.abort_handle(), watch })
 }
 
 /// Sends a request over a connection. On failure, returns the request if no byte of it was sent.
@@ -320,7 +319,7 @@
     mut connection: PooledConnection,
     request: Request<Full<Bytes>>,
 ) -> Result<IncomingResponse, Option<Request<Full<Bytes>>>> {
-    let Some(HttpConnection { sender, .. }) = &mut connection.http else {
+    let Some(HttpConnection { sender, watch, .. }) = &mut connection.http else {
         return Err(Some(request));
     };
     if sender.ready().await.is_err() {
@@ -328,6 +327,7 @@
     }
     let response = sender.try_send_request(request).await;
     let response = response.map_err(|mut err| err.take_message())?;
+    watch.set(false);
     connection.idle_timeout = idle_timeout(&response).filter(|_| is_delimited(&response));
     let delimited = is_delimited(&response);
     let (parts, body) = response.into_parts();
--- a/crates/carob-net/src/client.rs
+++ b/crates/carob-net/src/client.rs
@@ -11,6 +11,7 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use crate::connector::WatchedConnector;
 use crate::silence::watch_silence;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -114,7 +115,7 @@
 /// An HTTP client.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<WatchedConnector, Full<Bytes>>,
 }
 
 impl HttpClient {
@@ -199,7 +200,7 @@
     }
 }
 
-fn build_client(max_idle: usize) -> Client<HttpConnector, Full<Bytes>> {
+fn build_client(max_idle: usize) -> Client<WatchedConnector, Full<Bytes>> {
     let mut connector = HttpConnector::new();
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_nodelay(true);
@@ -208,5 +209,5 @@
         .pool_idle_timeout(IDLE_TIMEOUT)
         .pool_max_idle_per_host(max_idle)
         .retry_canceled_requests(max_idle > 0)
-        .build(connector)
+        .build(WatchedConnector(connector))
 }
--- a/crates/carob-net/src/lib.rs
+++ b/crates/carob-net/src/lib.rs
@@ -11,6 +11,7 @@
 mod chunk_channel;
 mod client;
 mod clock;
+mod connector;
 mod exit_code;
 mod keep_alive;
 mod lock;
@@ -18,6 +19,7 @@
 mod metrics;
 mod server;
 mod silence;
+mod watched_stream;
 
 pub use chunk_channel::{ChunkReceiver, ChunkSender, IncompleteBody, chunk_channel};
 pub use client::{HttpClient, HttpResponse, StreamingResponse};
@@ -29,3 +31,4 @@
 pub use metrics::MetricsRegistry;
 pub use server::{Reply, Request, ServeOptions, Server, serve};
 pub use silence::watch_silence;
+pub use watched_stream::{WatchFlag, WatchedStream};
--- a/crates/carob-edge/src/watched_stream.rs
+++ b/crates/carob-net/src/watched_stream.rs
@@ -4,36 +4,49 @@
 //! between two tasks now and then. What arrived meanwhile, as while the process was paused, would be
 //! read after the request, and taken for its response.
 
-use std::cell::Cell;
 use std::io::{self, Read};
 use std::pin::Pin;
-use std::rc::Rc;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::task::{Context, Poll};
 
+use hyper_util::client::legacy::connect::{Connected, Connection};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 
-/// Whether a connection waits for its next request. Its owner sets it after each response, and the
-/// first byte of a request ends it.
-pub type IdleFlag = Rc<Cell<bool>>;
+/// Whether reads of a connection ask the operating system for what the runtime does not know of yet.
+/// An owner that knows when a response is under way may switch it off for that time.
+#[derive(Clone, Debug)]
+pub struct WatchFlag(Arc<AtomicBool>);
 
-/// A connection that asks the operating system for unread bytes at each read while it is idle.
+impl WatchFlag {
+    /// Switches the questions on or off.
+    pub fn set(&self, watched: bool) {
+        self.0.store(watched, Ordering::Relaxed);
+    }
+
+    fn get(&self) -> bool {
+        self.0.load(Ordering::Relaxed)
+    }
+}
+
+/// A connection that asks the operating system for unread bytes at each read.
 #[derive(Debug)]
 pub struct WatchedStream {
     stream: TcpStream,
-    idle: IdleFlag,
+    watched: WatchFlag,
 }
 
 impl WatchedStream {
-    /// Takes a connection over which no request was sent.
+    /// Takes a connection, and watches it.
     pub fn new(stream: TcpStream) -> Self {
-        WatchedStream { stream, idle: Rc::new(Cell::new(true)) }
+        WatchedStream { stream, watched: WatchFlag(Arc::new(AtomicBool::new(true))) }
     }
 
-    /// Returns the flag that tells whether the connection is idle.
-    pub fn idle_flag(&self) -> IdleFlag {
-        Rc::clone(&self.idle)
+    /// Returns the flag that switches the questions on and off.
+    pub fn watch_flag(&self) -> WatchFlag {
+        self.watched.clone()
     }
 
     /// Reads what the runtime does not know of yet; `Pending` if there is nothing.
@@ -47,11 +60,11 @@
             Err(err) => Poll::Ready(Err(err)),
         }
     }
+}
 
-    fn record_write(&self, written: &Poll<io::Result<usize>>) {
-        if matches!(written, Poll::Ready(Ok(len)) if *len > 0) {
-            self.idle.set(false);
-        }
+impl Connection for WatchedStream {
+    fn connected(&self) -> Connected {
+        self.stream.connected()
     }
 }
 
@@ -62,7 +75,7 @@
         buf: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let read = Pin::new(&mut self.stream).poll_read(cx, buf);
-        if read.is_pending() && self.idle.get() { self.read_unseen(buf) } else { read }
+        if read.is_pending() && self.watched.get() { self.read_unseen(buf) } else { read }
     }
 }
 
@@ -72,9 +85,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
-        self.record_write(&written);
-        written
+        Pin::new(&mut self.stream).poll_write(cx, buf)
     }
 
     fn poll_write_vectored(
@@ -82,9 +93,7 @@
         cx: &mut Context<'_>,
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
-        self.record_write(&written);
-        written
+        Pin::new(&mut self.stream).poll_write_vectored(cx, bufs)
     }
 
     fn is_write_vectored(&self) -> bool {
