Kept connections: only they are looked at before a request is written

What callers saw: a resumable stream broken off, "no upstream can take the request now", though another vm reached its upstream.

Cause: since new connections were looked at as well. One that was reset just after it was made then counted as unsent, in place of broken, and an unsent attempt is not sent again over another path.

Change: the look begins when a connection is kept. Nothing of an earlier request can lie on a new one.

--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -267,6 +267,7 @@
         let Some(http) = start_http(stream).await else {
             return;
         };
+        http.watch.set(true);
         let expires_at = self.clock.now() + DEFAULT_IDLE_TIMEOUT.mul_f64(IDLE_FRACTION);
         let idle = IdleConnection { http, expires_at };
         self.idle.borrow_mut().entry((name.clone(), address)).or_default().push(idle);
@@ -303,6 +304,8 @@
 async fn start_http(stream: TcpStream) -> Option<HttpConnection> {
     let stream = WatchedStream::new(stream);
     let watch = stream.watch_flag();
+    // Nothing came before the first request: a reset is found as that of a request under way.
+    watch.set(false);
     let mut builder = http1::Builder::new();
     builder.max_buf_size(MAX_BUFFER_BYTES);
     let (sender, connection) = builder.handshake(TokioIo::new(stream)).await.ok()?;
