--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -1,6 +1,7 @@
 //! A caller's connection: its stream, and whether a request is in progress on it.
 
 use std::cell::Cell;
+use std::future::poll_fn;
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::rc::Rc;
@@ -83,8 +84,13 @@
         self.head_began.get()
     }
 
-    /// Reports whether the part of a head that has arrived is longer than the configuration allows.
-    pub fn is_head_too_long(&self) -> bool {
+    /// Completes once the part of a head that has arrived is longer than the configuration allows. It
+    /// has to be polled whenever the connection was read.
+    pub async fn head_exceeded(&self) {
+        poll_fn(|_| if self.is_head_too_long() { Poll::Ready(()) } else { Poll::Pending }).await;
+    }
+
+    fn is_head_too_long(&self) -> bool {
         self.head_began.get().is_some() && self.head_bytes.get() >= head_limit(&self.edge)
     }
 
--- a/crates/carob-edge/src/head_limit.rs
+++ b/crates/carob-edge/src/head_limit.rs
@@ -1,12 +1,8 @@
 //! The longest head of a request that the configuration in force allows.
 
-use std::future::poll_fn;
-use std::task::Poll;
-
 use carobglade::{Error, ErrorKind, Result};
 use http::request::Parts;
 
-use crate::caller_connection::ConnectionState;
 use crate::edge::Edge;
 
 /// Head that is read whatever the configuration says.
@@ -45,9 +41,3 @@
         .map(|(name, value)| name.as_str().len() + value.len() + HEADER_LINE_BYTES);
     parts.method.as_str().len() + target + REQUEST_LINE_BYTES + lines.sum::<usize>()
 }
-
-/// Completes once the part of a head that has arrived is too long. It has to be polled whenever the
-/// connection was read.
-pub async fn head_exceeded(state: &ConnectionState) {
-    poll_fn(|_| if state.is_head_too_long() { Poll::Ready(()) } else { Poll::Pending }).await;
-}
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod open_request;
 mod orders;
 mod origin_log;
+mod origin_message;
 mod origin_state;
 mod origins;
 mod outgoing_request;
--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -18,7 +18,7 @@
 use crate::caller_timer::{head_timeout_error, refuse_partial_head, wait_expired};
 use crate::edge::Edge;
 use crate::handle::handle;
-use crate::head_limit::{head_exceeded, head_limit, too_long_error};
+use crate::head_limit::{head_limit, too_long_error};
 use crate::response::ServedBody;
 
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -135,7 +135,7 @@
             // What has arrived is read before the wait ends.
             biased;
             ended = &mut served => break ended,
-            () = head_exceeded(&state) => {
+            () = state.head_exceeded() => {
                 reason = Some(CloseReason::LongHead);
                 writable = true;
                 break Ok(());
--- a/crates/carob-edge/src/origin_log.rs
+++ b/crates/carob-edge/src/origin_log.rs
@@ -1,7 +1,7 @@
 //! Versions in the platform's log: at which version streams began, against the loss of all vms at
 //! once, and which versions a service has, for vms that have just started.
 
-use std::collections::HashSet;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,8 +14,8 @@
 use rand::Rng;
 
 use crate::edge::Edge;
+use crate::origin_message::{self, MAX_TOLD, OriginMessage};
 use crate::origin_state::UnkeptOrigin;
-use crate::origins;
 use crate::store::StoreError;
 
 /// Label of records of streams in metrics.
@@ -143,10 +143,25 @@
     // Others may have been added or left out in the meantime.
     let written: HashSet<StreamKey> = batch.iter().map(|origin| origin.key).collect();
     edge.origins.remove_kept(&written);
-    origins::confirm_kept(edge, &batch);
+    confirm_kept(edge, &batch);
     Ok(())
 }
 
+/// Tells the vms that asked for streams to be written that the log keeps them.
+fn confirm_kept(edge: &Edge, kept: &[UnkeptOrigin]) {
+    let mut told: BTreeMap<SocketAddr, Vec<StreamKey>> = BTreeMap::new();
+    for origin in kept {
+        if let Some(address) = origin.told_by {
+            told.entry(address).or_default().push(origin.key);
+        }
+    }
+    for (address, keys) in told {
+        for part in keys.chunks(MAX_TOLD) {
+            origin_message::send(edge, address, &OriginMessage::Kept(part.to_vec()));
+        }
+    }
+}
+
 fn written(origin: &UnkeptOrigin, now: Duration) -> StreamOrigin {
     let age = now.saturating_sub(origin.began_at).as_millis();
     let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
--- a/crates/carob-edge/src/origins.rs
+++ b/crates/carob-edge/src/origins.rs
@@ -9,26 +9,18 @@
 use carobglade::{
     Error, ErrorKind, OriginSource, Result, SoftwareVersion, StreamKey, StreamOrigin,
 };
-use serde::{Deserialize, Serialize};
 
 use crate::datagram;
 use crate::edge::Edge;
 use crate::origin_log;
+use crate::origin_message::{MAX_TOLD, OriginMessage, ROLE, send};
 use crate::origin_state::UnkeptOrigin;
 use crate::request::CallerRequest;
 
-/// First byte of a datagram about streams, which no other message between vms begins with.
-pub const ORIGIN_VERSION: u8 = 65;
-
-/// Label of these datagrams in metrics.
-const ROLE: &str = "stream";
-
 /// Time within which other vms answer the question for a stream.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Vms that know of a stream in a fleet with hubs; in a smaller one, all do.
 const OWNERS: usize = 3;
-/// Maximum number of streams in a datagram, which fits into one packet.
-const MAX_TOLD: usize = 32;
 /// Time for which a resumption waits for the list of vms, where that alone may tell the version.
 const VM_LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which such a resumption looks again.
@@ -38,17 +30,6 @@
 /// Retry time of a resumption that is refused.
 const RESUME_RETRY_AFTER: Duration = Duration::from_millis(600);
 
-/// A datagram from one vm to another, after its first byte.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum OriginMessage {
-    /// Tells at which versions streams began.
-    Tell(Vec<StreamOrigin>),
-    /// Asks for a stream; a vm that does not know it does not answer.
-    Ask(StreamKey),
-    /// Tells which streams the log keeps, to a vm that told of them.
-    Kept(Vec<StreamKey>),
-}
-
 /// Binds a request that resumes a stream to the version that began the stream.
 ///
 /// # Errors
@@ -204,21 +185,6 @@
     edge.origins.add_unkept(UnkeptOrigin { key, version, began_at, added_at, told_by });
 }
 
-/// Tells the vms that asked for streams to be written that the log keeps them.
-pub fn confirm_kept(edge: &Edge, kept: &[UnkeptOrigin]) {
-    let mut told: BTreeMap<SocketAddr, Vec<StreamKey>> = BTreeMap::new();
-    for origin in kept {
-        if let Some(address) = origin.told_by {
-            told.entry(address).or_default().push(origin.key);
-        }
-    }
-    for (address, keys) in told {
-        for part in keys.chunks(MAX_TOLD) {
-            send(edge, address, &OriginMessage::Kept(part.to_vec()));
-        }
-    }
-}
-
 /// Returns the addresses of the vms that know of a stream, other than this one.
 fn addresses(edge: &Edge, key: StreamKey) -> Vec<SocketAddr> {
     let view = edge.view.borrow();
@@ -230,10 +196,6 @@
     owners.iter().filter_map(|vm| Some(view.peers.get(vm)?.address)).collect()
 }
 
-fn send(edge: &Edge, address: SocketAddr, message: &OriginMessage) {
-    datagram::send(edge, address, ORIGIN_VERSION, ROLE, message);
-}
-
 /// Handles a datagram about streams without its first byte.
 pub fn handle_datagram(edge: &Edge, bytes: &[u8], from: SocketAddr) {
     match datagram::decode(bytes) {
--- a/crates/carob-edge/src/wire.rs
+++ b/crates/carob-edge/src/wire.rs
@@ -7,7 +7,7 @@
 pub use crate::duty_claims::{CLAIM_VERSION, ClaimMessage};
 pub use crate::follow::VmEntry;
 pub use crate::origin_log::{decode_streams, encode_streams};
-pub use crate::origins::{ORIGIN_VERSION, OriginMessage};
+pub use crate::origin_message::{ORIGIN_VERSION, OriginMessage};
 pub use crate::peers::{
     Decoded, Extension, Message, OwnUsage, SenderRole, UnknownNumber, WireLoad, WireProgress,
     WireReading, WireReporter, WireTopic, WireUsageReport,
