--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod open_request;
 mod orders;
 mod origin_log;
+mod origin_message;
 mod origin_state;
 mod origins;
 mod outgoing_request;
@@ -48,7 +49,9 @@
 mod tunnel_server;
 mod turn_requests;
 mod turns;
+mod undecoded;
 mod view;
+pub mod wire;
 
 pub use logging::start as start_logging;
 pub use process::run;
--- a/crates/carob-edge/src/origin_log.rs
+++ b/crates/carob-edge/src/origin_log.rs
@@ -1,6 +1,8 @@
 //! Versions in the platform's log: at which version streams began, against the loss of all vms at
 //! once, and which versions a service has, for vms that have just started.
 
+use std::collections::{BTreeMap, HashSet};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,17 +10,28 @@
     LogRequest, STREAM_TOPIC, VM_TOPIC, decode_expired, decode_plain_records, encode_keyed_record,
     encode_plain_record,
 };
-use carobglade::{Backoff, OriginSource, StreamOrigin, VersionRecord};
+use carobglade::{Backoff, OriginSource, StreamKey, StreamOrigin, VersionRecord, VmName};
 use rand::Rng;
 
 use crate::edge::Edge;
+use crate::origin_message::{self, MAX_TOLD, OriginMessage};
 use crate::origin_state::UnkeptOrigin;
 use crate::store::StoreError;
 
+/// Label of records of streams in metrics.
+const ROLE: &str = "stream_record";
 /// Time limit for a call to the log.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1200);
-/// Time for which streams are gathered before they are written, in a small fleet.
-const MIN_WRITE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time for which a vm that writes for others gathers streams.
+const GATHER_TIME: Duration = Duration::from_millis(10);
+/// Minimum time between the starts of two writes of such a vm.
+const WRITER_INTERVAL: Duration = Duration::from_millis(40);
+/// Time after which another vm writes a stream itself that the log does not keep yet, in a small
+/// fleet.
+const OWN_WRITE_DELAY: Duration = Duration::from_millis(500);
+/// Maximum number of vms in a fleet in which some write for others. In a larger one, the streams of
+/// all would exceed what one vm can receive.
+const MAX_WRITER_FLEET: usize = 100;
 /// Writes a second of all vms together, at most; a quarter of what the platform allows.
 const MAX_WRITE_RATE: f64 = 100.0;
 const WRITE_MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -39,12 +52,20 @@
 /// Writes streams to the log until the task is dropped.
 pub async fn run_writer(edge: Rc<Edge>) {
     let mut backoff = Backoff::default();
+    let mut last_write = Duration::ZERO;
     loop {
-        if edge.origins.unkept.borrow().is_empty() {
-            edge.origins.unkept_added.notified().await;
+        let added = edge.origins.unkept_added.notified();
+        let Some(due) = next_write(&edge, last_write) else {
+            added.await;
+            continue;
+        };
+        let wait = due.saturating_sub(edge.now());
+        if !wait.is_zero() {
+            // The role of the vm may change, and the stream that is due may be kept meanwhile.
+            tokio::time::sleep(wait).await;
+            continue;
         }
-        let fleet_interval = Duration::from_secs_f64(edge.fleet_size() as f64 / MAX_WRITE_RATE);
-        tokio::time::sleep(MIN_WRITE_INTERVAL.max(fleet_interval)).await;
+        last_write = edge.now();
         if let Err(err) = write_streams(&edge).await {
             log::debug!(target: "versions", error:% = err; "Writing streams failed; retrying.");
             edge.metrics.record_store_failure(STREAM_TOPIC);
@@ -56,6 +77,58 @@
     }
 }
 
+/// Returns when the next write is due, after the one that started at `last_write`; none while the
+/// log keeps all streams.
+fn next_write(edge: &Edge, last_write: Duration) -> Option<Duration> {
+    let oldest = edge.origins.unkept.borrow().front()?.added_at;
+    if is_writer(edge) {
+        return Some((oldest + GATHER_TIME).max(last_write + writer_interval(edge)));
+    }
+    let fleet_interval = Duration::from_secs_f64(edge.fleet_size() as f64 / MAX_WRITE_RATE);
+    Some(oldest.max(last_write) + OWN_WRITE_DELAY.max(fleet_interval))
+}
+
+fn writer_interval(edge: &Edge) -> Duration {
+    let writers = edge.hubs.borrow().log_writers();
+    WRITER_INTERVAL.max(Duration::from_secs_f64(writers as f64 / MAX_WRITE_RATE))
+}
+
+/// Reports whether this vm writes the streams of others.
+pub fn is_writer(edge: &Edge) -> bool {
+    writer(edge).is_some_and(|vm| vm == edge.vm)
+}
+
+/// Returns the address of the vm that writes the streams of this one; none if it does so itself.
+pub fn writer_address(edge: &Edge) -> Option<SocketAddr> {
+    let writer = writer(edge)?;
+    Some(edge.view.borrow().peers.get(&writer)?.address)
+}
+
+fn writer(edge: &Edge) -> Option<VmName> {
+    if edge.fleet_size() > MAX_WRITER_FLEET {
+        return None;
+    }
+    edge.hubs.borrow_mut().log_writer(edge.now())
+}
+
+/// Encodes a record of streams.
+///
+/// # Errors
+///
+/// Returns an error when the streams cannot be encoded.
+pub fn encode_streams(origins: &[StreamOrigin]) -> postcard::Result<Vec<u8>> {
+    postcard::to_allocvec(origins)
+}
+
+/// Decodes a record of streams. What a newer version appends is ignored.
+///
+/// # Errors
+///
+/// Returns an error when the bytes do not begin with a list of streams.
+pub fn decode_streams(record: &[u8]) -> postcard::Result<Vec<StreamOrigin>> {
+    postcard::from_bytes(record)
+}
+
 async fn write_streams(edge: &Edge) -> Result<(), StoreError> {
     let batch: Vec<UnkeptOrigin> = {
         let unkept = edge.origins.unkept.borrow();
@@ -63,16 +136,32 @@
     };
     let now = edge.now();
     let origins: Vec<StreamOrigin> = batch.iter().map(|origin| written(origin, now)).collect();
-    let content = postcard::to_allocvec(&origins).unwrap_or_default();
+    let content = encode_streams(&origins).unwrap_or_default();
     let call = LogRequest::append(STREAM_TOPIC, encode_plain_record(&content));
     edge.store.call(call, CALL_TIMEOUT).await?;
     edge.metrics.record_store_call(STREAM_TOPIC);
     // Others may have been added or left out in the meantime.
-    let written: std::collections::HashSet<_> = batch.iter().map(|origin| origin.key).collect();
-    edge.origins.unkept.borrow_mut().retain(|origin| !written.contains(&origin.key));
+    let written: HashSet<StreamKey> = batch.iter().map(|origin| origin.key).collect();
+    edge.origins.remove_kept(&written);
+    confirm_kept(edge, &batch);
     Ok(())
 }
 
+/// Tells the vms that asked for streams to be written that the log keeps them.
+fn confirm_kept(edge: &Edge, kept: &[UnkeptOrigin]) {
+    let mut told: BTreeMap<SocketAddr, Vec<StreamKey>> = BTreeMap::new();
+    for origin in kept {
+        if let Some(address) = origin.told_by {
+            told.entry(address).or_default().push(origin.key);
+        }
+    }
+    for (address, keys) in told {
+        for part in keys.chunks(MAX_TOLD) {
+            origin_message::send(edge, address, &OriginMessage::Kept(part.to_vec()));
+        }
+    }
+}
+
 fn written(origin: &UnkeptOrigin, now: Duration) -> StreamOrigin {
     let age = now.saturating_sub(origin.began_at).as_millis();
     let age_ms = u32::try_from(age).unwrap_or(u32::MAX);
@@ -132,14 +221,16 @@
 }
 
 fn apply_streams(edge: &Edge, record: &[u8]) {
-    match postcard::from_bytes::<Vec<StreamOrigin>>(record) {
+    match decode_streams(record) {
         Ok(origins) => {
             let mut streams = edge.origins.streams.borrow_mut();
             let now = edge.now();
-            origins.iter().for_each(|origin| streams.record(origin, OriginSource::Log, now));
+            for origin in &origins {
+                streams.record(origin, OriginSource::Log, now);
+            }
         }
         Err(err) => {
-            log::warn!(target: "versions", error:% = err; "A record of streams cannot be decoded.");
+            edge.report_undecoded(ROLE, STREAM_TOPIC, &err);
         }
     }
 }
--- a/crates/carob-edge/src/origins.rs
+++ b/crates/carob-edge/src/origins.rs
@@ -1,7 +1,7 @@
 //! Keeps a stream at the version of the upstreams' software that began it: binds resumptions to
 //! that version, and tells other vms at which version streams began.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeMap, BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -9,23 +9,18 @@
 use carobglade::{
     Error, ErrorKind, OriginSource, Result, SoftwareVersion, StreamKey, StreamOrigin,
 };
-use serde::{Deserialize, Serialize};
 
 use crate::datagram;
 use crate::edge::Edge;
 use crate::origin_log;
+use crate::origin_message::{MAX_TOLD, OriginMessage, ROLE, send};
 use crate::origin_state::UnkeptOrigin;
 use crate::request::CallerRequest;
 
-/// First byte of a datagram about streams, which no other message between vms begins with.
-pub const ORIGIN_VERSION: u8 = 65;
-
 /// Time within which other vms answer the question for a stream.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Vms that know of a stream in a fleet with hubs; in a smaller one, all do.
 const OWNERS: usize = 3;
-/// Maximum number of streams in a datagram, which fits into one packet.
-const MAX_TOLD: usize = 32;
 /// Time for which a resumption waits for the list of vms, where that alone may tell the version.
 const VM_LIST_TIMEOUT: Duration = Duration::from_secs(1);
 /// Interval at which such a resumption looks again.
@@ -35,15 +30,6 @@
 /// Retry time of a resumption that is refused.
 const RESUME_RETRY_AFTER: Duration = Duration::from_millis(600);
 
-/// A datagram from one vm to another, after its first byte.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-enum OriginMessage {
-    /// Tells at which versions streams began.
-    Tell(Vec<StreamOrigin>),
-    /// Asks for a stream; a vm that does not know it does not answer.
-    Ask(StreamKey),
-}
-
 /// Binds a request that resumes a stream to the version that began the stream.
 ///
 /// # Errors
@@ -175,9 +161,12 @@
 
 /// Tells other vms and the log of streams.
 fn spread(edge: &Edge, origins: Vec<StreamOrigin>) {
+    let writer = origin_log::writer_address(edge);
     let mut told: BTreeMap<SocketAddr, Vec<StreamOrigin>> = BTreeMap::new();
     for origin in &origins {
-        for address in addresses(edge, origin.key) {
+        let addresses: BTreeSet<SocketAddr> =
+            addresses(edge, origin.key).into_iter().chain(writer).collect();
+        for address in addresses {
             told.entry(address).or_default().push(origin.clone());
         }
     }
@@ -186,11 +175,14 @@
             send(edge, address, &OriginMessage::Tell(part.to_vec()));
         }
     }
-    let now = edge.now();
-    for StreamOrigin { key, version, age_ms } in origins {
-        let began_at = now.saturating_sub(Duration::from_millis(u64::from(age_ms)));
-        edge.origins.add_unkept(UnkeptOrigin { key, version, began_at });
-    }
+    origins.into_iter().for_each(|origin| add_unkept(edge, origin, None));
+}
+
+fn add_unkept(edge: &Edge, origin: StreamOrigin, told_by: Option<SocketAddr>) {
+    let StreamOrigin { key, version, age_ms } = origin;
+    let added_at = edge.now();
+    let began_at = added_at.saturating_sub(Duration::from_millis(u64::from(age_ms)));
+    edge.origins.add_unkept(UnkeptOrigin { key, version, began_at, added_at, told_by });
 }
 
 /// Returns the addresses of the vms that know of a stream, other than this one.
@@ -204,30 +196,35 @@
     owners.iter().filter_map(|vm| Some(view.peers.get(vm)?.address)).collect()
 }
 
-fn send(edge: &Edge, address: SocketAddr, message: &OriginMessage) {
-    datagram::send(edge, address, ORIGIN_VERSION, "stream", message);
-}
-
 /// Handles a datagram about streams without its first byte.
 pub fn handle_datagram(edge: &Edge, bytes: &[u8], from: SocketAddr) {
-    match postcard::from_bytes(bytes) {
-        Ok(OriginMessage::Tell(origins)) => {
-            let mut streams = edge.origins.streams.borrow_mut();
-            for origin in &origins {
-                streams.record(origin, OriginSource::Peer, edge.now());
-            }
-            edge.origins.told.notify_waiters();
-        }
+    match datagram::decode(bytes) {
+        Ok(OriginMessage::Tell(origins)) => record_told(edge, origins, from),
         Ok(OriginMessage::Ask(key)) => {
             let origin = edge.origins.streams.borrow().origin(key, edge.now());
             if let Some(origin) = origin {
                 send(edge, from, &OriginMessage::Tell(vec![origin]));
             }
         }
+        Ok(OriginMessage::Kept(keys)) => edge.origins.remove_kept(&HashSet::from_iter(keys)),
         Err(err) => {
-            log::debug!(target: "peers", from:% = from, error:% = err; "A message about streams cannot be decoded.");
+            edge.report_undecoded(ROLE, &from.to_string(), &err);
+        }
+    }
+}
+
+/// Records streams that another vm tells of, and has the new ones written to the log if this vm
+/// writes for others.
+fn record_told(edge: &Edge, origins: Vec<StreamOrigin>, from: SocketAddr) {
+    let now = edge.now();
+    let writes = origin_log::is_writer(edge);
+    for origin in origins {
+        let is_new = edge.origins.streams.borrow_mut().record(&origin, OriginSource::Peer, now);
+        if is_new && writes {
+            add_unkept(edge, origin, Some(from));
         }
     }
+    edge.origins.told.notify_waiters();
 }
 
 /// Forgets streams and versions that no longer matter. Once no single version is known to have begun
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -12,13 +12,14 @@
 use serde::{Deserialize, Serialize};
 
 use super::sender_role::SenderRole;
+use super::wire_number::{WireReporter, WireTopic};
 use super::{MIN_SEND_INTERVAL, UPDATE_REPEAT_TIME};
 use crate::duty_claims;
 use crate::edge::Edge;
 use crate::send_interval::SEND_INTERVAL;
 use crate::view::{SharedChanges, Topic};
 
-/// Version of the encoding; messages with another version are ignored.
+/// Version of the encoding, the first byte of a message; those with another one are of an unknown kind.
 pub const VERSION: u8 = 3;
 
 /// Maximum size of the changes of the upstream list in one message.
@@ -26,21 +27,21 @@
 
 /// Load of an upstream: name hash, running requests, prompt tokens in the backlog, and tokens in
 /// memory.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub struct WireLoad(u32, u32, u64, u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireLoad(pub u32, pub u32, pub u64, pub u64);
 
 /// Fields that were added to the encoding later. Versions without them ignore the bytes that follow
 /// a message, and send none.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-struct Extension {
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Extension {
     /// Progress of the streams of each upstream.
-    streams: Vec<WireProgress>,
+    pub streams: Vec<WireProgress>,
 }
 
 /// Progress of the streams of an upstream: name hash, output tokens a second, and the average
 /// number of streams in thousandths.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-struct WireProgress(u32, u64, u64);
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireProgress(pub u32, pub u64, pub u64);
 
 /// Builds the usage report of this vm.
 pub fn own_usage_report(edge: &Edge) -> UsageReport {
@@ -62,10 +63,41 @@
 }
 
 /// The usage report of the sender, without the fields that the message holds already.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct OwnUsage {
-    reporter: ReporterState,
-    usage: Vec<TenantUsage>,
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct OwnUsage {
+    /// What the sender knows of the tokens that others admitted.
+    pub reporter: WireReporter,
+    /// Token usage of each tenant.
+    pub usage: Vec<TenantUsage>,
+}
+
+/// The usage report of another vm than the sender.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct WireUsageReport {
+    /// Name of the reporting vm.
+    pub vm: VmName,
+    /// Incarnation of the vm's process.
+    pub incarnation: Incarnation,
+    /// What the vm knows of the tokens that others admitted.
+    pub reporter: WireReporter,
+    /// Whether the vm is stopping and has no requests left.
+    pub leaving: bool,
+    /// Token usage of each tenant.
+    pub usage: Vec<TenantUsage>,
+}
+
+impl From<UsageReport> for WireUsageReport {
+    fn from(report: UsageReport) -> Self {
+        let UsageReport { vm, incarnation, reporter, leaving, usage } = report;
+        WireUsageReport { vm, incarnation, reporter: reporter.into(), leaving, usage }
+    }
+}
+
+impl From<WireUsageReport> for UsageReport {
+    fn from(wire: WireUsageReport) -> Self {
+        let WireUsageReport { vm, incarnation, reporter, leaving, usage } = wire;
+        UsageReport { vm, incarnation, reporter: reporter.into(), leaving, usage }
+    }
 }
 
 fn is_drained(edge: &Edge) -> bool {
@@ -73,17 +105,20 @@
 }
 
 /// How far the sender read a topic of the log, and the age of that read in milliseconds.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireReading {
     /// The topic that was read.
-    pub topic: Topic,
-    read_to: u64,
-    changed_to: u64,
-    age_ms: u64,
+    pub topic: WireTopic,
+    /// The offset up to which the sender read.
+    pub read_to: u64,
+    /// The offset of the last change.
+    pub changed_to: u64,
+    /// The age of the read.
+    pub age_ms: u64,
 }
 
 /// A message from one vm to another.
-#[derive(Clone, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Message {
     /// The version of the encoding.
     pub version: u8,
@@ -98,11 +133,12 @@
     /// In a request, the time when it was sent, on the sender's clock; in a response, that of the
     /// request. `None` when no response is wanted.
     pub request_time: Option<Duration>,
-    loads: Vec<WireLoad>,
+    /// Loads of upstreams.
+    pub loads: Vec<WireLoad>,
     /// The sender's own usage, if reported.
-    own_usage: Option<OwnUsage>,
+    pub own_usage: Option<OwnUsage>,
     /// Usage reports of other vms.
-    relayed_usage: Vec<UsageReport>,
+    pub relayed_usage: Vec<WireUsageReport>,
     /// Demand in tokens per second, by name hash of the model.
     pub demand: Vec<(u32, u32)>,
     /// Adapters that requests wait for.
@@ -116,7 +152,7 @@
     /// How far the sender read each topic of the log.
     pub readings: Vec<WireReading>,
     /// The latest changes of the upstream list: offset, key and value.
-    changes: Vec<(u64, String, Vec<u8>)>,
+    pub changes: Vec<(u64, String, Vec<u8>)>,
     /// In a response, the offset from which `changes` is complete; in a request, the offset up to
     /// which the sender knows the upstream list.
     pub since: u64,
@@ -124,7 +160,7 @@
     pub leaving: bool,
     /// Encoded after the message.
     #[serde(skip)]
-    extension: Extension,
+    pub extension: Extension,
     /// Parts of prompts that crash upstreams; encoded after the extension.
     #[serde(skip)]
     pub quarantine: QuarantineReport,
@@ -139,11 +175,24 @@
     pub duties: Option<DutyClaim>,
 }
 
-/// Decodes a part that was added to the encoding later, which older versions do not send.
-fn take_added<'a, T: Default + Deserialize<'a>>(
-    bytes: &'a [u8],
-) -> postcard::Result<(T, &'a [u8])> {
-    if bytes.is_empty() { Ok((T::default(), bytes)) } else { postcard::take_from_bytes(bytes) }
+/// A message with what was lost of it.
+#[derive(Clone, Debug)]
+pub struct Decoded {
+    /// The message; parts that could not be decoded have their defaults.
+    pub message: Message,
+    /// The error of the first part that could not be decoded; those after it are lost too.
+    pub lost: Option<postcard::Error>,
+}
+
+/// Decodes a part that was added to the encoding later, which older versions do not send, and
+/// returns the bytes after it.
+fn take_added<'a, T: Deserialize<'a>>(bytes: &'a [u8], part: &mut T) -> postcard::Result<&'a [u8]> {
+    if bytes.is_empty() {
+        return Ok(bytes);
+    }
+    let (decoded, rest) = postcard::take_from_bytes(bytes)?;
+    *part = decoded;
+    Ok(rest)
 }
 
 impl Message {
@@ -159,19 +208,25 @@
         Ok(bytes)
     }
 
-    /// Decodes a message, with what follows it if there is anything.
+    /// Decodes a message, with what follows it if there is anything. Bytes after the parts that this
+    /// version knows are ignored.
     ///
     /// # Errors
     ///
-    /// Returns an error when the bytes are not a message, or end in an incomplete extension.
-    pub fn decode(bytes: &[u8]) -> postcard::Result<Self> {
-        let (message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
-        let (extension, rest) = take_added(rest)?;
-        let (quarantine, rest) = take_added(rest)?;
-        let (limits, rest) = take_added(rest)?;
-        let (rooms, rest) = take_added(rest)?;
-        let (duties, _) = take_added(rest)?;
-        Ok(Message { extension, quarantine, limits, rooms, duties, ..message })
+    /// Returns an error when the bytes do not begin with a message.
+    pub fn decode(bytes: &[u8]) -> postcard::Result<Decoded> {
+        let (mut message, rest): (Message, &[u8]) = postcard::take_from_bytes(bytes)?;
+        let lost = message.decode_added(rest).err();
+        Ok(Decoded { message, lost })
+    }
+
+    fn decode_added(&mut self, bytes: &[u8]) -> postcard::Result<()> {
+        let rest = take_added(bytes, &mut self.extension)?;
+        let rest = take_added(rest, &mut self.quarantine)?;
+        let rest = take_added(rest, &mut self.limits)?;
+        let rest = take_added(rest, &mut self.rooms)?;
+        take_added(rest, &mut self.duties)?;
+        Ok(())
     }
 
     /// Builds the message that this vm sends in the role `sender`.
@@ -238,7 +293,7 @@
         let mut message = Message { request_time, ..self };
         let view = edge.view.borrow();
         let readings = view.readings.iter().map(|(topic, reading)| WireReading {
-            topic: *topic,
+            topic: (*topic).into(),
             read_to: reading.read_to,
             changed_to: reading.changed_to,
             // Rounded up, so that a read never appears newer than it is.
@@ -276,11 +331,17 @@
         }
     }
 
+    /// Returns the reads of the topics that this version knows.
+    pub fn known_readings(&self) -> impl Iterator<Item = (Topic, &WireReading)> {
+        self.readings.iter().filter_map(|wire| Some((Topic::try_from(wire.topic).ok()?, wire)))
+    }
+
     /// Reports whether the message holds reads and all of them are recent enough to be used.
     pub fn is_fresh(&self, now: Duration) -> bool {
         let request_time = self.request_time.unwrap_or_default();
-        !self.readings.is_empty()
-            && self.readings.iter().all(|w| w.reading(request_time).is_fresh(now))
+        let mut readings = self.known_readings().peekable();
+        readings.peek().is_some()
+            && readings.all(|(_, wire)| wire.reading(request_time).is_fresh(now))
     }
 
     /// Names the receiver that responds to the message.
@@ -295,23 +356,25 @@
 
     /// Adds usage reports of other vms.
     pub fn with_relayed_usage(self, reports: Vec<UsageReport>) -> Self {
-        Message { relayed_usage: reports, ..self }
+        let relayed_usage = reports.into_iter().map(WireUsageReport::from).collect();
+        Message { relayed_usage, ..self }
     }
 
     /// Adds the sender's own usage.
     pub fn with_own_usage(self, report: Option<UsageReport>) -> Self {
         let own_usage =
-            report.map(|report| OwnUsage { reporter: report.reporter, usage: report.usage });
+            report.map(|report| OwnUsage { reporter: report.reporter.into(), usage: report.usage });
         Message { own_usage, ..self }
     }
 
     /// Takes all usage reports out of the message, including the sender's.
     pub fn take_reports(&mut self) -> Vec<UsageReport> {
-        let mut all = std::mem::take(&mut self.relayed_usage);
+        let relayed = std::mem::take(&mut self.relayed_usage);
+        let mut all: Vec<UsageReport> = relayed.into_iter().map(UsageReport::from).collect();
         all.extend(self.own_usage.take().map(|own| UsageReport {
             vm: self.vm.clone(),
             incarnation: self.incarnation,
-            reporter: own.reporter,
+            reporter: own.reporter.into(),
             leaving: self.leaving,
             usage: own.usage,
         }));
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -8,6 +8,7 @@
 mod message;
 mod receive;
 mod sender_role;
+mod wire_number;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -21,9 +22,13 @@
 use crate::send_interval;
 use crate::view::PeerVm;
 
-use message::{Message, own_usage_report};
+use message::own_usage_report;
+pub use message::{
+    Decoded, Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading, WireUsageReport,
+};
 pub use receive::listen;
-use sender_role::SenderRole;
+pub use sender_role::SenderRole;
+pub use wire_number::{UnknownNumber, WireReporter, WireTopic};
 
 /// Minimum interval between two messages.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(20);
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -6,17 +6,25 @@
 use carobglade::{GossipSource, name_hash};
 use tokio::net::UdpSocket;
 
-use super::message::{Message, VERSION};
+use super::message::{Decoded, Message, VERSION};
 use super::sender_role::SenderRole;
 use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_digest, send_to};
 use crate::duty_claims::{self, CLAIM_VERSION};
 use crate::edge::Edge;
-use crate::origins::{self, ORIGIN_VERSION};
+use crate::origin_message::ORIGIN_VERSION;
+use crate::origins;
 use crate::quarantine;
 use crate::rooms::{self, ROOM_VERSION};
 use crate::turns::{self, TURN_VERSION};
 use crate::view::PeerVm;
 
+/// Label of messages that cannot be decoded in metrics.
+const MESSAGE_ROLE: &str = "message";
+/// Label of datagrams of an unknown kind.
+const KIND_ROLE: &str = "kind";
+/// Label of parts that follow a message and cannot be decoded.
+const PART_ROLE: &str = "message_part";
+
 /// Receives messages until the task is dropped.
 pub async fn listen(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     let mut buf = vec![0; MAX_MESSAGE_BYTES];
@@ -34,7 +42,13 @@
             Ok((len, from)) if buf[..len].starts_with(&[CLAIM_VERSION]) => {
                 duty_claims::handle_datagram(&edge, &buf[1..len], from);
             }
-            Ok((len, from)) => handle_datagram(&edge, &socket, &buf[..len], from),
+            Ok((len, from)) if buf[..len].starts_with(&[VERSION]) => {
+                handle_datagram(&edge, &socket, &buf[..len], from);
+            }
+            Ok((len, from)) => {
+                let kind = buf[..len].first().copied().unwrap_or_default();
+                edge.report_undecoded(KIND_ROLE, &from.to_string(), &format!("kind {kind}"));
+            }
             Err(err) => {
                 log::debug!(target: "peers", error:% = err; "Receiving a peer message failed.");
                 tokio::time::sleep(MIN_SEND_INTERVAL).await;
@@ -44,16 +58,19 @@
 }
 
 fn handle_datagram(edge: &Rc<Edge>, socket: &UdpSocket, bytes: &[u8], from: SocketAddr) {
-    let mut message = match Message::decode(bytes) {
-        Ok(message) => message,
+    let Decoded { mut message, lost } = match Message::decode(bytes) {
+        Ok(decoded) => decoded,
         Err(err) => {
-            log::debug!(target: "peers", from:% = from, error:% = err; "Peer message cannot be decoded.");
+            edge.report_undecoded(MESSAGE_ROLE, &from.to_string(), &err);
             return;
         }
     };
-    if message.version != VERSION || message.vm == edge.vm {
+    if message.vm == edge.vm {
         return;
     }
+    if let Some(err) = lost {
+        edge.report_undecoded(PART_ROLE, &from.to_string(), &err);
+    }
     record_sender(edge, &message, from);
     apply_usage(edge, &mut message);
     if matches!(message.sender, SenderRole::HubTokens | SenderRole::DigestTokens) {
@@ -131,15 +148,17 @@
 
 fn apply_readings(edge: &Edge, message: &Message) {
     let is_response = matches!(message.sender, SenderRole::Digest | SenderRole::Readings);
-    let Some(request_time) = message.request_time.filter(|_| is_response) else {
+    let now = edge.now();
+    // A reading that was asked for later than now would count as fresh for good.
+    let request_time = message.request_time.filter(|at| is_response && *at <= now);
+    let Some(request_time) = request_time else {
         return;
     };
     let mut view = edge.view.borrow_mut();
     let changes = message.changes();
-    message
-        .readings
-        .iter()
-        .for_each(|wire| view.accept_reading(wire.topic, wire.reading(request_time), &changes));
+    for (topic, wire) in message.known_readings() {
+        view.accept_reading(topic, wire.reading(request_time), &changes);
+    }
 }
 
 /// Responds to a member's report with a digest, to a message that names this vm as responder with
--- a/crates/carob-edge/src/rooms.rs
+++ b/crates/carob-edge/src/rooms.rs
@@ -21,6 +21,9 @@
 /// First byte of a datagram about rooms, which no other message between vms begins with.
 pub const ROOM_VERSION: u8 = 66;
 
+/// Label of these datagrams in metrics.
+const ROLE: &str = "room";
+
 /// Time within which another vm answers a request.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time without requests after one that was not answered, or while the vms are not known.
@@ -29,20 +32,38 @@
 const RETURN_SPREAD: f64 = 0.5;
 
 /// A datagram from one vm to another, after its first byte.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-enum RoomMessage {
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub enum RoomMessage {
     /// Asks to let a request in.
     Request {
+        /// Identifies the request at the sender.
         number: u64,
+        /// What the sender knows of the upstream.
         room: RoomNotice,
+        /// Start of the upstream's run, in Unix milliseconds.
         started_ms: u64,
+        /// The ticket that the request gets if it is let in.
         ticket: RoomTicket,
+        /// Time after which the request has ended.
+        #[serde(deserialize_with = "carobglade::deserialize_told_time")]
         max_time: Duration,
     },
     /// Answers a request.
-    Answer { number: u64, turn: Turn },
+    Answer {
+        /// The number of the request.
+        number: u64,
+        /// Whether the request is let in.
+        turn: Turn,
+    },
     /// Tells what became of a request.
-    Event { room: RoomNotice, ticket: Option<RoomTicket>, event: RoomEvent },
+    Event {
+        /// What the sender knows of the upstream.
+        room: RoomNotice,
+        /// The ticket of the request, if it has one.
+        ticket: Option<RoomTicket>,
+        /// What became of it.
+        event: RoomEvent,
+    },
 }
 
 /// A request that was let in, until its end.
@@ -285,7 +306,7 @@
 
 /// Records whether an upstream had no room for an order, or for the request for a report.
 pub fn record_unticketed(edge: &Rc<Edge>, entry: &UpstreamEntry, status: u16, headers: &HeaderMap) {
-    let kind = ResponseKind::classify(status, headers, "");
+    let kind = ResponseKind::classify(status, headers, "", false);
     record_head(edge, entry, None, status, kind);
 }
 
@@ -313,15 +334,15 @@
 }
 
 fn send(edge: &Edge, address: SocketAddr, message: &RoomMessage) {
-    datagram::send(edge, address, ROOM_VERSION, "room", message);
+    datagram::send(edge, address, ROOM_VERSION, ROLE, message);
 }
 
 /// Handles a datagram about rooms without its first byte.
 pub fn handle_datagram(edge: &Rc<Edge>, bytes: &[u8], from: SocketAddr) {
-    let message = match postcard::from_bytes(bytes) {
+    let message = match datagram::decode(bytes) {
         Ok(message) => message,
         Err(err) => {
-            log::debug!(target: "rooms", from:% = from, error:% = err; "A message about rooms cannot be decoded.");
+            edge.report_undecoded(ROLE, &from.to_string(), &err);
             return;
         }
     };
--- a/crates/carob-edge/src/stop_admission.rs
+++ b/crates/carob-edge/src/stop_admission.rs
@@ -107,9 +107,9 @@
         let time = estimate.max(longest.unwrap_or(request.route.latency_goal));
         return RequestWork::Plain { time };
     }
-    let event_tokens = edge.token_pace.borrow().tokens_per_event(&request.service);
-    let received = request.caller_headers.last_event.unwrap_or(0) as f64;
-    let received = (received * event_tokens.unwrap_or_default()) as u64;
-    let tokens = request.expected_output().saturating_sub(received);
+    let received = request.caller_headers.last_event.unwrap_or(0);
+    let expected = request.expected_output();
+    let pace = edge.token_pace.borrow();
+    let tokens = pace.remaining_tokens(&request.service, expected, received);
     RequestWork::Stream { first_byte: estimate, tokens, token_rate }
 }
