Limiter of rates: a request no longer walks over all vms for each tenant

Cause: for each request and each report the limiter walked over all peers, and for each tenant over all of its peers twice, with a look-up by name each, to find the silent ones, which are hardly ever there. Change: ReportTimes knows the next moment at which a peer can fall silent or be gone; until then there is no walk. A bucket counts its silent peers and keeps one sum of what a silent peer is assumed to use; a peer's part is the difference of that sum.

--- a/benches/carob-bench/src/slopes/components.rs
+++ b/benches/carob-bench/src/slopes/components.rs
@@ -12,7 +12,7 @@
 };
 
 use super::log_streams::StateBuilder;
-use super::{fastest_micros, replica_planner, resident_bytes};
+use super::{fastest_micros, rate_limiter, replica_planner, resident_bytes};
 use crate::report::Report;
 
 const HEARTBEAT_INTERVAL_S: f64 = 0.5; // default of the settings; doubled in large fleets
@@ -36,6 +36,7 @@
 pub fn run(report: &mut Report) {
     measure_planner(report);
     replica_planner::run(report);
+    rate_limiter::run(report);
     measure_choice(report);
     measure_gossip(report);
     measure_token_pools(report);
--- a/benches/carob-bench/src/slopes/mod.rs
+++ b/benches/carob-bench/src/slopes/mod.rs
@@ -4,6 +4,7 @@
 mod data_path;
 mod idle;
 mod log_streams;
+mod rate_limiter;
 mod replica_planner;
 
 use std::time::Duration;
--- a/src/process/quota/mod.rs
+++ b/src/process/quota/mod.rs
@@ -13,6 +13,7 @@
 mod lender;
 mod quota_bucket;
 mod rate_limiter;
+mod report_times;
 mod tenant_bucket;
 mod token_pool;
 
--- a/src/process/quota/rate_limiter.rs
+++ b/src/process/quota/rate_limiter.rs
@@ -10,6 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::report_times::{PeerChange, ReportTimes};
 use super::tenant_bucket::{PeerUsage, TenantBucket};
 use crate::{Incarnation, TenantName, Tokens, VmName};
 
@@ -83,7 +84,7 @@
 pub struct RateLimiter {
     settings: RateLimiterSettings,
     buckets: BTreeMap<TenantName, TenantBucket>,
-    heard_at: BTreeMap<VmName, Duration>,
+    reports: ReportTimes,
     now: Duration,
     full: bool,
     settled: bool,
@@ -100,12 +101,12 @@
     /// whole system; otherwise they start nearly empty, because a process that starts later cannot
     /// know what was admitted before.
     pub fn new(settings: RateLimiterSettings, full: bool, now: Duration) -> Self {
-        let (buckets, heard_at) = (BTreeMap::new(), BTreeMap::new());
+        let reports = ReportTimes::new(settings.silence_timeout, settings.gone_timeout);
         let fleet = if full { 1 } else { settings.assumed_fleet };
         RateLimiter {
             settings,
-            buckets,
-            heard_at,
+            buckets: BTreeMap::new(),
+            reports,
             now,
             full,
             settled: full,
@@ -183,21 +184,21 @@
         }
         let passed = now.saturating_sub(self.now).as_secs_f64();
         self.now = now;
-        self.heard_at.retain(|_, at| now.saturating_sub(*at) < self.settings.gone_timeout);
+        for change in self.reports.changes(now) {
+            match change {
+                PeerChange::Silent(vm) => {
+                    self.buckets.values_mut().for_each(|bucket| bucket.set_silent(&vm));
+                }
+                PeerChange::Gone(vm) => {
+                    self.buckets.values_mut().for_each(|bucket| bucket.remove_peer(&vm));
+                }
+            }
+        }
         let fleet = self.fleet();
         let share =
             if self.settled { 1.0 - self.unheard_processes(now) / fleet } else { 1.0 / fleet };
         for bucket in self.buckets.values_mut() {
-            let heard_at = &self.heard_at;
-            bucket.peers.retain(|vm, _| heard_at.contains_key(vm));
-            bucket.level += bucket.rate * share * passed;
-            for (vm, peer) in &mut bucket.peers {
-                let silent = now.saturating_sub(heard_at[vm]) >= self.settings.silence_timeout;
-                let part = if silent { bucket.rate / fleet * passed } else { 0.0 };
-                peer.assumed += part;
-                bucket.level -= part;
-            }
-            bucket.level = bucket.level.min(bucket.burst);
+            bucket.advance(share, passed, fleet);
         }
         self.remove_withdrawn();
     }
@@ -211,12 +212,12 @@
             && self
                 .fleet_known_at
                 .is_some_and(|at| now.saturating_sub(at) < self.settings.gone_timeout);
-        let heard = self.heard_at.len() + 1;
+        let heard = self.reports.len() + 1;
         if counts_unheard { self.fleet_size.saturating_sub(heard) as f64 } else { 0.0 }
     }
 
     fn fleet(&self) -> f64 {
-        self.fleet_size.max(self.heard_at.len() + 1) as f64
+        self.fleet_size.max(self.reports.len() + 1) as f64
     }
 
     /// Admits a request and takes its `tokens`.
@@ -307,7 +308,9 @@
         now: Duration,
     ) {
         self.advance(now);
-        self.heard_at.insert(vm.clone(), now);
+        if self.reports.record(vm, now) {
+            self.buckets.values_mut().for_each(|bucket| bucket.set_heard(vm));
+        }
         // A peer's level is useful only once the number of processes that share it is known.
         let can_adopt = !self.settled && self.fleet_known_at.is_some();
         let adopt = can_adopt && reporter == ReporterState::Settled && !usages.is_empty();
@@ -317,9 +320,7 @@
             let Some(bucket) = self.buckets.get_mut(&usage.tenant) else {
                 continue;
             };
-            let past = bucket
-                .peers
-                .insert(vm.clone(), PeerUsage { incarnation, total: usage.total, assumed: 0.0 });
+            let past = bucket.record_total(vm, incarnation, usage.total);
             let known = past.filter(|past| past.incarnation == incarnation);
             let spent = usage.total as f64 - known.map_or(0.0, |past| past.total as f64);
             if known.is_some() || reporter == ReporterState::New {
--- a/src/process/quota/tenant_bucket.rs
+++ b/src/process/quota/tenant_bucket.rs
@@ -26,7 +26,11 @@
     /// Tokens taken that the peers may not know of yet, and the time from which they are counted.
     pub recent: (f64, Duration),
     /// Last usage reported by each peer.
-    pub peers: BTreeMap<VmName, PeerUsage>,
+    peers: BTreeMap<VmName, PeerUsage>,
+    /// Number of the peers that are silent.
+    silent: usize,
+    /// Tokens that a peer that was silent from the start on would be assumed to have admitted.
+    assumed: f64,
 }
 
 /// Usage reported by a peer.
@@ -36,8 +40,10 @@
     pub incarnation: Incarnation,
     /// Tokens that the peer admitted since it started.
     pub total: u64,
-    /// Tokens that the peer is assumed to have admitted since it fell silent.
+    /// Tokens that the peer is assumed to have admitted while it was silent.
     pub assumed: f64,
+    /// What the bucket assumed when the peer fell silent; `None` while it reports.
+    pub silent_from: Option<f64>,
 }
 
 /// Time constant in seconds of the averaged peer rate, which spans several reports.
@@ -53,6 +59,56 @@
         self.rate <= 0.0 || self.level >= self.burst
     }
 
+    /// Refills the bucket with a `share` of its rate for `passed` seconds, less the even share of a
+    /// `fleet` for each silent peer.
+    pub fn advance(&mut self, share: f64, passed: f64, fleet: f64) {
+        self.level += self.rate * share * passed;
+        let part = self.rate / fleet * passed;
+        self.assumed += part;
+        self.level -= part * self.silent as f64;
+        self.level = self.level.min(self.burst);
+    }
+
+    /// Assumes from now on that a peer uses its share.
+    pub fn set_silent(&mut self, vm: &VmName) {
+        if let Some(peer) = self.peers.get_mut(vm).filter(|peer| peer.silent_from.is_none()) {
+            peer.silent_from = Some(self.assumed);
+            self.silent += 1;
+        }
+    }
+
+    /// Assumes no further usage of a peer that reports again.
+    pub fn set_heard(&mut self, vm: &VmName) {
+        if let Some(peer) = self.peers.get_mut(vm)
+            && let Some(from) = peer.silent_from.take()
+        {
+            peer.assumed += self.assumed - from;
+            self.silent -= 1;
+        }
+    }
+
+    /// Forgets a peer that is gone.
+    pub fn remove_peer(&mut self, vm: &VmName) {
+        self.set_heard(vm);
+        self.peers.remove(vm);
+    }
+
+    /// Records the total that a peer reports, and returns its usage before.
+    pub fn record_total(
+        &mut self,
+        vm: &VmName,
+        incarnation: Incarnation,
+        total: u64,
+    ) -> Option<PeerUsage> {
+        self.set_heard(vm);
+        let usage = PeerUsage { incarnation, total, ..PeerUsage::default() };
+        if let Some(known) = self.peers.get_mut(vm) {
+            return Some(std::mem::replace(known, usage));
+        }
+        self.peers.insert(vm.clone(), usage);
+        None
+    }
+
     /// Returns the averaged rate of the peers' reported admissions at `now`, in tokens per second.
     pub fn peer_flow(&self, now: Duration) -> f64 {
         let (rate, at) = self.peer_flow;
--- a/tests/rate_limiter/main.rs
+++ b/tests/rate_limiter/main.rs
@@ -4,7 +4,9 @@
 #[macro_use]
 #[path = "../support/mod.rs"]
 mod support;
+mod same_levels;
 mod simulated_fleet;
+mod walking_limiter;
 mod withdrawn_tenants;
 
 use std::time::Duration;
--- /dev/null
+++ b/tests/rate_limiter/walking_limiter.rs
@@ -0,0 +1,392 @@
+//! Rate limiter that walks over all peers of all tenants for each step: slow, and plain to read.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use carobglade::{
+    Incarnation, RateLimiterSettings, ReporterState, TenantName, TenantUsage, Tokens, VmName,
+};
+
+/// Fraction of the burst up to which a bucket keeps a reserve.
+const MAX_RESERVE_FRACTION: f64 = 0.5;
+
+/// Rate limiter with a replica of each tenant's fleet-wide token bucket.
+#[derive(Clone, Debug)]
+pub struct WalkingLimiter {
+    settings: RateLimiterSettings,
+    buckets: BTreeMap<TenantName, TenantBucket>,
+    heard_at: BTreeMap<VmName, Duration>,
+    now: Duration,
+    full: bool,
+    settled: bool,
+    adopted_at: Option<Duration>,
+    fleet_size: usize,
+    /// Time at which the fleet size became known.
+    fleet_known_at: Option<Duration>,
+    report_due: bool,
+    relay_delay: Duration,
+}
+
+impl WalkingLimiter {
+    /// Creates a rate limiter. Buckets start full if `full` is set, for the first start of the
+    /// whole system; otherwise they start nearly empty, because a process that starts later cannot
+    /// know what was admitted before.
+    pub fn new(settings: RateLimiterSettings, full: bool, now: Duration) -> Self {
+        let (buckets, heard_at) = (BTreeMap::new(), BTreeMap::new());
+        let fleet = if full { 1 } else { settings.assumed_fleet };
+        WalkingLimiter {
+            settings,
+            buckets,
+            heard_at,
+            now,
+            full,
+            settled: full,
+            adopted_at: None,
+            fleet_size: fleet,
+            fleet_known_at: full.then_some(now),
+            report_due: false,
+            relay_delay: Duration::ZERO,
+        }
+    }
+
+    /// Sets the time that reports of peers need to arrive. Peers are assumed to admit tokens during
+    /// this time at their recently reported rate.
+    pub fn set_relay_delay(&mut self, delay: Duration) {
+        self.relay_delay = delay;
+    }
+
+    /// Sets the limits of a tenant: `rate` in tokens per second, where 0 means no limit, and
+    /// `burst` in tokens.
+    pub fn set_limits(&mut self, tenant: &TenantName, rate: u64, burst: u64) {
+        let fresh = !self.buckets.contains_key(tenant);
+        let initial = self.initial_level();
+        let bucket = self.buckets.entry(tenant.clone()).or_default();
+        bucket.withdrawn = false;
+        (bucket.rate, bucket.burst) = (rate as f64, burst as f64);
+        if fresh {
+            bucket.level = if self.full || self.settled { bucket.burst } else { initial };
+        }
+        bucket.level = bucket.level.min(bucket.burst);
+    }
+
+    /// Keeps only the tenants for which `keep` returns true.
+    ///
+    /// The bucket of another tenant goes once it is full. Until then its limit holds for requests that
+    /// were let in before, and a tenant that comes back has no more than if it had stayed.
+    pub fn retain(&mut self, keep: impl Fn(&TenantName) -> bool) {
+        for (tenant, bucket) in &mut self.buckets {
+            bucket.withdrawn = !keep(tenant);
+        }
+        self.remove_withdrawn();
+    }
+
+    fn remove_withdrawn(&mut self) {
+        self.buckets.retain(|_, bucket| !bucket.withdrawn || !bucket.is_full());
+    }
+
+    /// Sets the number of processes that share the buckets, including this process.
+    pub fn set_fleet_size(&mut self, fleet: usize, now: Duration) {
+        self.advance(now);
+        self.fleet_size = fleet.max(1);
+        if self.fleet_known_at.is_some() {
+            return;
+        }
+        self.fleet_known_at = Some(self.now);
+        let initial = self.initial_level();
+        if !self.full && !self.settled {
+            self.buckets.values_mut().for_each(|bucket| bucket.level = bucket.burst.min(initial));
+        }
+    }
+
+    /// Returns the initial level of a bucket when earlier admissions are unknown.
+    fn initial_level(&self) -> f64 {
+        if self.fleet_known_at.is_some() {
+            self.settings.initial_tokens as f64 / self.fleet_size as f64
+        } else {
+            0.0
+        }
+    }
+
+    /// Refills the buckets up to `now`, less the shares that silent peers are assumed to use. While
+    /// this process does not know the admissions of its peers, it refills only its own even share.
+    pub fn advance(&mut self, now: Duration) {
+        if now <= self.now {
+            return;
+        }
+        let passed = now.saturating_sub(self.now).as_secs_f64();
+        self.now = now;
+        self.heard_at.retain(|_, at| now.saturating_sub(*at) < self.settings.gone_timeout);
+        let fleet = self.fleet();
+        let share =
+            if self.settled { 1.0 - self.unheard_processes(now) / fleet } else { 1.0 / fleet };
+        for bucket in self.buckets.values_mut() {
+            let heard_at = &self.heard_at;
+            bucket.peers.retain(|vm, _| heard_at.contains_key(vm));
+            bucket.level += bucket.rate * share * passed;
+            for (vm, peer) in &mut bucket.peers {
+                let silent = now.saturating_sub(heard_at[vm]) >= self.settings.silence_timeout;
+                let part = if silent { bucket.rate / fleet * passed } else { 0.0 };
+                peer.assumed += part;
+                bucket.level -= part;
+            }
+            bucket.level = bucket.level.min(bucket.burst);
+        }
+        self.remove_withdrawn();
+    }
+
+    /// Returns the number of peers that have never reported and are assumed to use their shares,
+    /// until the time after which a peer counts as gone. Without hubs the number is 0, because all
+    /// live peers report at once.
+    fn unheard_processes(&self, now: Duration) -> f64 {
+        let hubs = !self.relay_delay.is_zero();
+        let counts_unheard = hubs
+            && self
+                .fleet_known_at
+                .is_some_and(|at| now.saturating_sub(at) < self.settings.gone_timeout);
+        let heard = self.heard_at.len() + 1;
+        if counts_unheard { self.fleet_size.saturating_sub(heard) as f64 } else { 0.0 }
+    }
+
+    fn fleet(&self) -> f64 {
+        self.fleet_size.max(self.heard_at.len() + 1) as f64
+    }
+
+    /// Admits a request and takes its `tokens`, if the bucket holds at least `reserve` tokens or
+    /// half of its burst.
+    ///
+    /// The reserve is what the largest request of the same kind takes. Without one, a bucket that is
+    /// nearly empty admits only small requests, which take each refill before it is enough for a
+    /// large one.
+    ///
+    /// # Errors
+    ///
+    /// The time until a retry may succeed.
+    pub fn admit_with_reserve(
+        &mut self,
+        tenant: &TenantName,
+        tokens: Tokens,
+        reserve: Tokens,
+        now: Duration,
+    ) -> Result<(), Duration> {
+        self.advance(now);
+        let fleet = self.fleet();
+        let Some(bucket) = self.buckets.get_mut(tenant).filter(|b| b.rate > 0.0) else {
+            return Ok(());
+        };
+        let reserve = (reserve.0 as f64).min(bucket.burst * MAX_RESERVE_FRACTION);
+        let needed = (tokens.0 as f64).max(reserve).min(bucket.burst);
+        let level = bucket.level - bucket.peer_flow(now) * self.relay_delay.as_secs_f64();
+        if level < needed {
+            let wait = (needed - level) / bucket.rate;
+            return Err(Duration::from_secs_f64(wait.min(60.0)));
+        }
+        let limit = (level + bucket.unreported) / fleet * self.settings.unreported_shares;
+        if bucket.unreported > 0.0 && bucket.unreported + tokens.0 as f64 > limit {
+            self.report_due = true;
+            return Err(self.settings.report_delay);
+        }
+        if bucket.defers_to_peers(tokens.0 as f64, level, fleet, self.relay_delay, now) {
+            return Err(self.settings.report_delay);
+        }
+        bucket.record_taken(tokens.0 as f64, self.relay_delay, now);
+        bucket.level -= tokens.0 as f64;
+        bucket.unreported += tokens.0 as f64;
+        bucket.total += tokens.0;
+        Ok(())
+    }
+
+    /// Takes `tokens` for a request that runs again, even if the bucket holds too few; later
+    /// requests wait for the missing tokens.
+    pub fn debit(&mut self, tenant: &TenantName, tokens: Tokens) {
+        if let Some(bucket) = self.buckets.get_mut(tenant).filter(|b| b.rate > 0.0) {
+            bucket.level -= tokens.0 as f64;
+            bucket.unreported += tokens.0 as f64;
+            bucket.total += tokens.0;
+        }
+    }
+
+    /// Refunds the tokens of a request that no upstream ran.
+    pub fn refund(&mut self, tenant: &TenantName, tokens: Tokens) {
+        if let Some(bucket) = self.buckets.get_mut(tenant).filter(|b| b.rate > 0.0) {
+            bucket.level = (bucket.level + tokens.0 as f64).min(bucket.burst);
+            bucket.unreported = (bucket.unreported - tokens.0 as f64).max(0.0);
+            bucket.total = bucket.total.saturating_sub(tokens.0);
+        }
+    }
+
+    /// Applies a peer's report of its admissions.
+    pub fn apply_report(
+        &mut self,
+        vm: &VmName,
+        incarnation: Incarnation,
+        usages: &[TenantUsage],
+        reporter: ReporterState,
+        now: Duration,
+    ) {
+        self.advance(now);
+        self.heard_at.insert(vm.clone(), now);
+        // A peer's level is useful only once the number of processes that share it is known.
+        let can_adopt = !self.settled && self.fleet_known_at.is_some();
+        let adopt = can_adopt && reporter == ReporterState::Settled && !usages.is_empty();
+        let adopting = self.adopted_at.is_some_and(|at| now < at + self.settings.adopt_window);
+        let lower = adopting && reporter == ReporterState::Settled;
+        for usage in usages {
+            let Some(bucket) = self.buckets.get_mut(&usage.tenant) else {
+                continue;
+            };
+            let past = bucket
+                .peers
+                .insert(vm.clone(), PeerUsage { incarnation, total: usage.total, assumed: 0.0 });
+            let known = past.filter(|past| past.incarnation == incarnation);
+            let spent = usage.total as f64 - known.map_or(0.0, |past| past.total as f64);
+            if known.is_some() || reporter == ReporterState::New {
+                bucket.record_flow(spent, now);
+            }
+            // Until they are settled, processes that start together use only their own shares.
+            if !self.settled && reporter != ReporterState::Settled {
+                continue;
+            }
+            if adopt {
+                bucket.level = (usage.level as f64).min(bucket.burst);
+                continue;
+            }
+            if lower {
+                bucket.level = bucket.level.min(usage.level as f64);
+            }
+            let before = match past {
+                Some(past) if past.incarnation == incarnation => past,
+                Some(past) => PeerUsage { total: 0, ..past },
+                // The total of a new process has not been counted yet; an older process may have
+                // reported its total before it fell silent.
+                None if reporter == ReporterState::New => PeerUsage::default(),
+                None => PeerUsage { total: usage.total, ..PeerUsage::default() },
+            };
+            let spent = usage.total as f64 - before.total as f64;
+            bucket.level = (bucket.level - spent + before.assumed).min(bucket.burst);
+        }
+        if adopt {
+            (self.settled, self.adopted_at) = (true, Some(now));
+        }
+    }
+
+    /// Reports whether a request waits for a report to the peers.
+    pub fn is_report_due(&self) -> bool {
+        self.report_due
+    }
+
+    /// Returns the usage to report to the peers, and counts it as reported.
+    pub fn take_usage(&mut self) -> Vec<TenantUsage> {
+        self.report_due = false;
+        for bucket in self.buckets.values_mut() {
+            bucket.unreported = 0.0;
+        }
+        let limited = self.buckets.iter().filter(|(_, bucket)| bucket.rate > 0.0);
+        let usage = |(tenant, bucket): (&TenantName, &TenantBucket)| TenantUsage {
+            tenant: tenant.clone(),
+            total: bucket.total,
+            level: bucket.level as i64,
+        };
+        limited.map(usage).collect()
+    }
+
+    /// Returns what this process knows of its peers' admissions, never `Leaving`.
+    pub fn reporter_state(&self) -> ReporterState {
+        if self.settled { ReporterState::Settled } else { ReporterState::New }
+    }
+
+    /// Trusts the levels once the fleet size has been known for long enough.
+    pub fn settle_if_known(&mut self, now: Duration) {
+        let settling = self.settings.settle_time;
+        self.settled |= self.fleet_known_at.is_some_and(|at| now.saturating_sub(at) >= settling);
+    }
+
+    /// Returns the tokens left in the fleet-wide bucket of a tenant; `None` if the tenant is
+    /// unknown.
+    pub fn level(&self, tenant: &TenantName) -> Option<i64> {
+        self.buckets.get(tenant).map(|bucket| bucket.level as i64)
+    }
+}
+
+/// Replica of a tenant's fleet-wide token bucket.
+#[derive(Clone, Debug, Default)]
+struct TenantBucket {
+    /// Refill rate in tokens per second; 0 means no limit.
+    rate: f64,
+    /// Capacity in tokens.
+    burst: f64,
+    /// Tokens left for the whole fleet.
+    level: f64,
+    /// Whether the configuration in force does not name the tenant.
+    withdrawn: bool,
+    /// Tokens that this process admitted since it started.
+    total: u64,
+    /// Tokens taken since the last report to the peers.
+    unreported: f64,
+    /// Averaged rate of the peers' reported admissions in tokens per second, and the time at which
+    /// the rate was computed.
+    peer_flow: (f64, Duration),
+    /// Tokens taken that the peers may not know of yet, and the time from which they are counted.
+    recent: (f64, Duration),
+    /// Last usage reported by each peer.
+    peers: BTreeMap<VmName, PeerUsage>,
+}
+
+/// Usage reported by a peer.
+#[derive(Clone, Copy, Debug, Default)]
+struct PeerUsage {
+    /// Incarnation of the peer.
+    incarnation: Incarnation,
+    /// Tokens that the peer admitted since it started.
+    total: u64,
+    /// Tokens that the peer is assumed to have admitted since it fell silent.
+    assumed: f64,
+}
+
+/// Time constant in seconds of the averaged peer rate, which spans several reports.
+const PEER_FLOW_SECONDS: f64 = 0.5;
+
+/// Fraction of the burst below which processes that receive reports late limit themselves to their
+/// share.
+const LOW_FRACTION: f64 = 0.5;
+
+impl TenantBucket {
+    /// Reports whether the bucket holds as much as a new one, or limits nothing.
+    fn is_full(&self) -> bool {
+        self.rate <= 0.0 || self.level >= self.burst
+    }
+
+    /// Returns the averaged rate of the peers' reported admissions at `now`, in tokens per second.
+    fn peer_flow(&self, now: Duration) -> f64 {
+        let (rate, at) = self.peer_flow;
+        rate * (-now.saturating_sub(at).as_secs_f64() / PEER_FLOW_SECONDS).exp()
+    }
+
+    /// Reports whether this process should leave the rest of a bucket that runs low to the peers,
+    /// which may not know yet of the tokens that this process took in the last `delay`.
+    fn defers_to_peers(
+        &self,
+        tokens: f64,
+        level: f64,
+        fleet: f64,
+        delay: Duration,
+        now: Duration,
+    ) -> bool {
+        let (taken, since) = self.recent;
+        let recent = now.saturating_sub(since) < delay;
+        let share = (level + taken) / fleet;
+        recent && level < self.burst * LOW_FRACTION && taken + tokens > share
+    }
+
+    /// Records tokens taken by this process.
+    fn record_taken(&mut self, tokens: f64, delay: Duration, now: Duration) {
+        if now.saturating_sub(self.recent.1) >= delay {
+            self.recent = (0.0, now);
+        }
+        self.recent.0 += tokens;
+    }
+
+    /// Adds tokens reported by a peer to the averaged rate.
+    fn record_flow(&mut self, tokens: f64, now: Duration) {
+        self.peer_flow = (self.peer_flow(now) + tokens.max(0.0) / PEER_FLOW_SECONDS, now);
+    }
+}
