Upstreams that a vm has seldom used count as fast as their service

Cause: an estimate uses a nominal speed of 18 prompt tokens a millisecond, corrected by the ratio that a vm has seen of that upstream; before, by 1. 15,480 tokens are 905 ms at that speed, 105 over the goal of 800; these engines read 38. A vm of 87 sends 6 requests a second to 140 engines and never learns each one's ratio. Change: a vm keeps the ratio of each service, the average of medians over all of its upstreams in intervals of 0.5 s (so that a few slow ones, or requests that waited side by side, don't decide); an upstream's own ratio is relative to it. A ratio above 1 is forgotten while nothing is observed, as refused requests tell nothing.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -197,7 +197,7 @@
         let mut loads = self.edge.loads.borrow_mut();
         let end = match result {
             Ok(ReceivedResponse::Stream(..)) => {
-                loads.record_latency(&self.upstream, self.took(), self.estimate);
+                loads.record_latency(&request.service, &self.upstream, self.took(), self.estimate);
                 "open"
             }
             Ok(ReceivedResponse::Full(_)) => "answered",
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -276,7 +276,7 @@
     let now = edge.now();
     let loads = edge.loads.borrow();
     let total = loads.total_load(&entry.name, now);
-    let stats = loads.stats(&entry.name);
+    let stats = loads.stats(&request.service, &entry.name);
     let engine = request.config.engine(&request.service);
     DispatchCandidate {
         prompt_backlog: total.prompt_backlog,
--- a/src/process/load_tracker.rs
+++ b/src/process/load_tracker.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
 
-use super::StreamProgress;
+use super::{ServiceRatio, StreamProgress};
 use crate::{Incarnation, UpstreamName, VmName};
 
 /// How long the loads that another process reported count.
@@ -109,8 +109,17 @@
     local: BTreeMap<UpstreamName, Load>,
     streams: BTreeMap<UpstreamName, StreamProgress>,
     peers: BTreeMap<VmName, PeerLoads>,
+    /// Statistics of upstreams; their latency ratios are relative to those of their services.
     stats: BTreeMap<UpstreamName, UpstreamStats>,
     past_ratios: BTreeMap<UpstreamName, PastRatios>,
+    services: BTreeMap<String, ServiceTimes>,
+}
+
+/// Latency ratios of a service, over all of its upstreams.
+#[derive(Clone, Debug, Default)]
+struct ServiceTimes {
+    ratio: ServiceRatio,
+    past: PastRatios,
 }
 
 /// Returns the hash that stands for a name in messages between processes.
@@ -229,25 +238,47 @@
         loads.filter(|(_, load)| *load != Load::default()).collect()
     }
 
-    /// Returns the statistics of an upstream, or the defaults if there are none.
-    pub fn stats(&self, name: &UpstreamName) -> UpstreamStats {
-        self.stats.get(name).copied().unwrap_or_default()
+    /// Returns the statistics of an upstream of a service. An upstream that was not used yet counts as
+    /// fast as its service.
+    pub fn stats(&self, service: &str, name: &UpstreamName) -> UpstreamStats {
+        let stats = self.stats.get(name).copied().unwrap_or_default();
+        UpstreamStats { latency_ratio: stats.latency_ratio * self.service_ratio(service), ..stats }
+    }
+
+    fn service_ratio(&self, service: &str) -> f64 {
+        self.services.get(service).map_or(1.0, |times| times.ratio.get())
     }
 
     /// Records that a first event came after `observed` where `estimated` was expected.
     ///
-    /// The estimate was made with the latency ratio of the time when the request was sent, so the
-    /// observation corrects that ratio: requests that waited side by side tell the same once.
-    pub fn record_latency(&mut self, name: &UpstreamName, observed: Duration, estimated: Duration) {
+    /// The estimate was made with the latency ratios of the time when the request was sent, so the
+    /// observation corrects those: requests that waited side by side tell the same once.
+    pub fn record_latency(
+        &mut self,
+        service: &str,
+        name: &UpstreamName,
+        observed: Duration,
+        estimated: Duration,
+    ) {
         let ratio = observed.as_secs_f64() / estimated.as_secs_f64().max(0.005);
         let stats = self.stats.entry(name.clone()).or_default();
         let past = self.past_ratios.entry(name.clone()).or_default();
         if past.0.is_empty() {
             past.push(stats.latency_ratio);
         }
-        let seen = past.at_age(observed).unwrap_or(stats.latency_ratio) * ratio.clamp(0.2, 5.0);
+        if !self.services.contains_key(service) {
+            self.services.insert(service.to_owned(), ServiceTimes::default());
+        }
+        let Some(times) = self.services.get_mut(service) else {
+            return;
+        };
+        let past_ratio = past.at_age(observed).unwrap_or(stats.latency_ratio);
+        let past_service = times.past.at_age(observed).unwrap_or(times.ratio.get());
+        let seen = past_ratio * past_service * ratio.clamp(0.2, 5.0);
+        times.ratio.record(seen);
+        let relative = seen / times.ratio.get();
         stats.latency_ratio =
-            (stats.latency_ratio * SMOOTHING + seen * (1.0 - SMOOTHING)).clamp(0.1, 20.0);
+            (stats.latency_ratio * SMOOTHING + relative * (1.0 - SMOOTHING)).clamp(0.1, 20.0);
     }
 
     /// Records whether a request failed by the upstream's fault.
@@ -265,6 +296,10 @@
             stats.latency_ratio = 1.0 + (stats.latency_ratio - 1.0) * 0.98;
             self.past_ratios.entry(name.clone()).or_default().push(stats.latency_ratio);
         }
+        for times in self.services.values_mut() {
+            times.ratio.end_interval();
+            times.past.push(times.ratio.get());
+        }
     }
 
     /// Drops the statistics and the progress of the streams of an upstream that is gone or restarted.
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -22,6 +22,7 @@
 mod replica_planner;
 mod response_times;
 mod room_schedule;
+mod service_ratio;
 mod service_versions;
 mod slot_table;
 mod stream_origins;
@@ -63,6 +64,7 @@
 pub use replay::{Replay, ReplayPage, ReplayStatus, StateMachine};
 pub use replica_planner::{EngineState, ModelOrder, ReplicaPlanner, ReplicaPlannerSettings};
 pub use response_times::ResponseTimes;
+pub(crate) use service_ratio::ServiceRatio;
 pub use service_versions::{ServiceVersions, ServiceVersionsSettings, VersionRecord};
 pub use slot_table::{SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, SlotHolder, SlotTable, tenant_slots};
 pub use stream_origins::{
--- a/tests/regression/silent_upstreams.rs
+++ b/tests/regression/silent_upstreams.rs
@@ -8,6 +8,7 @@
     RequestTiming, UpstreamName, dispatch,
 };
 
+const SERVICE: &str = "engines";
 const STEP: Duration = Duration::from_millis(5);
 const UPSTREAMS: usize = 4;
 const BASE_LATENCY: Duration = Duration::from_millis(45);
@@ -52,7 +53,7 @@
             }
             if let Some(sent) = self.queue.pop_front() {
                 let took = now + BASE_LATENCY - sent.at;
-                loads.record_latency(&self.name, took, sent.estimate);
+                loads.record_latency(SERVICE, &self.name, took, sent.estimate);
                 loads.record_end(&self.name, sent.prompt, sent.prompt);
             }
         }
@@ -72,7 +73,7 @@
         running: load.running,
         slots: 64,
         memory: (load.tokens, 140_000),
-        latency_ratio: loads.stats(&upstream.name).latency_ratio,
+        latency_ratio: loads.stats(SERVICE, &upstream.name).latency_ratio,
         ..DispatchCandidate::default()
     }
 }
--- a/tests/regression/starved_large_requests.rs
+++ b/tests/regression/starved_large_requests.rs
@@ -87,7 +87,7 @@
         running: load.running,
         slots: 64,
         memory: (load.tokens, KV_CAPACITY),
-        latency_ratio: loads.stats(engine).latency_ratio,
+        latency_ratio: loads.stats(SERVICE, engine).latency_ratio,
         ..DispatchCandidate::default()
     };
     let timing = RequestTiming {
@@ -125,7 +125,8 @@
                     let request = requests[i].1;
                     loads.record_first_event(&name, request.prompt);
                     loads.record_stream_start(&name, now);
-                    loads.record_latency(&name, now - request.sent_at, request.estimate);
+                    let took = now - request.sent_at;
+                    loads.record_latency(SERVICE, &name, took, request.estimate);
                 }
                 EngineEvent::Ended(i, in_time) => {
                     let request = &mut requests[i].1;
