--- a/crates/carob-edge/src/attempts.rs
+++ b/crates/carob-edge/src/attempts.rs
@@ -17,12 +17,13 @@
 use tokio::sync::Notify;
 
 use crate::attempt::{AttemptEnd, AttemptFailure, AttemptResponse, send_attempt};
+use crate::charge;
 use crate::choose::{Choice, choose_upstream, has_bound_version, has_candidate};
 use crate::edge::Edge;
 use crate::open_upstream::OpenUpstream;
 use crate::paths;
 use crate::quarantine;
-use crate::request::{CallerRequest, charge_retry};
+use crate::request::CallerRequest;
 use crate::resend;
 use crate::retry_token::RetryToken;
 use crate::rooms;
@@ -160,7 +161,7 @@
         }
         let name = choice.entry.name.clone();
         if self.history().may_have_run() {
-            charge_retry(edge, request);
+            charge::charge_retry(edge, request);
         }
         self.record_start(&name, choice.estimate);
         if let Some(token) = &mut token {
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -8,13 +8,14 @@
 
 use crate::attempt::{AttemptResponse, FullResponse};
 use crate::attempts::{Attempts, FAILED_RETRY_AFTER};
+use crate::charge::{charge, refund};
 use crate::edge::Edge;
 use crate::in_flight::InFlightGuard;
 use crate::open_request::OpenRequest;
 use crate::origins;
 use crate::quarantine;
 use crate::relay::relay_stream;
-use crate::request::{CallerRequest, charge, discard_body, read_request, refund};
+use crate::request::{CallerRequest, discard_body, read_request};
 use crate::response::{ResponseBody, error_response, forwarded_response};
 use crate::stop_admission::{self, draining_error};
 
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -4,6 +4,7 @@
 mod attempts;
 mod caller_connection;
 mod caller_timer;
+mod charge;
 mod choose;
 mod connect;
 mod datagram;
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -20,8 +20,6 @@
 use crate::quarantine::{self, QUARANTINE_RETRY_AFTER};
 
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
-/// Maximum time for which a request waits for its tenant's tokens before it is refused.
-const MAX_QUOTA_WAIT: Duration = Duration::from_millis(250);
 
 /// Maximum size and time of the body of a refused request that is read and dropped.
 const MAX_DISCARDED_BYTES: usize = 8 << 20;
@@ -352,51 +350,3 @@
     };
     matches!(tokio::time::timeout(DISCARD_TIMEOUT, discarding).await, Ok(Some(())))
 }
-
-/// Charges a request to the tenant, waiting for at most `MAX_QUOTA_WAIT` for its tokens.
-///
-/// # Errors
-///
-/// Returns `RateExceeded` with the time until the tokens may be available.
-pub async fn charge(edge: &Edge, request: &CallerRequest) -> Result<()> {
-    let Some(tenant) = &request.tenant else {
-        return Ok(());
-    };
-    let mut wait = Duration::ZERO;
-    let reserve = edge.largest_charge(&request.route.name, request.charged_tokens());
-    loop {
-        let admitted = edge.rate_limiter.borrow_mut().admit_with_reserve(
-            &tenant.name,
-            request.charged_tokens(),
-            reserve,
-            edge.now(),
-        );
-        let Err(missing) = admitted else {
-            return Ok(());
-        };
-        if edge.rate_limiter.borrow().is_report_due() {
-            edge.gossip_wakeup.notify_one();
-        }
-        let max_wait = MAX_QUOTA_WAIT.min(request.route.latency_goal / 4);
-        if wait + missing > max_wait {
-            let message = format!("tenant {} used up its rate", tenant.name);
-            return Err(request_error(ErrorKind::RateExceeded, message).with_retry_after(missing));
-        }
-        wait += missing.max(Duration::from_millis(5));
-        tokio::time::sleep(missing.max(Duration::from_millis(5))).await;
-    }
-}
-
-/// Charges a request again for a retry after an attempt that may have run.
-pub fn charge_retry(edge: &Edge, request: &CallerRequest) {
-    if let Some(tenant) = &request.tenant {
-        edge.rate_limiter.borrow_mut().debit(&tenant.name, request.charged_tokens());
-    }
-}
-
-/// Refunds the tokens of a request that did not run.
-pub fn refund(edge: &Edge, request: &CallerRequest) {
-    if let Some(tenant) = &request.tenant {
-        edge.rate_limiter.borrow_mut().refund(&tenant.name, request.charged_tokens());
-    }
-}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -56,7 +56,7 @@
     Demand, PlacementPolicy, PlacementSettings, PlanInput, plan_placement,
 };
 pub use process::quota::{
-    LOAN_TTL, Lender, LoanReport, LoanRequest, LoanResponse, QuotaBucket, RateLimiter,
+    BucketState, LOAN_TTL, Lender, LoanReport, LoanRequest, LoanResponse, QuotaBucket, RateLimiter,
     RateLimiterSettings, RefundPoint, ReporterState, Reservation, SlotShare, TenantUsage,
     TokenPool,
 };
--- a/src/process/quota/mod.rs
+++ b/src/process/quota/mod.rs
@@ -20,4 +20,5 @@
 pub use lender::{LOAN_TTL, Lender, LoanReport, LoanRequest, LoanResponse};
 pub use quota_bucket::{QuotaBucket, RefundPoint, SlotShare};
 pub use rate_limiter::{RateLimiter, RateLimiterSettings, ReporterState, TenantUsage};
+pub use tenant_bucket::BucketState;
 pub use token_pool::{Reservation, TokenPool};
--- a/src/process/quota/rate_limiter.rs
+++ b/src/process/quota/rate_limiter.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::report_times::{PeerChange, ReportTimes};
-use super::tenant_bucket::{PeerUsage, TenantBucket};
+use super::tenant_bucket::{BucketState, PeerUsage, TenantBucket};
 use crate::{Incarnation, TenantName, Tokens, VmName};
 
 /// Fraction of the burst up to which a bucket keeps a reserve.
@@ -389,4 +389,10 @@
     pub fn level(&self, tenant: &TenantName) -> Option<i64> {
         self.buckets.get(tenant).map(|bucket| bucket.level as i64)
     }
+
+    /// Returns what is known of the fleet-wide bucket of a tenant; `None` if the tenant is unknown.
+    pub fn bucket(&self, tenant: &TenantName) -> Option<BucketState> {
+        let bucket = self.buckets.get(tenant)?;
+        Some(bucket.state(self.reports.oldest_age(self.now)))
+    }
 }
--- a/src/process/quota/report_times.rs
+++ b/src/process/quota/report_times.rs
@@ -42,6 +42,12 @@
         self.peers.len()
     }
 
+    /// Returns the age of the oldest of the peers' last reports; zero without peers.
+    pub(super) fn oldest_age(&self, now: Duration) -> Duration {
+        let oldest = self.peers.values().map(|time| time.at).min();
+        oldest.map_or(Duration::ZERO, |at| now.saturating_sub(at))
+    }
+
     /// Records a report, and returns whether the peer was silent before.
     pub(super) fn record(&mut self, vm: &VmName, now: Duration) -> bool {
         let time = ReportTime { at: now, silent: false };
--- a/src/process/quota/tenant_bucket.rs
+++ b/src/process/quota/tenant_bucket.rs
@@ -33,6 +33,21 @@
     assumed: f64,
 }
 
+/// What a process knows of a tenant's bucket.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct BucketState {
+    /// Refill rate in tokens per second; 0 means no limit.
+    pub rate: u64,
+    /// Capacity in tokens.
+    pub burst: u64,
+    /// Tokens left for the whole fleet.
+    pub level: i64,
+    /// Number of peers that are assumed to use their shares, since they do not report.
+    pub silent: usize,
+    /// Age of the oldest of the peers' last reports.
+    pub age: Duration,
+}
+
 /// Usage reported by a peer.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct PeerUsage {
@@ -59,6 +74,12 @@
         self.rate <= 0.0 || self.level >= self.burst
     }
 
+    /// Returns what is known of the bucket, where the oldest report has an `age`.
+    pub fn state(&self, age: Duration) -> BucketState {
+        let (rate, burst) = (self.rate as u64, self.burst as u64);
+        BucketState { rate, burst, level: self.level as i64, silent: self.silent, age }
+    }
+
     /// Refills the bucket with a `share` of its rate for `passed` seconds, less the even share of a
     /// `fleet` for each silent peer.
     pub fn advance(&mut self, share: f64, passed: f64, fleet: f64) {
--- a/tests/rate_limiter/main.rs
+++ b/tests/rate_limiter/main.rs
@@ -350,3 +350,19 @@
     new.apply_report(&vm(0), Incarnation(1), &old.take_usage(), ReporterState::Settled, now);
     assert!(new.admit(&tenant(), Tokens(400), now).is_ok());
 }
+
+/// What the log tells of a refusal.
+#[test]
+fn the_state_of_a_bucket_tells_its_limits_and_who_is_silent() {
+    let mut limiter = RateLimiter::new(RateLimiterSettings::default(), true, Duration::ZERO);
+    limiter.set_limits(&tenant(), RATE, BURST);
+    assert_eq!(limiter.bucket(&"another".parse().unwrap()), None);
+    let usage = carobglade::TenantUsage { tenant: tenant(), total: 0, level: 0 };
+    let state = ReporterState::Settled;
+    limiter.apply_report(&vm(1), Incarnation(1), &[usage], state, Duration::from_secs(1));
+    limiter.admit(&tenant(), Tokens(500), Duration::from_secs(2)).unwrap();
+    let bucket = limiter.bucket(&tenant()).unwrap();
+    assert_eq!((bucket.rate, bucket.burst), (RATE, BURST));
+    assert_eq!(Some(bucket.level), limiter.level(&tenant()));
+    assert_eq!((bucket.silent, bucket.age), (1, Duration::from_secs(1)));
+}
