A prompt too large for the latency goal is sent to an idle upstream

Cause: a request was rejected by its whole estimate, its own prompt included, against the latency goal. Change: the goal of such a request is the time that the upstream would take if it had nothing else to do. It goes to upstreams that are nearly idle, and still has to end before its deadline. Tests: a_prompt_too_large_for_the_goal_is_sent_to_an_idle_engine (RetryLater before), and one for the deadline.

--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -99,20 +99,27 @@
         self.time_left.mul_f64(settings.time_fraction).saturating_sub(self.output_time)
     }
 
-    /// Returns the longest time to the first byte with which the request is sent.
-    fn max_wait(&self, settings: &DispatchSettings) -> Duration {
+    /// Returns the longest time to the first byte with which the request is sent, if an idle upstream
+    /// takes `idle`.
+    fn max_wait(&self, idle: Duration, settings: &DispatchSettings) -> Duration {
         let available = self.available_time(settings);
         if self.resumes {
             return available;
         }
-        let goal = self.latency_goal.mul_f64(settings.goal_factor).max(self.latency_goal);
-        available.min(goal)
+        let goal = self.goal(idle);
+        available.min(goal.mul_f64(settings.goal_factor).max(goal))
     }
 
     /// Returns the time to the first byte from which on a rejected request could be sent.
-    fn wanted_wait(&self, settings: &DispatchSettings) -> Duration {
+    fn wanted_wait(&self, idle: Duration, settings: &DispatchSettings) -> Duration {
         let available = self.available_time(settings);
-        if self.resumes { available } else { available.min(self.latency_goal) }
+        if self.resumes { available } else { available.min(self.goal(idle)) }
+    }
+
+    /// Returns the time to the first byte that the request can have at best. One that is too large for
+    /// the latency goal would be rejected for ever if it had to meet the goal.
+    fn goal(&self, idle: Duration) -> Duration {
+        self.latency_goal.max(idle)
     }
 }
 
@@ -150,6 +157,13 @@
         Duration::from_secs_f64(millis.min(1e7) / 1000.0)
     }
 
+    /// Estimates the time to the first byte if the upstream had nothing else to do.
+    fn idle_estimate(&self, timing: &RequestTiming, settings: &DispatchSettings) -> Duration {
+        let memory = (0, self.memory.1);
+        let idle = DispatchCandidate { prompt_backlog: 0, running: 0, memory, ..*self };
+        idle.estimate(timing, settings)
+    }
+
     /// Returns the penalty of an engine that generates its responses more slowly than the longest
     /// of them need.
     ///
@@ -196,8 +210,9 @@
         return DispatchDecision::NoUpstream;
     };
     let wait = if timing.resumes { estimate } else { estimate + penalty };
-    if wait > timing.max_wait(settings) {
-        let excess = wait.saturating_sub(timing.wanted_wait(settings));
+    let idle = candidates[index].idle_estimate(timing, settings);
+    if wait > timing.max_wait(idle, settings) {
+        let excess = wait.saturating_sub(timing.wanted_wait(idle, settings));
         return DispatchDecision::RetryLater(excess.max(Duration::from_millis(100)));
     }
     DispatchDecision::Send(index, estimate)
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -85,6 +85,22 @@
     assert_eq!(chosen_index(&[candidate(40_000)], &patient), 0);
 }
 
+/// Guards against: the largest prompts were refused on idle engines, since no engine reads them within
+/// the latency goal, and told to come back although nothing would change.
+#[test]
+fn a_prompt_too_large_for_the_goal_is_sent_to_an_idle_engine() {
+    let large = |backlog| DispatchCandidate { prefill_tokens: 18_000, ..candidate(backlog) };
+    assert_eq!(chosen_index(&[large(20_000), large(0)], &timing()), 1);
+    assert!(matches!(decide(&[large(4_000)], &timing()), DispatchDecision::RetryLater(_)));
+}
+
+/// A prompt that cannot be read before the deadline is refused also by an idle engine.
+#[test]
+fn a_prompt_too_large_for_the_deadline_is_rejected() {
+    let large = DispatchCandidate { prefill_tokens: 80_000, ..candidate(0) };
+    assert!(matches!(decide(&[large], &timing()), DispatchDecision::RetryLater(_)));
+}
+
 #[test]
 fn a_request_is_not_sent_if_it_cannot_end_in_time() {
     let short = RequestTiming { time_left: ms(350), ..timing() };
