--- a/src/process/replica_planner/resolved.rs
+++ b/src/process/replica_planner/resolved.rs
@@ -82,7 +82,7 @@
     }
 }
 
-/// The names of a round's models.
+/// The models of a round, by index and by name.
 pub(super) struct Models<'a> {
     models: Vec<RoundModel<'a>>,
     indices: HashMap<&'a ModelName, usize>,
@@ -100,6 +100,16 @@
         models
     }
 
+    /// Returns the models that the configuration names and those that an engine holds.
+    pub(super) fn iter(&self) -> impl Iterator<Item = &RoundModel<'a>> {
+        self.models.iter()
+    }
+
+    /// Returns the number of models.
+    pub(super) fn len(&self) -> usize {
+        self.models.len()
+    }
+
     /// Returns the index of a model, if the configuration names it or an engine holds it.
     pub(super) fn index(&self, name: &ModelName) -> Option<usize> {
         self.indices.get(name).copied()
@@ -132,6 +142,7 @@
         recent: impl Iterator<Item = bool>,
     ) -> RoundEngine {
         let mut replicas = Vec::with_capacity(state.models.len());
+        let recent = recent.chain(std::iter::repeat(false));
         for ((name, adapters), recent) in state.models.iter().zip(recent) {
             let model = self.index_or_add(name, demand);
             let held = &mut self.models[model];
@@ -163,15 +174,3 @@
         &mut self.models[index]
     }
 }
-
-impl Models<'_> {
-    /// Returns the models that the configuration names and those that an engine holds.
-    pub(super) fn iter(&self) -> impl Iterator<Item = &RoundModel<'_>> {
-        self.models.iter()
-    }
-
-    /// Returns the number of models.
-    pub(super) fn len(&self) -> usize {
-        self.models.len()
-    }
-}
