Comparison of limiters: sums are exact before the size of the fleet is known too

It compares levels for equality on times and rates whose sums are exact; that did not hold before the fleet's size was known: a size of 100 was assumed, or one of the peers heard, and a silent peer's share was rounded. The assumed size is a power of two now, and a fleet that starts full knows its size.

--- a/tests/rate_limiter/same_levels.rs
+++ b/tests/rate_limiter/same_levels.rs
@@ -74,10 +74,19 @@
 
 fn check_levels(seed: u64) -> usize {
     let mut peers = RandomPeers::new(seed);
-    let settings = RateLimiterSettings { initial_tokens: 1024, ..RateLimiterSettings::default() };
+    let settings = RateLimiterSettings {
+        initial_tokens: 1024,
+        assumed_fleet: 2 * FLEET,
+        ..RateLimiterSettings::default()
+    };
     let full = peers.rng.random_bool(0.3);
     let mut limiter = RateLimiter::new(settings, full, peers.now);
     let mut walking = WalkingLimiter::new(settings, full, peers.now);
+    if full {
+        // Until then the fleet would be as large as the number of peers heard.
+        limiter.set_fleet_size(FLEET, peers.now);
+        walking.set_fleet_size(FLEET, peers.now);
+    }
     if peers.rng.random_bool(0.5) {
         limiter.set_relay_delay(TICK * 8);
         walking.set_relay_delay(TICK * 8);
@@ -148,6 +157,13 @@
     }
 }
 
+/// Peers fell silent before the size of the fleet was known, and then the assumed size was 100: the sums
+/// of both limiters differed by a rounding error.
+#[test]
+fn levels_are_the_same_while_the_size_of_the_fleet_is_assumed() {
+    check_levels(18_224_510_799_424_392_516);
+}
+
 /// The comparison sees peers that are silent.
 #[test]
 fn the_compared_limiters_meet_silent_peers() {
