One late response no longer makes a whole service look slow to a vm that has just started

Likely cause, by reading: the first median had full weight, so one late first response set the ratio of the service to up to 5 and requests were refused as busy. Change: full weight only downwards.

--- a/src/process/service_ratio.rs
+++ b/src/process/service_ratio.rs
@@ -44,7 +44,9 @@
         };
         self.observed.clear();
         self.medians = self.medians.saturating_add(1);
-        let weight = MEDIAN_WEIGHT.max(1.0 / f64::from(self.medians));
+        // A first response that is late by itself must not make the whole service look slow.
+        let first_weight = if median < self.ratio { 1.0 / f64::from(self.medians) } else { 0.0 };
+        let weight = MEDIAN_WEIGHT.max(first_weight);
         self.ratio += (median - self.ratio) * weight;
     }
 }
--- a/tests/seldom_used_upstreams.rs
+++ b/tests/seldom_used_upstreams.rs
@@ -95,3 +95,15 @@
     let other = loads.stats("desks", &"desk-1".parse().unwrap()).latency_ratio;
     assert_eq!(other, 1.0, "another service");
 }
+
+/// Guards against: one late response to a vm that had just started made it refuse requests as if all
+/// upstreams were busy.
+#[test]
+fn one_late_response_does_not_make_the_service_slow() {
+    let mut loads = LoadTracker::default();
+    let (used, other) = ("engine-1".parse().unwrap(), "engine-2".parse().unwrap());
+    loads.record_latency(SERVICE, &used, Duration::from_secs(1), Duration::from_millis(67));
+    loads.decay_stats();
+    let ratio = loads.stats(SERVICE, &other).latency_ratio;
+    assert!(ratio < 1.5, "{ratio}");
+}
