Review, case 1: interim responses without end hang the whole process

Rule: CONFIG, requests have no answer half a second after their route's timeout. The earlier cases move back by one number.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# The store comes back from a copy in the middle of a rolling restart. TROUBLE=0: it does not.
-exec "$(dirname "$0")/../run-scenario.sh" rollback-orders review/1
+# A faulty server sends interim responses without end. TROUBLE=0: it is sound.
+exec "$(dirname "$0")/../run-scenario.sh" interim-flood review/1
--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
-# A server leaves while a machine is cut off from the store. TROUBLE=0: the machine is not cut off.
-exec "$(dirname "$0")/../run-scenario.sh" leaving-server review/2
+# The store comes back from a copy in the middle of a rolling restart. TROUBLE=0: it does not.
+exec "$(dirname "$0")/../run-scenario.sh" rollback-orders review/2
--- /dev/null
+++ b/review/lab/src/interim_server.rs
@@ -0,0 +1,143 @@
+//! A stand-in of a plain server that can be faulty: it answers a request on a kept connection with
+//! interim responses without end.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::thread;
+use std::time::{Duration, Instant};
+
+use serde_json::{Value, json};
+
+use crate::site::unix_millis;
+
+/// The bytes that are no answer.
+const INTERIM: &[u8] = b"HTTP/1.1 100 \r\n\r\n";
+/// Interim responses of one write.
+const BATCH: usize = 4096;
+
+/// What a server shares with its connections.
+#[derive(Default)]
+struct State {
+    faulty: AtomicBool,
+    answered: AtomicU64,
+    flooded: AtomicU64,
+    flood_bytes: AtomicU64,
+}
+
+/// A server of `gate-desk`.
+pub struct InterimServer {
+    /// Its id.
+    pub id: String,
+    address: SocketAddr,
+    born: u64,
+    sequence: AtomicU64,
+    state: Arc<State>,
+}
+
+impl InterimServer {
+    /// Starts a server; its link takes `link_bytes` a second.
+    ///
+    /// # Errors
+    ///
+    /// When no address can be bound.
+    pub fn start(id: &str, link_bytes: u64) -> std::io::Result<Self> {
+        let listener = TcpListener::bind(("127.0.0.1", 0))?;
+        let (address, state) = (listener.local_addr()?, Arc::new(State::default()));
+        let (own_id, shared) = (id.to_owned(), Arc::clone(&state));
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (id, state) = (own_id.clone(), Arc::clone(&shared));
+                // A connection ends with an error when the caller closes it.
+                thread::spawn(move || drop(serve(&id, &state, stream, link_bytes)));
+            }
+        });
+        let (id, born, sequence) = (id.to_owned(), unix_millis(), AtomicU64::new(0));
+        Ok(InterimServer { id, address, born, sequence, state })
+    }
+
+    /// Returns the entry that the server writes to the store now.
+    pub fn next_entry(&self) -> Value {
+        json!({
+            "service": "gate-desk", "address": self.address.to_string(), "zone": "rennes",
+            "version": "1.0", "slots": 6, "state": "ready", "cold_left_ms": 0,
+            "sequence": self.sequence.fetch_add(1, Ordering::Relaxed), "born": self.born,
+        })
+    }
+
+    /// Makes the server faulty from now on.
+    pub fn set_faulty(&self) {
+        self.state.faulty.store(true, Ordering::Relaxed);
+    }
+
+    /// Describes what the server did, for the record.
+    pub fn describe(&self) -> String {
+        let State { answered, flooded, flood_bytes, .. } = &*self.state;
+        format!(
+            "{}: {} requests answered, {} got interim responses without end, {} MB of these",
+            self.id,
+            answered.load(Ordering::Relaxed),
+            flooded.load(Ordering::Relaxed),
+            flood_bytes.load(Ordering::Relaxed) / 1_000_000
+        )
+    }
+}
+
+fn serve(id: &str, state: &State, stream: TcpStream, link_bytes: u64) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let mut writer = stream.try_clone()?;
+    let mut reader = BufReader::new(stream);
+    for number in 0u64.. {
+        let request_id = read_request(&mut reader)?;
+        if number > 0 && state.faulty.load(Ordering::Relaxed) {
+            state.flooded.fetch_add(1, Ordering::Relaxed);
+            return flood(state, &mut writer, link_bytes);
+        }
+        let answer = format!(
+            "HTTP/1.1 200 OK\r\nrequest-id: {request_id}\r\nserver-stamp: stamp.{id}\r\n\
+             content-length: 4\r\n\r\ndone"
+        );
+        writer.write_all(answer.as_bytes())?;
+        state.answered.fetch_add(1, Ordering::Relaxed);
+    }
+    Ok(())
+}
+
+/// Reads a request with its body; returns its id.
+fn read_request(reader: &mut impl BufRead) -> std::io::Result<String> {
+    let (mut id, mut length) = (String::new(), 0);
+    loop {
+        let mut line = String::new();
+        if reader.read_line(&mut line)? == 0 {
+            return Err(std::io::ErrorKind::UnexpectedEof.into());
+        }
+        let line = line.trim_end();
+        if line.is_empty() {
+            break;
+        }
+        if let Some((name, value)) = line.split_once(':') {
+            match name.to_ascii_lowercase().as_str() {
+                "request-id" => id = value.trim().to_owned(),
+                "content-length" => length = value.trim().parse().unwrap_or(0),
+                _ => {}
+            }
+        }
+    }
+    std::io::copy(&mut reader.take(length), &mut std::io::sink())?;
+    Ok(id)
+}
+
+/// Sends interim responses, as fast as the link takes them, until the caller closes.
+fn flood(state: &State, writer: &mut TcpStream, link_bytes: u64) -> std::io::Result<()> {
+    let batch = INTERIM.repeat(BATCH);
+    let started = Instant::now();
+    let mut sent = 0u64;
+    loop {
+        writer.write_all(&batch)?;
+        sent += batch.len() as u64;
+        state.flood_bytes.fetch_add(batch.len() as u64, Ordering::Relaxed);
+        let due = Duration::from_secs_f64(sent as f64 / link_bytes as f64);
+        thread::sleep(due.saturating_sub(started.elapsed()));
+    }
+}
--- a/review/lab/src/site.rs
+++ b/review/lab/src/site.rs
@@ -11,6 +11,8 @@
 
 /// Interval at which servers write to the store.
 pub const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Timeout of the route `status`.
+pub const STATUS_TIMEOUT_MS: u64 = 1500;
 /// Host of all routes.
 pub const HOST: &str = "site.example";
 
@@ -33,7 +35,7 @@
         "version": version,
         "routes": [
             route("plan", "streaming", "plan-llm", 2, plan_timeout_ms),
-            route("status", "idempotent", "gate-desk", 2, 1500),
+            route("status", "idempotent", "gate-desk", 2, STATUS_TIMEOUT_MS),
         ],
         "services": [
             { "name": "plan-llm", "health_path": "/healthz", "max_conns": 360, "engine": {
