Review, case 5: wrong bytes of a faulty server reach clients as a success

Rule: MIXED, a success (2xx) without the server's Server-Stamp. Disruption: one of three servers sends wrong bytes in place of one of fifty answers for 5.5 s (garble). Seen: 3 or 4 such successes in a run, also on a route of requests that may run once only.

--- a/review/lab/src/lib.rs
+++ b/review/lab/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod machine;
 pub mod record;
 pub mod site;
+pub mod spoiling_server;
 pub mod store;
 pub mod store_state;
 pub mod stream_server;
--- a/review/lab/src/machine.rs
+++ b/review/lab/src/machine.rs
@@ -114,6 +114,11 @@
         ask_ready(self.ready).await
     }
 
+    /// Returns the id of the process; 0 if none runs.
+    pub fn pid(&self) -> u32 {
+        self.child.as_ref().map_or(0, Child::id)
+    }
+
     /// Sends a signal to the process.
     ///
     /// # Errors
--- a/review/lab/src/site.rs
+++ b/review/lab/src/site.rs
@@ -35,6 +35,7 @@
         "version": version,
         "routes": [
             route("plan", "streaming", "plan-llm", 2, plan_timeout_ms),
+            route("assign", "non_idempotent", "gate-desk", 1, STATUS_TIMEOUT_MS),
             route("status", "idempotent", "gate-desk", 2, STATUS_TIMEOUT_MS),
         ],
         "services": [
