--- a/review/lab/src/interim_server.rs
+++ b/review/lab/src/interim_server.rs
@@ -13,10 +13,10 @@
 use crate::site::unix_millis;
 use crate::spoiling_server::read_request;
 
-/// The bytes that are no answer.
-const INTERIM: &[u8] = b"HTTP/1.1 100 \r\n\r\n";
+/// Lines of each interim response, as many as a head may have.
+const LINES: usize = 90;
 /// Interim responses of one write.
-const BATCH: usize = 4096;
+const BATCH: usize = 256;
 
 /// What a server shares with its connections.
 #[derive(Default)]
@@ -105,9 +105,15 @@
     Ok(())
 }
 
+/// Returns the bytes that are no answer.
+fn interim_response() -> Vec<u8> {
+    let lines: String = (0..LINES).map(|line| format!("x{line}:\r\n")).collect();
+    format!("HTTP/1.1 103 \r\n{lines}\r\n").into_bytes()
+}
+
 /// Sends interim responses, as fast as the link takes them, until the caller closes.
 fn flood(state: &State, writer: &mut TcpStream, link_bytes: u64) -> std::io::Result<()> {
-    let batch = INTERIM.repeat(BATCH);
+    let batch = interim_response().repeat(BATCH);
     let started = Instant::now();
     let mut sent = 0u64;
     loop {
