--- a/review/lab/src/bin/leaving-server.rs
+++ b/review/lab/src/bin/leaving-server.rs
@@ -98,16 +98,8 @@
 }
 
 fn with_leaving(servers: &SharedServers, act: impl FnOnce(&mut StreamServer)) {
-    lock(servers).iter_mut().filter(|server| server.id == LEAVING).take(1).for_each(act_once(act));
-}
-
-/// Turns an action into one that runs for the first server only.
-fn act_once(act: impl FnOnce(&mut StreamServer)) -> impl FnMut(&mut StreamServer) {
-    let mut act = Some(act);
-    move |server| {
-        if let Some(act) = act.take() {
-            act(server);
-        }
+    if let Some(server) = lock(servers).iter_mut().find(|server| server.id == LEAVING) {
+        act(server);
     }
 }
 
