--- a/review/lab/src/bin/interim-flood.rs
+++ b/review/lab/src/bin/interim-flood.rs
@@ -25,7 +25,7 @@
 const CALM_TIME: Duration = Duration::from_secs(3);
 /// Time for which requests are sent once the server is faulty, as the site's `garble` lasts.
 const FAULT_TIME: Duration = Duration::from_millis(5500);
-const REQUEST_INTERVAL: Duration = Duration::from_millis(50);
+const REQUEST_INTERVAL: Duration = Duration::from_millis(12);
 /// The client waits longer than the route's timeout.
 const DEADLINE: Duration = Duration::from_secs(5);
 /// Time after the route's timeout by which a request has to have its final answer.
--- a/review/lab/src/interim_server.rs
+++ b/review/lab/src/interim_server.rs
@@ -15,6 +15,8 @@
 
 /// Lines of each interim response, as many as a head may have.
 const LINES: usize = 90;
+/// One of this many answers is spoiled at most: the site's share is 0.02.
+const PER_FLOODED: u64 = 50;
 /// Interim responses of one write.
 const BATCH: usize = 256;
 
@@ -23,6 +25,8 @@
 struct State {
     faulty: AtomicBool,
     answered: AtomicU64,
+    /// Requests since the server became faulty.
+    faulty_requests: AtomicU64,
     flooded: AtomicU64,
     flood_bytes: AtomicU64,
 }
@@ -85,13 +89,26 @@
     }
 }
 
+impl State {
+    /// Counts a request at a faulty server, and decides whether it gets interim responses: one of
+    /// fifty at most, and only on a connection that was `kept`.
+    fn floods(&self, kept: bool) -> bool {
+        if !self.faulty.load(Ordering::Relaxed) {
+            return false;
+        }
+        let requests = self.faulty_requests.fetch_add(1, Ordering::Relaxed) + 1;
+        let flooded = self.flooded.load(Ordering::Relaxed);
+        kept && (flooded + 1) * PER_FLOODED <= requests
+    }
+}
+
 fn serve(id: &str, state: &State, stream: TcpStream, link_bytes: u64) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let mut writer = stream.try_clone()?;
     let mut reader = BufReader::new(stream);
     for number in 0u64.. {
         let request_id = read_request(&mut reader)?;
-        if number > 0 && state.faulty.load(Ordering::Relaxed) {
+        if state.floods(number > 0) {
             state.flooded.fetch_add(1, Ordering::Relaxed);
             return flood(state, &mut writer, link_bytes);
         }
