--- a/crates/carob-edge/src/duty_claims.rs
+++ b/crates/carob-edge/src/duty_claims.rs
@@ -89,7 +89,7 @@
         return;
     }
     apply(edge, &message.vm, &message.claim);
-    let has_joined = edge.duty_leases.borrow().generation() > 0;
+    let has_joined = edge.duty_leases.borrow().has_joined();
     if message.is_question && has_joined {
         let answer =
             ClaimMessage { vm: edge.vm.clone(), claim: own_claim(edge), is_question: false };
--- a/crates/carob-edge/src/follow/mod.rs
+++ b/crates/carob-edge/src/follow/mod.rs
@@ -9,7 +9,7 @@
     KeyedRecord, LogRequest, OPERATOR_TOPIC, UPSTREAM_TOPIC, VM_TOPIC, decode_newest_page,
     decode_records, encode_keyed_record,
 };
-use carobglade::{Backoff, LogReading};
+use carobglade::{Backoff, LogEra, LogPosition, LogReading};
 use rand::Rng;
 
 pub use self::sinks::VmEntry;
@@ -70,6 +70,9 @@
 /// Time limit for a response; a log that responds at all is faster.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1200);
 const ANNOUNCE_MAX_BACKOFF: Duration = Duration::from_secs(2);
+/// Writes a second of all vms together when each writes its address again; a quarter of what the
+/// platform allows.
+const MAX_ANNOUNCE_RATE: f64 = 100.0;
 /// Interval between two checks for a read that another vm shared.
 const SHARED_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Long poll of a hub; short, because its members depend on the age of its reads.
@@ -155,13 +158,14 @@
 }
 
 async fn follow(edge: Rc<Edge>, own_settings: FollowSettings, mut sink: impl RecordSink) {
-    let mut next: Option<u64> = None;
+    let mut next: Option<LogPosition> = None;
     let mut backoff = Backoff::default();
     loop {
         let reads_for_others = own_settings.reads_for_others(&edge);
         let settings = own_settings.for_fleet(&edge);
         let settings = if reads_for_others { settings.for_hub() } else { settings };
         let settings = settings.for_start(&edge);
+        next = next.filter(|next| next.era == edge.store.era());
         if let Some(shared) = shared_read(&edge, settings, next) {
             next = Some(apply_shared_read(&edge, settings, shared, &mut sink));
             tokio::time::sleep(SHARED_POLL_INTERVAL).await;
@@ -172,17 +176,21 @@
             Some(from) => read_records(&edge, settings, from, &mut sink).await,
         };
         match result {
-            Ok(offset) => {
+            Ok(position) => {
                 if backoff.record_success() {
                     log::info!(target: "follow", topic = settings.topic; "The log responds again.");
                 }
-                next = Some(offset);
+                next = Some(position);
                 tokio::time::sleep(settings.read_interval).await;
             }
             Err(StoreError::Status(STATUS_GONE)) => {
                 log::info!(target: "follow", topic = settings.topic; "Records expired before they were read; reading a snapshot.");
                 next = None;
             }
+            Err(StoreError::EraChanged) => {
+                log::info!(target: "follow", topic = settings.topic, era:% = edge.store.era(); "The log came back from an older copy; reading a snapshot.");
+                next = None;
+            }
             Err(err) => {
                 if backoff.failures() == 0 {
                     log::warn!(target: "follow", topic = settings.topic, error:% = err; "Reading the log failed.");
@@ -201,7 +209,12 @@
 }
 
 /// Waits for `pause` after a failed read, or until another vm shares a read of the topic.
-async fn back_off(edge: &Edge, settings: FollowSettings, next: Option<u64>, pause: Duration) {
+async fn back_off(
+    edge: &Edge,
+    settings: FollowSettings,
+    next: Option<LogPosition>,
+    pause: Duration,
+) {
     let until = edge.now() + pause;
     while edge.now() < until {
         if shared_read(edge, settings, next).is_some() {
@@ -220,7 +233,11 @@
 
 /// Returns what another vm read, if this vm, which read up to `next`, can use that instead of
 /// reading by itself.
-fn shared_read(edge: &Edge, settings: FollowSettings, next: Option<u64>) -> Option<SharedRead> {
+fn shared_read(
+    edge: &Edge,
+    settings: FollowSettings,
+    next: Option<LogPosition>,
+) -> Option<SharedRead> {
     let (topic, from) = settings.shared_topic.zip(next)?;
     if settings.reads_for_others(edge) {
         return None;
@@ -229,13 +246,13 @@
     Some(SharedRead { topic, reading, changes })
 }
 
-/// Applies a shared read; returns the offset to continue from.
+/// Applies a shared read; returns the position to continue from.
 fn apply_shared_read(
     edge: &Edge,
     settings: FollowSettings,
     shared: SharedRead,
     sink: &mut impl RecordSink,
-) -> u64 {
+) -> LogPosition {
     let SharedRead { topic, reading, changes } = shared;
     sink.on_response(edge);
     for record in &changes {
@@ -245,7 +262,7 @@
     let readings = &mut edge.view.borrow_mut().readings;
     let own = readings.get(&topic).copied();
     readings.insert(topic, reading.keeping_change(own));
-    reading.read_to
+    LogPosition { era: reading.era, offset: reading.read_to }
 }
 
 /// Applies a record and, if it changed anything, keeps it to be shared with other vms. Reports
@@ -264,12 +281,12 @@
     changed
 }
 
-/// Records how far this vm read, to share it with other vms. `confirmed_at` is the time up to which
+/// Records up to where this vm read, to share it with other vms. `confirmed_at` is the time up to which
 /// the read is complete, or `None` when more records are left to read.
 fn record_reading(
     edge: &Edge,
     settings: FollowSettings,
-    read_to: u64,
+    position: LogPosition,
     changed: bool,
     confirmed_at: Option<Duration>,
 ) {
@@ -277,12 +294,12 @@
         return;
     };
     let readings = &mut edge.view.borrow_mut().readings;
-    let before = readings.get(&topic).copied();
-    let before =
-        before.unwrap_or(LogReading { read_to, changed_to: read_to, confirmed_at: Duration::ZERO });
+    let LogPosition { era, offset: read_to } = position;
+    let before = readings.get(&topic).copied().filter(|before| before.era == era);
+    let before = before.unwrap_or(LogReading { era, changed_to: read_to, ..LogReading::default() });
     let changed_to = if changed { read_to } else { before.changed_to };
     let confirmed_at = confirmed_at.unwrap_or(before.confirmed_at);
-    readings.insert(topic, LogReading { read_to, changed_to, confirmed_at });
+    readings.insert(topic, LogReading { era, read_to, changed_to, confirmed_at });
     if changed_to != before.changed_to {
         edge.gossip_wakeup.notify_one();
     }
@@ -292,9 +309,9 @@
     edge: &Edge,
     settings: FollowSettings,
     sink: &mut impl RecordSink,
-) -> Result<u64, StoreError> {
+) -> Result<LogPosition, StoreError> {
     let mut records: Vec<KeyedRecord> = Vec::new();
-    let mut first = None;
+    let mut first: Option<(LogPosition, Duration)> = None;
     let mut after: Option<String> = None;
     loop {
         let call = LogRequest::newest(settings.topic, after.as_deref());
@@ -302,7 +319,9 @@
         edge.metrics.record_store_call(settings.topic);
         let page = decode_newest_page(&response.body)?;
         // The pages are not from one moment, so reading continues from the end of the first page.
-        let (end, sent) = *first.get_or_insert((page.end_offset, response.sent_at));
+        let end = LogPosition { era: response.era, offset: page.end_offset };
+        let (end, sent) = *first.get_or_insert((end, response.sent_at));
+        check_era(end.era, response.era)?;
         after = page.next_after(after.as_deref())?;
         records.extend(page.records);
         if after.is_none() {
@@ -310,7 +329,7 @@
             sink.on_snapshot(edge, &records);
             sink.on_confirmed(edge, sent);
             if settings.shared_topic == Some(Topic::Upstreams) {
-                edge.view.borrow_mut().changes.reset(end);
+                edge.view.borrow_mut().changes.reset(end.offset);
             }
             record_reading(edge, settings, end, true, Some(sent));
             return Ok(end);
@@ -321,14 +340,15 @@
 async fn read_records(
     edge: &Edge,
     settings: FollowSettings,
-    from: u64,
+    from: LogPosition,
     sink: &mut impl RecordSink,
-) -> Result<u64, StoreError> {
+) -> Result<LogPosition, StoreError> {
     let wait = settings.long_poll.as_millis() as u64;
-    let call = LogRequest::read(settings.topic, from, wait);
+    let call = LogRequest::read(settings.topic, from.offset, wait);
     let response = edge.store.call(call, settings.long_poll + settings.response_timeout).await?;
     edge.metrics.record_store_call(settings.topic);
-    let read = decode_records(&response.body, from)?;
+    check_era(from.era, response.era)?;
+    let read = decode_records(&response.body, from.offset)?;
     sink.on_response(edge);
     let mut changed = false;
     for record in &read.records {
@@ -338,12 +358,30 @@
     if complete {
         sink.on_confirmed(edge, response.sent_at);
     }
-    record_reading(edge, settings, read.next_offset, changed, complete.then_some(response.sent_at));
-    Ok(read.next_offset)
+    let next = LogPosition { era: from.era, offset: read.next_offset };
+    record_reading(edge, settings, next, changed, complete.then_some(response.sent_at));
+    Ok(next)
 }
 
-/// Writes the address of this vm to the list of vms; retries until the log accepts it.
+/// Refuses a response whose offsets are not those of the era `expected`.
+fn check_era(expected: LogEra, told: LogEra) -> Result<(), StoreError> {
+    if told == expected { Ok(()) } else { Err(StoreError::EraChanged) }
+}
+
+/// Keeps the address of this vm in the list of vms: writes it at the start, and again when the log
+/// came back from a copy that may lack it. Then all vms write, each after a random pause.
 pub async fn announce(edge: Rc<Edge>) {
+    loop {
+        let era = write_address(&edge).await;
+        edge.store.wait_for_era_after(era).await;
+        let spread = Duration::from_secs_f64(edge.fleet_size() as f64 / MAX_ANNOUNCE_RATE);
+        tokio::time::sleep(spread.mul_f64(rand::rng().random())).await;
+    }
+}
+
+/// Writes the address of this vm to the list of vms; retries until the log accepts it. Returns the era
+/// of the log that did.
+async fn write_address(edge: &Edge) -> LogEra {
     let profile = edge.hubs.borrow().profile().clone();
     let token = Some(edge.paths.token.clone());
     let entry = VmEntry { address: edge.settings.peer_address(), seat: profile, token };
@@ -352,7 +390,7 @@
     loop {
         let record = encode_keyed_record(&edge.settings.vm, &value);
         match edge.store.call(LogRequest::append(VM_TOPIC, record), RESPONSE_TIMEOUT).await {
-            Ok(_) => return,
+            Ok(response) => return response.era,
             Err(err) => {
                 log::debug!(target: "vms", error:% = err; "Announcing this vm failed; retrying.");
                 tokio::time::sleep(
--- a/crates/carob-edge/src/group.rs
+++ b/crates/carob-edge/src/group.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use carob_platform::{DUTY_GROUP, DUTY_TOPIC, LogRequest, decode_membership};
+use carob_platform::{DUTY_GROUP, DUTY_TOPIC, GroupMembership, LogRequest, decode_membership};
 use carobglade::{DutyChange, GroupAssignment};
 
 use crate::duty_claims;
@@ -69,8 +69,8 @@
 }
 
 async fn join(edge: &Rc<Edge>) -> Result<(), StoreError> {
-    let (generation, ttl) =
-        (edge.duty_leases.borrow().generation(), edge.duty_leases.borrow().ttl());
+    let generation = edge.duty_leases.borrow().join_generation(edge.store.era());
+    let ttl = edge.duty_leases.borrow().ttl();
     let millis = ttl.as_millis() as u64;
     let call = LogRequest::join(DUTY_GROUP, edge.vm.as_str(), DUTY_TOPIC, millis, generation);
     let join_timeout = edge.duty_leases.borrow().join_timeout();
@@ -81,8 +81,8 @@
     })?;
     edge.metrics.record_store_call(DUTY_GROUP);
     let group = decode_membership(&response.body)?;
-    let assignment =
-        GroupAssignment { generation: group.generation, duties: group.partitions, ttl };
+    let GroupMembership { generation, partitions: duties } = group;
+    let assignment = GroupAssignment { era: response.era, generation, duties, ttl };
     let changes =
         edge.duty_leases.borrow_mut().apply_assignment(&assignment, response.sent_at, edge.now());
     handle_duty_changes(edge, &changes);
@@ -91,8 +91,9 @@
 
 fn handle_duty_changes(edge: &Rc<Edge>, changes: &[DutyChange]) {
     for change in changes {
-        let generation = edge.duty_leases.borrow().generation();
-        log::info!(target: "duty", change:? = change, generation = generation; "Duty assignment changed.");
+        let leases = edge.duty_leases.borrow();
+        let (era, generation) = (leases.era(), leases.generation());
+        log::info!(target: "duty", change:? = change, era:% = era, generation = generation; "Duty assignment changed.");
     }
     duty_claims::announce(edge, changes);
     if !changes.is_empty() {
--- a/crates/carob-edge/src/origin_log.rs
+++ b/crates/carob-edge/src/origin_log.rs
@@ -10,7 +10,9 @@
     LogRequest, STREAM_TOPIC, VM_TOPIC, decode_expired, decode_plain_records, encode_keyed_record,
     encode_plain_record,
 };
-use carobglade::{Backoff, OriginSource, StreamKey, StreamOrigin, VersionRecord, VmName};
+use carobglade::{
+    Backoff, LogEra, LogPosition, OriginSource, StreamKey, StreamOrigin, VersionRecord, VmName,
+};
 use rand::Rng;
 
 use crate::edge::Edge;
@@ -200,12 +202,19 @@
 async fn read_pages(edge: &Edge) -> Result<(), StoreError> {
     let next = &edge.origins.reading.next;
     loop {
-        let from = next.get().unwrap_or(0);
+        let era = edge.store.era();
+        let from = next.get().filter(|next| next.era == era).map_or(0, |next| next.offset);
         let call = LogRequest::read(STREAM_TOPIC, from, 0);
         let (status, response) = edge.store.call_any(call, CALL_TIMEOUT).await?;
         edge.metrics.record_store_call(STREAM_TOPIC);
+        if response.era != era {
+            // The offset says nothing in the new era; the first call may have learned its number.
+            next.set(Some(LogPosition { era: response.era, offset: 0 }));
+            continue;
+        }
         if status == STATUS_GONE {
-            next.set(Some(decode_expired(&response.body)?.max(from + 1)));
+            let offset = decode_expired(&response.body)?.max(from + 1);
+            next.set(Some(LogPosition { era, offset }));
             continue;
         }
         if status != 200 {
@@ -213,7 +222,8 @@
         }
         let page = decode_plain_records(&response.body, from)?;
         page.records.iter().for_each(|record| apply_streams(edge, record));
-        next.set(Some(page.next_offset.max(page.end_offset.saturating_sub(MAX_READ_RECORDS))));
+        let offset = page.next_offset.max(page.end_offset.saturating_sub(MAX_READ_RECORDS));
+        next.set(Some(LogPosition { era, offset }));
         if page.next_offset >= page.end_offset || page.records.is_empty() {
             return Ok(());
         }
@@ -237,8 +247,13 @@
 
 /// Writes the versions of services to the log, if this vm reads the log for others.
 pub async fn keep_versions(edge: Rc<Edge>) {
+    let mut era = edge.store.era();
     loop {
         tokio::time::sleep(VERSION_INTERVAL).await;
+        let before = std::mem::replace(&mut era, edge.store.era());
+        if before != era && before != LogEra::default() {
+            edge.origins.versions.borrow_mut().record_older_copy(edge.now());
+        }
         let writes = edge.view.borrow().vms_known && edge.hubs.borrow_mut().reads_log(edge.now());
         if !writes {
             continue;
--- a/crates/carob-edge/src/origin_state.rs
+++ b/crates/carob-edge/src/origin_state.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use carobglade::{
-    OriginSource, ServiceVersions, ServiceVersionsSettings, SoftwareVersion, StreamKey,
-    StreamOrigins,
+    LogPosition, OriginSource, ServiceVersions, ServiceVersionsSettings, SoftwareVersion,
+    StreamKey, StreamOrigins,
 };
 use tokio::sync::{Mutex, Notify};
 
@@ -33,8 +33,8 @@
 /// How far the process has read the topic of streams.
 #[derive(Debug, Default)]
 pub struct StreamTopicReading {
-    /// Offset to continue from; none before the first read.
-    pub next: Cell<Option<u64>>,
+    /// Position to continue from; none before the first read.
+    pub next: Cell<Option<LogPosition>>,
     /// When the last read of everything up to the end was started.
     pub complete_at: Cell<Option<Duration>>,
     /// Held by the one request that reads.
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -5,9 +5,9 @@
 
 use carob_platform::KeyedRecord;
 use carobglade::{
-    AdapterId, DutyClaim, Fingerprint, GossipScope, Incarnation, LimitNotice, Load, LogReading,
-    PlacementUpdate, QuarantineReport, ReporterState, RoomNotice, TenantUsage, UsageReport, VmName,
-    name_hash,
+    AdapterId, DutyClaim, Fingerprint, GossipScope, Incarnation, LimitNotice, Load, LogEra,
+    LogReading, PlacementUpdate, QuarantineReport, ReporterState, RoomNotice, TenantUsage,
+    UsageReport, VmName, name_hash,
 };
 use serde::{Deserialize, Serialize};
 
@@ -173,6 +173,10 @@
     /// The sender's duties; encoded after the brittle upstreams.
     #[serde(skip)]
     pub duties: Option<DutyClaim>,
+    /// The eras of the log in which `readings` were made, in the same order; encoded after the
+    /// duties. A sender that does not tell them knows no eras.
+    #[serde(skip)]
+    pub reading_eras: Vec<LogEra>,
 }
 
 /// A message with what was lost of it.
@@ -205,6 +209,7 @@
         let mut bytes = postcard::to_allocvec(self)?;
         let added = (&self.extension, &self.quarantine, &self.limits, &self.rooms, &self.duties);
         bytes.extend(postcard::to_allocvec(&added)?);
+        bytes.extend(postcard::to_allocvec(&self.reading_eras)?);
         Ok(bytes)
     }
 
@@ -225,7 +230,8 @@
         let rest = take_added(rest, &mut self.quarantine)?;
         let rest = take_added(rest, &mut self.limits)?;
         let rest = take_added(rest, &mut self.rooms)?;
-        take_added(rest, &mut self.duties)?;
+        let rest = take_added(rest, &mut self.duties)?;
+        take_added(rest, &mut self.reading_eras)?;
         Ok(())
     }
 
@@ -300,6 +306,7 @@
             age_ms: now.saturating_sub(reading.confirmed_at).as_millis() as u64 + 1,
         });
         message.readings = readings.collect();
+        message.reading_eras = view.readings.values().map(|reading| reading.era).collect();
         message
     }
 
@@ -328,12 +335,15 @@
             limits: Vec::new(),
             rooms: Vec::new(),
             duties: None,
+            reading_eras: Vec::new(),
         }
     }
 
-    /// Returns the reads of the topics that this version knows.
-    pub fn known_readings(&self) -> impl Iterator<Item = (Topic, &WireReading)> {
-        self.readings.iter().filter_map(|wire| Some((Topic::try_from(wire.topic).ok()?, wire)))
+    /// Returns the reads of the topics that this version knows, with the era of each.
+    pub fn known_readings(&self) -> impl Iterator<Item = (Topic, LogEra, &WireReading)> {
+        let eras = self.reading_eras.iter().copied().chain(std::iter::repeat(LogEra::default()));
+        let readings = self.readings.iter().zip(eras);
+        readings.filter_map(|(wire, era)| Some((Topic::try_from(wire.topic).ok()?, era, wire)))
     }
 
     /// Reports whether the message holds reads and all of them are recent enough to be used.
@@ -341,7 +351,7 @@
         let request_time = self.request_time.unwrap_or_default();
         let mut readings = self.known_readings().peekable();
         readings.peek().is_some()
-            && readings.all(|(_, wire)| wire.reading(request_time).is_fresh(now))
+            && readings.all(|(_, era, wire)| wire.reading(era, request_time).is_fresh(now))
     }
 
     /// Names the receiver that responds to the message.
@@ -427,9 +437,10 @@
 }
 
 impl WireReading {
-    /// Converts the read to the clock of the vm that requested it at `request_time`.
-    pub fn reading(&self, request_time: Duration) -> LogReading {
+    /// Converts the read, made in `era`, to the clock of the vm that requested it at `request_time`.
+    pub fn reading(&self, era: LogEra, request_time: Duration) -> LogReading {
         let age = Duration::from_millis(self.age_ms);
-        LogReading::from_peer(self.read_to, self.changed_to, request_time, age)
+        let reading = LogReading::from_peer(self.read_to, self.changed_to, request_time, age);
+        LogReading { era, ..reading }
     }
 }
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -156,8 +156,8 @@
     };
     let mut view = edge.view.borrow_mut();
     let changes = message.changes();
-    for (topic, wire) in message.known_readings() {
-        view.accept_reading(topic, wire.reading(request_time), &changes);
+    for (topic, era, wire) in message.known_readings() {
+        view.accept_reading(topic, wire.reading(era, request_time), &changes);
     }
 }
 
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -56,6 +56,7 @@
     tokio::task::spawn_local(tunnel_server::accept(Rc::clone(&edge), tunnels));
     tokio::task::spawn_local(origin_log::run_writer(Rc::clone(&edge)));
     tokio::task::spawn_local(origin_log::keep_versions(Rc::clone(&edge)));
+    tokio::task::spawn_local(quarantine::restore_verdicts(Rc::clone(&edge)));
     tokio::task::spawn_local(maintain(Rc::clone(&edge)));
     wait_for_stop(&edge, &path).await?;
     servers.iter().for_each(Server::announce_stop);
--- a/crates/carob-edge/src/quarantine.rs
+++ b/crates/carob-edge/src/quarantine.rs
@@ -6,7 +6,7 @@
 
 use carob_platform::{LogRequest, VM_TOPIC, encode_keyed_record};
 use carobglade::{
-    Backoff, BlockRecord, BlockedPrompt, Error, ErrorKind, Fingerprint, PromptVerdict,
+    Backoff, BlockRecord, BlockedPrompt, Error, ErrorKind, Fingerprint, LogEra, PromptVerdict,
     QuarantineReport, Result, SharedPrompt, UpstreamCrash, UpstreamEntry, VerdictChange,
     VerdictReason,
 };
@@ -18,6 +18,8 @@
 pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
 /// Maximum delay before a verdict is written that other vms may have reached too.
 const MAX_KEEP_DELAY: Duration = Duration::from_secs(5);
+/// Time in which the records of a log that came back are read.
+const RESTORE_DELAY: Duration = Duration::from_secs(4);
 /// Time limit for writing a verdict to the log.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1200);
 const APPEND_MAX_BACKOFF: Duration = Duration::from_secs(2);
@@ -148,6 +150,26 @@
     }
 }
 
+/// Writes the verdicts to the log again whenever it came back from a copy that may lack them. What
+/// the copy holds is read before, and a verdict that another vm wrote is not written twice.
+pub async fn restore_verdicts(edge: Rc<Edge>) {
+    let mut era = edge.store.era();
+    loop {
+        edge.store.wait_for_era_after(era).await;
+        let is_first = era == LogEra::default();
+        era = edge.store.era();
+        if is_first {
+            continue;
+        }
+        edge.kept_verdicts.borrow_mut().clear();
+        tokio::time::sleep(RESTORE_DELAY + MAX_KEEP_DELAY.mul_f64(rand::rng().random())).await;
+        let verdicts = edge.quarantine.borrow().report(edge.now()).verdicts;
+        for verdict in &verdicts {
+            keep_verdict(&edge, verdict).await;
+        }
+    }
+}
+
 /// Writes a verdict to the log; retries until the log accepts it or another verdict holds.
 async fn keep_verdict(edge: &Edge, verdict: &PromptVerdict) {
     let record = BlockRecord::new(verdict, edge.clock.unix_millis());
--- a/crates/carob-edge/src/store.rs
+++ b/crates/carob-edge/src/store.rs
@@ -1,14 +1,16 @@
 //! A client of the platform's log.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use carob_net::Clock;
-use carob_platform::LogRequest;
-use carobglade::{AttemptOutcome, UpstreamName};
+use carob_platform::{LogRequest, log_era};
+use carobglade::{AttemptOutcome, LogEra, UpstreamName};
 use http::{HeaderMap, HeaderValue, Method};
+use tokio::sync::Notify;
 
 use crate::outgoing_request::OutgoingRequest;
 use crate::pool::ConnectionPool;
@@ -27,6 +29,9 @@
     Unreachable,
     /// The response could not be decoded.
     Unreadable(String),
+    /// The log came back from an older copy in the meantime: the response is of the era before, or
+    /// the call named an offset of it.
+    EraChanged,
 }
 
 impl std::fmt::Display for StoreError {
@@ -35,6 +40,7 @@
             StoreError::Status(status) => write!(f, "status {status}"),
             StoreError::Unreachable => f.write_str("no answer"),
             StoreError::Unreadable(why) => write!(f, "unreadable: {why}"),
+            StoreError::EraChanged => f.write_str("the log came back from an older copy"),
         }
     }
 }
@@ -52,6 +58,10 @@
     address: SocketAddr,
     name: UpstreamName,
     budget: Rc<ResponseBudget>,
+    /// The newest era that a response told; none before the first response.
+    era: Cell<Option<LogEra>>,
+    /// Wakes the tasks that write to the log again what it may have lost.
+    era_changed: Notify,
 }
 
 /// A response of the log.
@@ -60,6 +70,8 @@
     pub body: Bytes,
     /// The time when the call was sent.
     pub sent_at: Duration,
+    /// The era of the log.
+    pub era: LogEra,
 }
 
 impl StoreClient {
@@ -67,14 +79,39 @@
     pub fn new(pool: Rc<ConnectionPool>, clock: Rc<dyn Clock>, address: SocketAddr) -> Self {
         let name = address.to_string().parse().unwrap_or_default();
         let budget = ResponseBudget::new(MAX_RESPONSES_BYTES);
-        StoreClient { pool, clock, address, name, budget }
+        StoreClient {
+            pool,
+            clock,
+            address,
+            name,
+            budget,
+            era: Cell::default(),
+            era_changed: Notify::new(),
+        }
+    }
+
+    /// Returns the newest era of the log that this process knows.
+    pub fn era(&self) -> LogEra {
+        self.era.get().unwrap_or_default()
+    }
+
+    /// Waits until the era of the log is newer than `known`.
+    pub async fn wait_for_era_after(&self, known: LogEra) {
+        loop {
+            let changed = self.era_changed.notified();
+            if self.era() > known {
+                return;
+            }
+            changed.await;
+        }
     }
 
     /// Makes a call and reads the response within `timeout`.
     ///
     /// # Errors
     ///
-    /// Returns an error for any status but 200, and when there is no response in time.
+    /// Returns an error for any status but 200, when there is no response in time, and for a response
+    /// of an older era of the log.
     pub async fn call(
         &self,
         call: LogRequest,
@@ -90,7 +127,8 @@
     ///
     /// # Errors
     ///
-    /// Returns `Unreachable` when there is no response in time.
+    /// Returns `Unreachable` when there is no response in time, and `EraChanged` for a response of an
+    /// older era of the log.
     pub async fn call_any(
         &self,
         call: LogRequest,
@@ -98,13 +136,28 @@
     ) -> Result<(u16, StoreResponse), StoreError> {
         let sent_at = self.clock.now();
         let result = tokio::time::timeout(timeout, self.send(call)).await;
-        match result {
-            Ok(Ok((status, body))) => Ok((status, StoreResponse { body, sent_at })),
-            Ok(Err(_)) | Err(_) => Err(StoreError::Unreachable),
+        let (status, headers, body) =
+            result.ok().and_then(Result::ok).ok_or(StoreError::Unreachable)?;
+        let era = log_era(&headers)?;
+        self.record_era(era)?;
+        Ok((status, StoreResponse { body, sent_at, era }))
+    }
+
+    /// Records the era that a response told.
+    fn record_era(&self, era: LogEra) -> Result<(), StoreError> {
+        let known = self.era.get();
+        if known.is_some_and(|known| era < known) {
+            return Err(StoreError::EraChanged);
+        }
+        self.era.set(Some(era));
+        if let Some(before) = known.filter(|known| *known < era) {
+            log::warn!(target: "log", before:% = before, era:% = era; "The log came back from an older copy.");
+            self.era_changed.notify_waiters();
         }
+        Ok(())
     }
 
-    async fn send(&self, call: LogRequest) -> Result<(u16, Bytes), AttemptOutcome> {
+    async fn send(&self, call: LogRequest) -> Result<(u16, HeaderMap, Bytes), AttemptOutcome> {
         let mut headers = HeaderMap::new();
         if let Ok(host) = HeaderValue::from_str(&self.address.to_string()) {
             headers.insert("host", host);
@@ -125,6 +178,6 @@
         };
         let mut response = sent?;
         let body = response.read_to_end(MAX_RESPONSE_BYTES, &self.budget).await?;
-        Ok((response.status, body))
+        Ok((response.status, response.headers, body))
     }
 }
--- a/crates/carob-edge/src/view.rs
+++ b/crates/carob-edge/src/view.rs
@@ -10,8 +10,8 @@
 
 use carob_platform::KeyedRecord;
 use carobglade::{
-    Freshness, FreshnessSettings, LogReading, PlatformConfig, RecentChanges, UpstreamRegistry,
-    UpstreamRegistrySettings, VmName,
+    Freshness, FreshnessSettings, LogPosition, LogReading, PlatformConfig, RecentChanges,
+    UpstreamRegistry, UpstreamRegistrySettings, VmName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -93,10 +93,12 @@
     }
 
     /// Records how far another vm read a topic, with the latest changes of the upstream list as of
-    /// that read. A read that is not newer than the known one is ignored.
+    /// that read. A read that is not newer than the known one is ignored, and so is one of an older
+    /// era of the log.
     pub fn accept_reading(&mut self, topic: Topic, reading: LogReading, changes: &SharedChanges) {
         let known = self.shared_readings.get(&topic);
-        if known.is_some_and(|known| known.confirmed_at >= reading.confirmed_at) {
+        let rank = |reading: &LogReading| (reading.era, reading.confirmed_at);
+        if known.is_some_and(|known| rank(known) >= rank(&reading)) {
             return;
         }
         self.shared_readings.insert(topic, reading);
@@ -107,14 +109,16 @@
 
     /// Returns what another vm read of a topic, for a vm that read up to `next`: the reading, whose
     /// `read_to` is the offset to continue from, and the changes up to that offset. Returns `None`
-    /// when the shared read is too old or its changes do not reach back to `next`.
+    /// when the shared read is too old, is of another era of the log, or its changes do not reach back
+    /// to `next`.
     pub fn shared_since(
         &self,
         topic: Topic,
-        next: u64,
+        next: LogPosition,
         now: Duration,
     ) -> Option<(LogReading, Vec<KeyedRecord>)> {
-        let shared = *self.shared_readings.get(&topic)?;
+        let shared = *self.shared_readings.get(&topic).filter(|shared| shared.era == next.era)?;
+        let next = next.offset;
         let changes = (topic == Topic::Upstreams).then_some(&self.shared_changes);
         let read_to =
             shared.resume_offset(next, changes.map_or(u64::MAX, |changes| changes.since), now)?;
--- a/crates/carob-edge/tests/old_builds/newer.rs
+++ b/crates/carob-edge/tests/old_builds/newer.rs
@@ -5,7 +5,7 @@
     ClaimMessage, Extension, Message, OriginMessage, RoomMessage, TurnMessage, VmEntry,
     WireReading, WireReporter, WireTopic, decode, decode_streams,
 };
-use carobglade::{BlockRecord, QuarantineReport, ReporterState, VersionRecord};
+use carobglade::{BlockRecord, LogEra, QuarantineReport, ReporterState, VersionRecord};
 use serde::Serialize;
 use serde_json::{Value, json};
 
@@ -50,9 +50,9 @@
 
 #[test]
 fn bytes_after_a_message_are_ignored() {
-    let longer = [&bytes("peer_message.hex")[..], APPENDED].concat();
+    let longer = [&bytes("eras/peer_message.hex")[..], APPENDED].concat();
     let decoded = Message::decode(&longer).unwrap();
-    assert_eq!(decoded.message, values::peer_message());
+    assert_eq!(decoded.message, values::peer_message_with_eras());
     assert_eq!(decoded.lost, None);
 }
 
@@ -127,7 +127,7 @@
     value.readings.insert(1, WireReading { topic, read_to: 1, changed_to: 1, age_ms: 1 });
     let decoded = Message::decode(&value.encode().unwrap()).unwrap();
     assert_eq!(decoded.message, value);
-    let known: Vec<WireReading> = value.known_readings().map(|(_, reading)| *reading).collect();
+    let known: Vec<WireReading> = value.known_readings().map(|(_, _, reading)| *reading).collect();
     assert_eq!(known, values::peer_message().readings);
 }
 
@@ -177,3 +177,15 @@
     let decoded: VmEntry = serde_json::from_value(record).unwrap();
     assert_eq!(decoded, VmEntry { token: None, ..values::vm_entry() });
 }
+
+/// Guards against a read whose offset is taken for one of another era of the log: an older build tells
+/// no eras.
+#[test]
+fn reads_of_a_build_without_eras_are_of_none() {
+    let eras = |message: &Message| -> Vec<LogEra> {
+        message.known_readings().map(|(_, era, _)| era).collect()
+    };
+    let older = Message::decode(&bytes("peer_message.hex")).unwrap().message;
+    assert_eq!(eras(&older), [LogEra::default(); 2]);
+    assert_eq!(eras(&values::peer_message_with_eras()), [LogEra(2), LogEra(300)]);
+}
--- a/crates/carob-edge/tests/old_builds/samples.rs
+++ b/crates/carob-edge/tests/old_builds/samples.rs
@@ -60,6 +60,15 @@
     let sample = bytes("peer_message.hex");
     let value = values::peer_message();
     assert_eq!(Message::decode(&sample).unwrap().message, value);
+    // This build appends the eras of the reads; an empty list is a zero.
+    assert_eq!(value.encode().unwrap(), [&sample[..], &[0]].concat());
+}
+
+#[test]
+fn peer_message_with_eras() {
+    let sample = bytes("eras/peer_message.hex");
+    let value = values::peer_message_with_eras();
+    assert_eq!(Message::decode(&sample).unwrap().message, value);
     assert_eq!(value.encode().unwrap(), sample);
 }
 
--- a/crates/carob-edge/tests/old_builds/values.rs
+++ b/crates/carob-edge/tests/old_builds/values.rs
@@ -10,7 +10,7 @@
 };
 use carobglade::{
     AdapterId, BlockRecord, DutyClaim, Evidence, Fingerprint, HubSelector, HubSelectorSettings,
-    Incarnation, LimitNotice, PlacementUpdate, PromptPart, PromptVerdict, QuarantineReport,
+    Incarnation, LimitNotice, LogEra, PlacementUpdate, PromptPart, PromptVerdict, QuarantineReport,
     ReporterState, RoomEvent, RoomNotice, RoomTicket, StreamKey, StreamOrigin, Suspect,
     TenantUsage, Turn, UpstreamCrash, UsageReport, VersionRecord, VmProfile, name_hash,
 };
@@ -166,9 +166,15 @@
         limits: vec![limit()],
         rooms: vec![room()],
         duties: Some(claim()),
+        reading_eras: Vec::new(),
     }
 }
 
+/// A message of a build that knows eras of the log.
+pub fn peer_message_with_eras() -> Message {
+    Message { reading_eras: vec![LogEra(2), LogEra(300)], ..peer_message() }
+}
+
 fn reading(topic: Topic, read_to: u64, changed_to: u64, age_ms: u64) -> WireReading {
     WireReading { topic: topic.into(), read_to, changed_to, age_ms }
 }
--- a/src/process/duty_claims.rs
+++ b/src/process/duty_claims.rs
@@ -10,7 +10,8 @@
 /// The duties of a vm, as it tells the other vms.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DutyClaim {
-    /// The group's generation that assigned the duties.
+    /// The term that assigned the duties: the era of the log in the upper 32 bits, the group's
+    /// generation in the lower ones.
     pub generation: u64,
     /// The duties for which the vm may give orders.
     pub duties: Vec<u32>,
@@ -39,11 +40,11 @@
         self.vms.insert(vm.clone(), known);
     }
 
-    /// Returns when the last vm stops giving orders for a duty that an older generation assigned to
+    /// Returns when the last vm stops giving orders for a duty that a term before `number` assigned to
     /// it; `None` if no vm claims that.
-    pub(super) fn end(&self, duty: u32, generation: u64) -> Option<Duration> {
+    pub(super) fn end(&self, duty: u32, number: u64) -> Option<Duration> {
         let is_older = |known: &&KnownClaim| {
-            known.claim.generation < generation && known.claim.duties.contains(&duty)
+            known.claim.generation < number && known.claim.duties.contains(&duty)
         };
         self.vms.values().filter(is_older).map(|known| known.ends_at).max()
     }
--- a/src/process/duty_leases.rs
+++ b/src/process/duty_leases.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use super::duty_claims::{DutyClaim, DutyClaims};
-use crate::units::VmName;
+use super::lease_term::LeaseTerm;
+use crate::units::{LogEra, VmName};
 
 /// Settings of [`DutyLeases`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -38,9 +39,11 @@
 }
 
 /// The response to a join of the group.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct GroupAssignment {
-    /// Number of the group's membership; rises with each change.
+    /// The era of the log that holds the group.
+    pub era: LogEra,
+    /// Number of the group's membership; rises with each change within an era.
     pub generation: u64,
     /// The duties assigned to this process.
     pub duties: Vec<u32>,
@@ -63,7 +66,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct DutyLeases {
     settings: DutyLeasesSettings,
-    generation: u64,
+    term: LeaseTerm,
+    /// Time until which leases of the era before this one may last at other vms.
+    old_leases_end: Duration,
     expires_at: Duration,
     /// Time that the last response to a join took.
     join_delay: Duration,
@@ -77,8 +82,8 @@
 #[derive(Clone, Copy, Debug)]
 struct Loss {
     lost_at: Duration,
-    /// The generation in which the lease expired; none if another process may have held the duty.
-    expired_in: Option<u64>,
+    /// The term in which the lease expired; none if another process may have held the duty.
+    expired_in: Option<LeaseTerm>,
 }
 
 impl DutyLeases {
@@ -87,9 +92,25 @@
         DutyLeases { settings, ..DutyLeases::default() }
     }
 
-    /// Returns the generation to join with.
+    /// Returns the generation to join with in an era of the log; 0 in an era in which this process
+    /// was told none, since a generation of another era would count as one that is still to come.
+    pub fn join_generation(&self, era: LogEra) -> u64 {
+        if self.term.era() == era { self.term.generation() } else { 0 }
+    }
+
+    /// Returns the era of the log in which the duties were assigned.
+    pub fn era(&self) -> LogEra {
+        self.term.era()
+    }
+
+    /// Returns the group's generation in which the duties were assigned.
     pub fn generation(&self) -> u64 {
-        self.generation
+        self.term.generation()
+    }
+
+    /// Reports whether this process has joined the group.
+    pub fn has_joined(&self) -> bool {
+        self.term != LeaseTerm::default()
     }
 
     /// Returns the silence that the next join asks for: longer when responses are slow, so that a
@@ -106,20 +127,25 @@
         self.expires_at = self.expires_at.min(lease_end);
     }
 
-    /// Applies the response to a join that was sent at `sent_at`; a response of an older generation
+    /// Applies the response to a join that was sent at `sent_at`; a response of an older term
     /// is ignored. Returns the duties gained and lost. The lease counts from the sending of the
-    /// join.
+    /// join. In a new era of the log another vm may still hold a lease that the log forgot, so duties
+    /// gained then wait for the end of the longest one.
     pub fn apply_assignment(
         &mut self,
         assignment: &GroupAssignment,
         sent_at: Duration,
         now: Duration,
     ) -> Vec<DutyChange> {
-        if assignment.generation < self.generation {
+        let term = LeaseTerm::new(assignment.era, assignment.generation);
+        if term < self.term {
             return Vec::new();
         }
         let mut changes = self.expire(now);
-        self.generation = assignment.generation;
+        if self.has_joined() && term.era() > self.term.era() {
+            self.old_leases_end = now + self.settings.max_ttl;
+        }
+        self.term = term;
         self.join_delay = now.saturating_sub(sent_at);
         self.expires_at = sent_at + assignment.ttl.saturating_sub(self.settings.order_margin);
         let lost = self.held.keys().filter(|duty| !assignment.duties.contains(duty)).copied();
@@ -130,7 +156,7 @@
         }
         for duty in &assignment.duties {
             if !self.held.contains_key(duty) {
-                let usable_at = self.usable_at(*duty, assignment.generation, now);
+                let usable_at = self.usable_at(*duty, term, now);
                 self.held.insert(*duty, usable_at);
                 changes.push(DutyChange::Gained(*duty));
             }
@@ -144,7 +170,7 @@
             return Vec::new();
         }
         let duties: Vec<u32> = self.held.keys().copied().collect();
-        let loss = Loss { lost_at: self.expires_at, expired_in: Some(self.generation) };
+        let loss = Loss { lost_at: self.expires_at, expired_in: Some(self.term) };
         duties.iter().for_each(|duty| self.release(*duty, loss));
         duties.into_iter().map(DutyChange::Lost).collect()
     }
@@ -167,16 +193,16 @@
     /// tells them again, at most `interval` later.
     pub fn claim(&self, interval: Duration, now: Duration) -> DutyClaim {
         if now >= self.expires_at || self.held.is_empty() {
-            return DutyClaim { generation: self.generation, ..DutyClaim::default() };
+            return DutyClaim { generation: self.term.number(), ..DutyClaim::default() };
         }
         let lease = self.ttl().saturating_sub(self.settings.order_margin);
         let renewed_until = now + interval + lease;
         let remaining = renewed_until.max(self.expires_at).saturating_sub(now);
         let duties = self.held.keys().copied().collect();
-        DutyClaim { generation: self.generation, duties, remaining }
+        DutyClaim { generation: self.term.number(), duties, remaining }
     }
 
-    /// Applies what another vm tells of its duties. Duties that a newer generation assigned to that
+    /// Applies what another vm tells of its duties. Duties that a newer term assigned to that
     /// vm are dropped; returns them. For duties that an older one assigned to it, this process gives
     /// no orders until that vm gives them up or its lease ends.
     pub fn apply_claim(
@@ -186,7 +212,7 @@
         now: Duration,
     ) -> Vec<DutyChange> {
         self.claims.record(vm, claim, now);
-        if claim.generation <= self.generation {
+        if claim.generation <= self.term.number() {
             return Vec::new();
         }
         let duties = claim.duties.iter().filter(|duty| self.held.contains_key(duty));
@@ -204,7 +230,7 @@
     /// Reports whether the wait after a duty was gained is over, and its former holder has stopped.
     fn is_settled(&self, duty: u32, now: Duration) -> bool {
         let usable_at = self.held.get(&duty);
-        let claim_end = self.claims.end(duty, self.generation);
+        let claim_end = self.claims.end(duty, self.term.number());
         usable_at.is_some_and(|at| now >= *at) && claim_end.is_none_or(|end| now >= end)
     }
 
@@ -213,13 +239,13 @@
         self.lost.insert(duty, loss);
     }
 
-    /// Returns when a duty assigned in `generation` may be used. No other process held the duty if
-    /// its lease expired in the same generation, so there is nothing to wait for.
-    fn usable_at(&self, duty: u32, generation: u64, now: Duration) -> Duration {
-        let settled_at = now + self.settings.settle_time;
+    /// Returns when a duty assigned in `term` may be used. No other process held the duty if its lease
+    /// expired in the same term, so there is nothing to wait for.
+    fn usable_at(&self, duty: u32, term: LeaseTerm, now: Duration) -> Duration {
+        let settled_at = (now + self.settings.settle_time).max(self.old_leases_end);
         match self.lost.get(&duty) {
             None => settled_at,
-            Some(loss) if loss.expired_in == Some(generation) => now,
+            Some(loss) if loss.expired_in == Some(term) => now,
             Some(loss) => settled_at.max(loss.lost_at + self.settings.reacquire_delay),
         }
     }
@@ -238,7 +264,7 @@
     /// `now`.
     pub fn fencing_token(&self, duty: u32, now: Duration) -> Option<u64> {
         let is_usable = now < self.expires_at && self.is_settled(duty, now);
-        is_usable.then_some(self.generation)
+        is_usable.then_some(self.term.number())
     }
 
     /// Returns the number of duties that this process holds.
--- a/src/process/log_reading.rs
+++ b/src/process/log_reading.rs
@@ -3,13 +3,26 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::units::LogEra;
+
 /// How long a vm may rely on another vm's reading. Shorter than the age of the configuration from
 /// which a vm is not ready.
 const READING_TTL: Duration = Duration::from_millis(1600);
 
+/// An offset of a topic. One of another era says nothing: the log gives out offsets again.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct LogPosition {
+    /// The era of the log in which the offset was read.
+    pub era: LogEra,
+    /// The offset.
+    pub offset: u64,
+}
+
 /// State of a vm's reading of a topic of the log.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LogReading {
+    /// The era of the log that was read.
+    pub era: LogEra,
     /// Offset after the last record that was read.
     pub read_to: u64,
     /// Offset after the last record that changed anything.
@@ -23,12 +36,14 @@
     /// message sent at `requested_at`. The response came after `requested_at`, so the reading
     /// counts as older than it is.
     pub fn from_peer(read_to: u64, changed_to: u64, requested_at: Duration, age: Duration) -> Self {
-        LogReading { read_to, changed_to, confirmed_at: requested_at.saturating_sub(age) }
+        let confirmed_at = requested_at.saturating_sub(age);
+        LogReading { era: LogEra::default(), read_to, changed_to, confirmed_at }
     }
 
     /// Returns this reading for a vm that had its own before, with the later `changed_to` of both,
     /// so that a third vm that relies on the result does not miss a change.
     pub fn keeping_change(self, own: Option<LogReading>) -> Self {
+        let own = own.filter(|own| own.era == self.era);
         let changed_to = own.map_or(self.changed_to, |own| own.changed_to.max(self.changed_to));
         LogReading { changed_to, ..self }
     }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -8,6 +8,7 @@
 pub mod fleet;
 mod freshness;
 mod hub_selector;
+mod lease_term;
 pub mod ledger;
 mod load_tracker;
 mod log_reading;
@@ -44,7 +45,7 @@
 pub use freshness::{Freshness, FreshnessSettings};
 pub use hub_selector::{HubSelector, HubSelectorSettings, VmProfile};
 pub use load_tracker::{DECAY_INTERVAL, Load, LoadTracker, PEER_LOAD_TTL, name_hash};
-pub use log_reading::{LogReading, RecentChanges};
+pub use log_reading::{LogPosition, LogReading, RecentChanges};
 pub use model_demand::ModelDemand;
 pub use order_tracker::{
     EngineReport, OrderOutcome, OrderTarget, OrderTracker, OrderTrackerSettings,
--- a/src/process/service_versions.rs
+++ b/src/process/service_versions.rs
@@ -116,6 +116,8 @@
     confirmed_at: Option<Duration>,
     /// Up to when the last whole reading of the records is complete.
     records_at: Duration,
+    /// When the log may last have lost records.
+    records_lost: Duration,
     /// Whether the records were once current after a reading of the list.
     was_known: bool,
 }
@@ -132,6 +134,7 @@
             starts_reading: true,
             confirmed_at: None,
             records_at: Duration::ZERO,
+            records_lost: Duration::ZERO,
             was_known: false,
         }
     }
@@ -191,6 +194,11 @@
         self.update_known();
     }
 
+    /// Records that the log came back from an older copy, which may lack the records applied before.
+    pub fn record_older_copy(&mut self, now: Duration) {
+        self.records_lost = now;
+    }
+
     fn update_known(&mut self) {
         let current = self.read_since.is_some_and(|since| self.records_at + RECORD_DELAY >= since);
         self.was_known |= current && self.records_at > Duration::ZERO;
@@ -300,8 +308,10 @@
         let wanted = self.services.iter().filter_map(|(service, known)| {
             let versions = self.wanted_versions(known, now)?;
             let settled = self.wanted_settled(known, &versions, now);
-            let is_same =
-                |kept: &KeptVersions| kept.versions == versions && kept.settled == settled;
+            let is_same = |kept: &KeptVersions| {
+                let is_held = kept.applied_at >= self.records_lost;
+                is_held && kept.versions == versions && kept.settled == settled
+            };
             let same = known.kept.as_ref().is_some_and(is_same);
             (!same).then(|| VersionRecord { service: service.clone(), versions, settled })
         });
--- a/src/units.rs
+++ b/src/units.rs
@@ -103,6 +103,32 @@
 
 const MAX_VERSION_BYTES: usize = 64;
 
+/// Number of the log's history. It rises when the log comes back from a copy that is older than what
+/// it acknowledged: offsets and generations are then given out again. The default stands for a log
+/// that tells none.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct LogEra(pub u32);
+
+impl FromStr for LogEra {
+    type Err = Error;
+
+    fn from_str(text: &str) -> Result<Self> {
+        let number = text.parse().map_err(|_| {
+            invalid(format!("{text:?} must be a whole number from 0 to {}", u32::MAX))
+        })?;
+        Ok(LogEra(number))
+    }
+}
+
+impl Display for LogEra {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}", self.0)
+    }
+}
+
 /// Version of an upstream's software; the default stands for an upstream that names none. Versions
 /// are only compared for equality.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/tests/duties.rs
+++ b/tests/duties.rs
@@ -5,6 +5,7 @@
 
 use carobglade::{
     DutyChange, DutyLeases, DutyLeasesSettings, Freshness, FreshnessSettings, GroupAssignment,
+    LogEra,
 };
 
 const fn ms(value: u64) -> Duration {
@@ -12,7 +13,12 @@
 }
 
 fn assignment(generation: u64, partitions: &[u32]) -> GroupAssignment {
-    GroupAssignment { generation, duties: partitions.to_vec(), ttl: ms(3000) }
+    GroupAssignment {
+        generation,
+        duties: partitions.to_vec(),
+        ttl: ms(3000),
+        ..GroupAssignment::default()
+    }
 }
 
 #[test]
@@ -162,7 +168,7 @@
     let mut duties = DutyLeases::new(DutyLeasesSettings::default());
     duties.apply_assignment(&assignment(7, &[1]), ms(0), ms(5));
     assert!(duties.apply_assignment(&assignment(6, &[1, 2]), ms(10), ms(15)).is_empty());
-    assert_eq!(duties.generation(), 7);
+    assert_eq!(duties.join_generation(LogEra::default()), 7);
     assert!(!duties.holds(2, ms(20)));
 }
 
@@ -191,3 +197,54 @@
     freshness.record_read(ms(500));
     assert_eq!(freshness.age(ms(3000)), Some(ms(2000)));
 }
+
+fn assignment_in(era: u32, generation: u64, partitions: &[u32]) -> GroupAssignment {
+    GroupAssignment { era: LogEra(era), ..assignment(generation, partitions) }
+}
+
+/// Guards against two vms that order with one fencing token after the log gave out a generation a
+/// second time, and against tokens below those that the engines know.
+#[test]
+fn a_generation_that_is_given_out_again_is_a_higher_token() {
+    let mut duties = DutyLeases::new(DutyLeasesSettings::default());
+    duties.apply_assignment(&assignment_in(1, 3, &[2]), ms(0), ms(5));
+    let before = duties.fencing_token(2, ms(500)).unwrap();
+    duties.apply_assignment(&assignment_in(2, 2, &[2]), ms(600), ms(605));
+    let lower_generation = duties.fencing_token(2, ms(700)).unwrap();
+    assert!(lower_generation > before, "engines refuse a lower token");
+    duties.apply_assignment(&assignment_in(2, 3, &[2]), ms(800), ms(805));
+    assert!(duties.fencing_token(2, ms(900)).unwrap() > lower_generation);
+}
+
+/// Guards against an assignment of the era before that arrives late and takes the duties back.
+#[test]
+fn an_assignment_of_an_older_era_is_ignored() {
+    let mut duties = DutyLeases::new(DutyLeasesSettings::default());
+    duties.apply_assignment(&assignment_in(2, 2, &[2]), ms(0), ms(5));
+    assert!(duties.apply_assignment(&assignment_in(1, 9, &[]), ms(0), ms(10)).is_empty());
+    assert!(duties.holds(2, ms(500)));
+}
+
+/// Guards against orders beside those of a vm whose lease the log has forgotten.
+#[test]
+fn a_duty_gained_in_a_new_era_waits_for_leases_of_the_one_before() {
+    let settings = DutyLeasesSettings::default();
+    let mut duties = DutyLeases::new(settings);
+    duties.apply_assignment(&assignment_in(1, 3, &[1]), ms(0), ms(5));
+    for at in (1000..8000).step_by(500) {
+        duties.apply_assignment(&assignment_in(2, 2, &[1, 2]), ms(at), ms(at + 5));
+        assert!(duties.fencing_token(1, ms(at + 10)).is_some(), "a duty that was held goes on");
+        let waits = at + 10 < 1005 + settings.max_ttl.as_millis() as u64;
+        assert_eq!(duties.fencing_token(2, ms(at + 10)).is_none(), waits, "at {at} ms");
+    }
+}
+
+/// Guards against a generation of the era before that the log takes for one of its own to come, so
+/// that it deals a duty to another vm before its holder knows.
+#[test]
+fn a_vm_joins_a_new_era_without_the_generation_of_the_one_before() {
+    let mut duties = DutyLeases::new(DutyLeasesSettings::default());
+    duties.apply_assignment(&assignment_in(1, 3, &[2]), ms(0), ms(5));
+    assert_eq!(duties.join_generation(LogEra(1)), 3);
+    assert_eq!(duties.join_generation(LogEra(2)), 0);
+}
--- a/tests/handover/fleet.rs
+++ b/tests/handover/fleet.rs
@@ -2,7 +2,9 @@
 
 use std::time::Duration;
 
-use carobglade::{DutyChange, DutyClaim, DutyLeases, DutyLeasesSettings, GroupAssignment, VmName};
+use carobglade::{
+    DutyChange, DutyClaim, DutyLeases, DutyLeasesSettings, GroupAssignment, LogEra, VmName,
+};
 
 use crate::group::{Group, Member};
 
@@ -291,7 +293,7 @@
     fn send_join(&mut self, member: Member) {
         let now = self.now;
         let vm = &mut self.vms[member];
-        let (generation, ttl) = (vm.leases.generation(), vm.leases.ttl());
+        let (generation, ttl) = (vm.leases.join_generation(LogEra::default()), vm.leases.ttl());
         vm.leases.record_join(ttl, now);
         vm.waiting_since = Some(now);
         if let Some(delay) = vm.link.request {
--- a/tests/handover/group.rs
+++ b/tests/handover/group.rs
@@ -48,7 +48,7 @@
         }
         let is_owner = self.owner == Some(member) && self.target == Some(member);
         let duties = if is_owner { vec![0] } else { Vec::new() };
-        GroupAssignment { generation: self.generation, duties, ttl }
+        GroupAssignment { generation: self.generation, duties, ttl, ..GroupAssignment::default() }
     }
 
     /// Removes a member that leaves.
--- a/tests/hubs.rs
+++ b/tests/hubs.rs
@@ -4,7 +4,8 @@
 use std::time::Duration;
 
 use carobglade::{
-    DataCentre, HubSelector, HubSelectorSettings, LogReading, RecentChanges, VmName, VmProfile,
+    DataCentre, HubSelector, HubSelectorSettings, LogEra, LogReading, RecentChanges, VmName,
+    VmProfile,
 };
 
 const fn ms(value: u64) -> Duration {
@@ -151,7 +152,8 @@
 /// the old version.
 #[test]
 fn a_vm_that_relies_on_another_reading_still_reports_a_change_it_read() {
-    let own = LogReading { read_to: 3, changed_to: 3, confirmed_at: ms(5000) };
+    let own =
+        LogReading { read_to: 3, changed_to: 3, confirmed_at: ms(5000), ..LogReading::default() };
     let from_peer = LogReading::from_peer(2, 2, ms(5200), ms(100));
     let read_to = from_peer.resume_offset(own.read_to, u64::MAX, ms(5300)).unwrap();
     let combined = LogReading { read_to, ..from_peer }.keeping_change(Some(own));
@@ -162,3 +164,12 @@
     );
     assert_eq!(combined.resume_offset(3, u64::MAX, ms(5300)), Some(3));
 }
+
+/// Guards against a change of the era before that hides one of the present era, whose offsets are
+/// lower.
+#[test]
+fn a_reading_of_another_era_keeps_no_change() {
+    let own = LogReading { era: LogEra(1), changed_to: 30, ..LogReading::default() };
+    let reading = LogReading { era: LogEra(2), changed_to: 4, ..LogReading::default() };
+    assert_eq!(reading.keeping_change(Some(own)).changed_to, 4);
+}
--- a/tests/stream_versions.rs
+++ b/tests/stream_versions.rs
@@ -109,6 +109,18 @@
     assert_eq!(known.missing_records(ms(3050)), [record(&["v1", "v2"])]);
 }
 
+/// Guards against vms that start after the log came back from a copy without a service's record, and
+/// never learn its versions.
+#[test]
+fn records_are_written_again_after_the_log_came_back_from_an_older_copy() {
+    let mut known = reading(true, &["v1"], ms(0));
+    known.apply_record(record(&["v1"]), ms(0));
+    known.record_older_copy(ms(50));
+    assert_eq!(known.missing_records(ms(60)), [record(&["v1"])]);
+    known.apply_record(record(&["v1"]), ms(70));
+    assert!(known.missing_records(ms(80)).is_empty(), "it is written once");
+}
+
 #[test]
 fn a_version_is_left_out_of_a_record_only_after_its_streams_have_ended() {
     // A process that has just started does not leave out what it has not seen.
