--- a/crates/carob-edge/src/rooms.rs
+++ b/crates/carob-edge/src/rooms.rs
@@ -306,7 +306,7 @@
 
 /// Records whether an upstream had no room for an order, or for the request for a report.
 pub fn record_unticketed(edge: &Rc<Edge>, entry: &UpstreamEntry, status: u16, headers: &HeaderMap) {
-    let kind = ResponseKind::classify(status, headers, "", false);
+    let kind = ResponseKind::of_call(status, headers);
     record_head(edge, entry, None, status, kind);
 }
 
