--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -331,9 +331,11 @@
         return Err(Some(request));
     }
     let method = request.method().clone();
+    watch.await_head(true);
     let response = sender.try_send_request(request).await;
     let response = response.map_err(|mut err| err.take_message())?;
     watch.set(false);
+    watch.await_head(false);
     let end = BodyEnd::of(&method, response.status(), response.headers());
     if end == BodyEnd::Unknown {
         log::info!(target: "pool", status = response.status().as_u16(); "A response does not tell how its body ends.");
