An upstream that says that it is leaving gets no new work (DRAIN)

Cause: only the list told that an upstream is leaving; the header that says so in each response was not read.

Why it works: every response of an upstream is read in one place, which marks this start of it in the registry. No entry of the same start takes the mark back. Vms tell each other until the list says it.

--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod head_limit;
 mod in_flight;
 mod keep_alive;
+mod leaving;
 mod listener;
 mod load_guard;
 mod logging;
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -5,8 +5,8 @@
 
 use carob_platform::KeyedRecord;
 use carobglade::{
-    AdapterId, DutyClaim, Fingerprint, GossipScope, Incarnation, LimitNotice, Load, LogEra,
-    LogReading, PlacementUpdate, QuarantineReport, ReporterState, RoomNotice, TenantUsage,
+    AdapterId, DutyClaim, Fingerprint, GossipScope, Incarnation, LeavingNotice, LimitNotice, Load,
+    LogEra, LogReading, PlacementUpdate, QuarantineReport, ReporterState, RoomNotice, TenantUsage,
     UsageReport, VmName, name_hash,
 };
 use serde::{Deserialize, Serialize};
@@ -16,6 +16,7 @@
 use super::{MIN_SEND_INTERVAL, UPDATE_REPEAT_TIME};
 use crate::duty_claims;
 use crate::edge::Edge;
+use crate::leaving;
 use crate::send_interval::SEND_INTERVAL;
 use crate::view::{SharedChanges, Topic};
 
@@ -177,6 +178,9 @@
     /// duties. A sender that does not tell them knows no eras.
     #[serde(skip)]
     pub reading_eras: Vec<LogEra>,
+    /// Upstreams that said that they are leaving; encoded after the eras.
+    #[serde(skip)]
+    pub leaving_upstreams: Vec<LeavingNotice>,
 }
 
 /// A message with what was lost of it.
@@ -209,7 +213,7 @@
         let mut bytes = postcard::to_allocvec(self)?;
         let added = (&self.extension, &self.quarantine, &self.limits, &self.rooms, &self.duties);
         bytes.extend(postcard::to_allocvec(&added)?);
-        bytes.extend(postcard::to_allocvec(&self.reading_eras)?);
+        bytes.extend(postcard::to_allocvec(&(&self.reading_eras, &self.leaving_upstreams))?);
         Ok(bytes)
     }
 
@@ -231,7 +235,8 @@
         let rest = take_added(rest, &mut self.limits)?;
         let rest = take_added(rest, &mut self.rooms)?;
         let rest = take_added(rest, &mut self.duties)?;
-        take_added(rest, &mut self.reading_eras)?;
+        let rest = take_added(rest, &mut self.reading_eras)?;
+        take_added(rest, &mut self.leaving_upstreams)?;
         Ok(())
     }
 
@@ -336,6 +341,7 @@
             rooms: Vec::new(),
             duties: None,
             reading_eras: Vec::new(),
+            leaving_upstreams: Vec::new(),
         }
     }
 
@@ -409,6 +415,7 @@
         self.quarantine = edge.quarantine.borrow().report(now);
         self.limits = edge.limits.borrow().notices(now);
         self.rooms = edge.rooms.borrow().notices(now);
+        self.leaving_upstreams = leaving::notices(edge);
     }
 
     /// Returns the latest changes of the upstream list.
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -11,6 +11,7 @@
 use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_digest, send_to};
 use crate::duty_claims::{self, CLAIM_VERSION};
 use crate::edge::Edge;
+use crate::leaving;
 use crate::origin_message::ORIGIN_VERSION;
 use crate::origins;
 use crate::quarantine;
@@ -137,6 +138,7 @@
     let demand = message.demand.iter().copied().collect();
     edge.demand.borrow_mut().apply_report(&message.vm, demand, now);
     turns::apply_notices(edge, &message.limits);
+    leaving::apply_notices(edge, &message.leaving_upstreams);
     // A crash is judged by what its upstream rejected before.
     rooms::apply_notices(edge, &message.rooms);
     if let Some(claim) = &message.duties {
--- a/crates/carob-edge/src/turns.rs
+++ b/crates/carob-edge/src/turns.rs
@@ -12,6 +12,7 @@
 
 use crate::datagram;
 use crate::edge::Edge;
+use crate::leaving;
 use crate::rooms;
 
 /// First byte of a datagram about turns, which no other message between vms begins with.
@@ -54,10 +55,11 @@
     },
 }
 
-/// Records the limit that an upstream names in a response, or that it names none, and whether it is
-/// brittle. What cannot be read changes nothing.
+/// Records the limit that an upstream names in a response, or that it names none, whether it is
+/// brittle, and whether it is leaving. What cannot be read changes nothing.
 pub fn read_limit(edge: &Edge, entry: &UpstreamEntry, headers: &HeaderMap) -> Option<RequestRate> {
     rooms::read_brittle(edge, entry, headers);
+    leaving::read(edge, entry, headers);
     let rate = match server_limit(headers) {
         Ok(rate) => rate,
         Err(err) => {
--- a/crates/carob-edge/tests/old_builds/samples.rs
+++ b/crates/carob-edge/tests/old_builds/samples.rs
@@ -60,8 +60,8 @@
     let sample = bytes("peer_message.hex");
     let value = values::peer_message();
     assert_eq!(Message::decode(&sample).unwrap().message, value);
-    // This build appends the eras of the reads; an empty list is a zero.
-    assert_eq!(value.encode().unwrap(), [&sample[..], &[0]].concat());
+    // This build appends two lists; an empty one is a zero.
+    assert_eq!(value.encode().unwrap(), [&sample[..], &[0, 0]].concat());
 }
 
 #[test]
--- a/crates/carob-edge/tests/old_builds/values.rs
+++ b/crates/carob-edge/tests/old_builds/values.rs
@@ -10,9 +10,9 @@
 };
 use carobglade::{
     AdapterId, BlockRecord, DutyClaim, Evidence, Fingerprint, HubSelector, HubSelectorSettings,
-    Incarnation, LimitNotice, LogEra, PlacementUpdate, PromptPart, PromptVerdict, QuarantineReport,
-    ReporterState, RoomEvent, RoomNotice, RoomTicket, StreamKey, StreamOrigin, Suspect,
-    TenantUsage, Turn, UpstreamCrash, UsageReport, VersionRecord, VmProfile, name_hash,
+    Incarnation, LeavingNotice, LimitNotice, LogEra, PlacementUpdate, PromptPart, PromptVerdict,
+    QuarantineReport, ReporterState, RoomEvent, RoomNotice, RoomTicket, StreamKey, StreamOrigin,
+    Suspect, TenantUsage, Turn, UpstreamCrash, UsageReport, VersionRecord, VmProfile, name_hash,
 };
 
 /// Version of the encoding of messages.
@@ -167,12 +167,18 @@
         rooms: vec![room()],
         duties: Some(claim()),
         reading_eras: Vec::new(),
+        leaving_upstreams: Vec::new(),
     }
 }
 
-/// A message of a build that knows eras of the log.
+/// A message of a build that knows eras of the log and upstreams that say that they are leaving.
 pub fn peer_message_with_eras() -> Message {
-    Message { reading_eras: vec![LogEra(2), LogEra(300)], ..peer_message() }
+    let leaving = LeavingNotice { upstream: parsed("engine-1"), started_ms: 300 };
+    Message {
+        reading_eras: vec![LogEra(2), LogEra(300)],
+        leaving_upstreams: vec![leaving],
+        ..peer_message()
+    }
 }
 
 fn reading(topic: Topic, read_to: u64, changed_to: u64, age_ms: u64) -> WireReading {
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -78,7 +78,8 @@
 pub use upstream_limits::{LimitNotice, Turn, UpstreamLimits};
 pub use upstream_paths::{ConnectPlan, PathChange, UpstreamPaths, UpstreamPathsSettings};
 pub use upstream_registry::{
-    EntryChange, LoadedModel, UpstreamEntry, UpstreamRegistry, UpstreamRegistrySettings,
+    EntryChange, LeavingNotice, LoadedModel, UpstreamEntry, UpstreamRegistry,
+    UpstreamRegistrySettings,
 };
 pub use upstream_room::{RoomEvent, RoomNotice, RoomRequest, RoomTicket, UpstreamRooms};
 pub use usage_relay::{UsageRelay, UsageReport};
--- a/src/process/upstream_registry.rs
+++ b/src/process/upstream_registry.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use serde::{Deserialize, Serialize};
+
 use crate::{DataCentre, ModelName, SoftwareVersion, UpstreamName};
 
 /// A model that is loaded on an upstream.
@@ -50,6 +52,15 @@
     }
 }
 
+/// An upstream that said in a response that it is leaving.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeavingNotice {
+    /// Name of the upstream.
+    pub upstream: UpstreamName,
+    /// Start of the upstream, in Unix milliseconds; a later one is another process.
+    pub started_ms: u64,
+}
+
 /// What an entry read from the list changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EntryChange {
@@ -72,6 +83,8 @@
     pub return_window: Duration,
     /// Time between two reads of the list from which the gap counts as an outage.
     pub outage_gap: Duration,
+    /// How long it is remembered that an upstream which is no longer known was leaving.
+    pub leaving_memory: Duration,
 }
 
 impl Default for UpstreamRegistrySettings {
@@ -79,6 +92,7 @@
         UpstreamRegistrySettings {
             return_window: Duration::from_millis(2300),
             outage_gap: Duration::from_millis(1500),
+            leaving_memory: Duration::from_secs(60),
         }
     }
 }
@@ -87,15 +101,28 @@
 ///
 /// An entry that disappears during an outage of the list, or right after it, is kept for a short
 /// time, because an upstream that could not renew its entry writes it again.
+///
+/// An upstream that said in a response that it is leaving accepts no new work, whatever its entry
+/// says, until it starts again.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     settings: UpstreamRegistrySettings,
     entries: BTreeMap<UpstreamName, UpstreamEntry>,
     expiring: BTreeMap<UpstreamName, Duration>,
+    leaving: BTreeMap<UpstreamName, Leaving>,
     read_at: Option<Duration>,
     returned_at: Option<Duration>,
 }
 
+/// What an upstream said in a response.
+#[derive(Clone, Copy, Debug)]
+struct Leaving {
+    started_ms: u64,
+    said_at: Duration,
+    /// Whether the list did not say so yet.
+    unlisted: bool,
+}
+
 impl UpstreamRegistry {
     /// Creates an empty registry.
     pub fn new(settings: UpstreamRegistrySettings) -> Self {
@@ -118,6 +145,7 @@
 
     /// Adds or updates an entry. Returns what the entry changed.
     pub fn upsert(&mut self, entry: UpstreamEntry) -> EntryChange {
+        let entry = self.apply_leaving(entry);
         let back = self.expiring.remove(&entry.name).is_some();
         let same = if back { EntryChange::Updated } else { EntryChange::None };
         let Some(old) = self.entries.get(&entry.name) else {
@@ -140,6 +168,51 @@
         change
     }
 
+    /// Applies what the upstream said in responses to its entry in the list. An entry that is older
+    /// than that, or that does not say so yet, takes nothing back.
+    fn apply_leaving(&mut self, entry: UpstreamEntry) -> UpstreamEntry {
+        let Some(leaving) = self.leaving.get_mut(&entry.name) else {
+            return entry;
+        };
+        if entry.started_ms > leaving.started_ms {
+            self.leaving.remove(&entry.name);
+            return entry;
+        }
+        let is_same = entry.started_ms == leaving.started_ms;
+        leaving.unlisted &= !(is_same && entry.draining);
+        UpstreamEntry { draining: entry.draining || is_same, ..entry }
+    }
+
+    /// Records that an upstream, started at `started_ms`, said that it is leaving. Reports whether it
+    /// accepted work until now.
+    pub fn record_leaving(&mut self, notice: &LeavingNotice, now: Duration) -> bool {
+        let LeavingNotice { upstream, started_ms } = notice;
+        let known = self.leaving.get(upstream);
+        if known.is_some_and(|known| known.started_ms >= *started_ms) {
+            return false;
+        }
+        let entry = self.entries.get_mut(upstream);
+        let mut entry = entry.filter(|entry| entry.started_ms <= *started_ms);
+        let is_same = entry.as_ref().is_some_and(|entry| entry.started_ms == *started_ms);
+        let was_listed = is_same && entry.as_ref().is_some_and(|entry| entry.draining);
+        let leaving = Leaving { started_ms: *started_ms, said_at: now, unlisted: !was_listed };
+        self.leaving.insert(upstream.clone(), leaving);
+        if let Some(entry) = entry.as_mut().filter(|_| is_same) {
+            entry.draining = true;
+        }
+        is_same && !was_listed
+    }
+
+    /// Returns the upstreams that are leaving and whose entries do not say so, for other vms.
+    pub fn leaving_notices(&self) -> Vec<LeavingNotice> {
+        let unlisted = self.leaving.iter().filter(|(_, leaving)| leaving.unlisted);
+        let notices = unlisted.map(|(upstream, leaving)| LeavingNotice {
+            upstream: upstream.clone(),
+            started_ms: leaving.started_ms,
+        });
+        notices.collect()
+    }
+
     /// Records that an entry disappeared. Returns whether it was removed; after an outage it is
     /// kept until [`expire`](Self::expire).
     pub fn record_removal(&mut self, name: &UpstreamName, now: Duration) -> bool {
@@ -170,6 +243,10 @@
             self.expiring.remove(name);
             self.entries.remove(name);
         }
+        let (entries, memory) = (&self.entries, self.settings.leaving_memory);
+        self.leaving.retain(|name, leaving| {
+            entries.contains_key(name) || now.saturating_sub(leaving.said_at) < memory
+        });
         late
     }
 
--- a/tests/upstream_registry.rs
+++ b/tests/upstream_registry.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use carobglade::{
-    EntryChange, LoadedModel, UpstreamEntry, UpstreamName, UpstreamRegistry,
+    EntryChange, LeavingNotice, LoadedModel, UpstreamEntry, UpstreamName, UpstreamRegistry,
     UpstreamRegistrySettings,
 };
 
@@ -119,3 +119,50 @@
     let gone = registry.retain_listed(&names[1..], ms(10));
     assert_eq!(gone, names[..1]);
 }
+
+fn leaving(text: &str, started_ms: u64) -> LeavingNotice {
+    LeavingNotice { upstream: name(text), started_ms }
+}
+
+/// Guards against requests to an upstream that is leaving, for as long as the list does not say so.
+#[test]
+fn an_upstream_that_says_that_it_leaves_accepts_nothing_more() {
+    let mut registry = UpstreamRegistry::new(UpstreamRegistrySettings::default());
+    registry.upsert(entry("one", 5, 3));
+    assert!(registry.record_leaving(&leaving("one", 5), ms(10)));
+    assert!(!registry.record_leaving(&leaving("one", 5), ms(20)), "it is news once");
+    assert_eq!(registry.accepting("planning").count(), 0);
+    registry.upsert(entry("one", 5, 4));
+    assert_eq!(registry.accepting("planning").count(), 0, "an entry takes it back");
+    assert_eq!(registry.leaving_notices(), [leaving("one", 5)]);
+    registry.upsert(UpstreamEntry { draining: true, ..entry("one", 5, 5) });
+    assert!(registry.leaving_notices().is_empty(), "the list tells it now");
+}
+
+/// Guards against an upstream that stays out of use after it has started again.
+#[test]
+fn an_upstream_that_started_again_after_it_left_accepts_work() {
+    let mut registry = UpstreamRegistry::new(UpstreamRegistrySettings::default());
+    registry.upsert(entry("one", 5, 3));
+    registry.record_leaving(&leaving("one", 5), ms(10));
+    assert_eq!(registry.upsert(entry("one", 9, 0)), EntryChange::Restarted);
+    assert_eq!(registry.accepting("planning").count(), 1);
+    assert!(!registry.record_leaving(&leaving("one", 5), ms(20)), "it is of the former start");
+    assert_eq!(registry.accepting("planning").count(), 1);
+}
+
+/// Guards against an upstream that comes back into use with an entry that is older than what it said.
+#[test]
+fn an_entry_that_comes_back_is_still_leaving() {
+    let settings = UpstreamRegistrySettings::default();
+    let mut registry = UpstreamRegistry::new(settings);
+    registry.upsert(entry("one", 5, 3));
+    registry.record_leaving(&leaving("one", 5), ms(10));
+    assert!(registry.record_removal(&name("one"), ms(20)));
+    registry.expire(ms(30));
+    registry.upsert(entry("one", 5, 2));
+    assert_eq!(registry.accepting("planning").count(), 0);
+    registry.record_removal(&name("one"), ms(40));
+    registry.expire(ms(10) + settings.leaving_memory);
+    assert!(registry.leaving_notices().is_empty(), "it is remembered for good");
+}
