--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -19,12 +19,12 @@
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 
+use crate::byte_budget::ByteBudget;
 use crate::in_flight::InFlightCounter;
 use crate::metrics::Metrics;
 use crate::origin_state::OriginState;
 use crate::path_state::PathState;
 use crate::pool::ConnectionPool;
-use crate::response_budget::ResponseBudget;
 use crate::settings::Settings;
 use crate::stop_counts::StopCounts;
 use crate::store::StoreClient;
@@ -102,7 +102,9 @@
     /// Pooled connections to upstreams and to the log.
     pub pool: Rc<ConnectionPool>,
     /// Memory for responses of upstreams that are read whole.
-    pub response_budget: Rc<ResponseBudget>,
+    pub response_budget: Rc<ByteBudget>,
+    /// Memory for the bodies of requests.
+    pub body_budget: Rc<ByteBudget>,
     /// Client of the platform's log.
     pub store: StoreClient,
     /// Metrics of the process.
@@ -210,7 +212,8 @@
             totals: RefCell::default(),
             placement: RefCell::default(),
             pool,
-            response_budget: ResponseBudget::new(MAX_RESPONSES_BYTES),
+            response_budget: ByteBudget::new(MAX_RESPONSES_BYTES),
+            body_budget: ByteBudget::new(settings.max_bodies_bytes()),
             store,
             metrics,
             ready: Arc::new(AtomicBool::new(false)),
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod attempts;
+mod byte_budget;
 mod caller_connection;
 mod caller_timer;
 mod charge;
@@ -40,7 +41,7 @@
 mod request;
 mod resend;
 mod response;
-mod response_budget;
+
 mod retry_token;
 mod rooms;
 mod send_interval;
--- a/crates/carob-edge/src/pool.rs
+++ b/crates/carob-edge/src/pool.rs
@@ -17,10 +17,10 @@
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 
+use crate::byte_budget::ByteBudget;
 use crate::connect::{ConnectFailure, ConnectionSource, FreshConnection, Tunnel, connect};
 use crate::keep_alive::{DEFAULT_IDLE_TIMEOUT, IDLE_FRACTION, idle_timeout};
 use crate::outgoing_request::OutgoingRequest;
-use crate::response_budget::ResponseBudget;
 
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 /// Maximum size of the head of a response, and of what is read ahead of its body.
@@ -399,7 +399,7 @@
     pub async fn read_to_end(
         &mut self,
         limit: usize,
-        budget: &Rc<ResponseBudget>,
+        budget: &Rc<ByteBudget>,
     ) -> Result<Bytes, AttemptOutcome> {
         let mut reserved = budget.reserve();
         let mut body = Vec::new();
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -15,10 +15,17 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
+use crate::byte_budget::ReservedBytes;
 use crate::edge::Edge;
 use crate::head_limit::check_head;
 use crate::quarantine::{self, QUARANTINE_RETRY_AFTER};
 
+/// Size up to which a body is small.
+const SMALL_BODY_BYTES: usize = 64 << 10;
+/// Part of the memory for bodies that large ones leave to small ones.
+const SMALL_BODIES_PART: usize = 4;
+/// Time in which some of the requests that hold the memory have ended.
+const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(500);
 const NOT_READY_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Maximum size and time of the body of a refused request that is read and dropped.
@@ -50,6 +57,8 @@
     pub headers: HeaderMap,
     /// The complete body.
     pub body: Bytes,
+    /// The memory that the body takes.
+    _reserved: ReservedBytes,
     /// The time of arrival.
     pub arrival: Duration,
     /// The arrival plus the caller's timeout or that of the route, whichever is shorter.
@@ -193,9 +202,10 @@
     let limit = config.limits.body_bytes;
     let timeout = caller_headers.timeout.unwrap_or(route.timeout).min(route.timeout);
     let deadline = arrival + timeout;
-    let reading = read_body(edge, body, limit);
+    let length = announced_length(&parts.headers);
+    let reading = read_body(edge, body, length, limit);
     let body = tokio::time::timeout(deadline.saturating_sub(edge.now()), reading).await;
-    let body = body.unwrap_or_else(|_| Err(body_timeout("before the deadline")))?;
+    let (body, reserved) = body.unwrap_or_else(|_| Err(body_timeout("before the deadline")))?;
     let target = origin_form(&parts.uri)?;
     let hash = xxhash_rust::xxh3::xxh3_64(split_id(&route, &caller_headers).as_bytes());
     let service = route.service(hash).unwrap_or_default().to_owned();
@@ -220,6 +230,7 @@
         target,
         headers: parts.headers,
         body,
+        _reserved: reserved,
         arrival,
         fingerprint,
         prompt,
@@ -293,6 +304,10 @@
     })
 }
 
+fn too_large(limit: usize) -> Error {
+    request_error(ErrorKind::TooLarge, format!("the body is longer than {limit} bytes"))
+}
+
 fn body_timeout(when: &str) -> Error {
     request_error(ErrorKind::BodyTimeout, format!("the body did not arrive {when}"))
 }
@@ -310,9 +325,37 @@
     }
 }
 
-/// Reads a body whose parts come within the idle time of each other.
-async fn read_body(edge: &Edge, body: &mut Incoming, limit: usize) -> Result<Bytes> {
-    let mut buf = BytesMut::new();
+/// Returns the length of the body that the head names; 0 if it names none.
+fn announced_length(headers: &HeaderMap) -> usize {
+    let length = headers.get("content-length").and_then(|value| value.to_str().ok()?.parse().ok());
+    length.unwrap_or(0)
+}
+
+/// Reserves memory for more bytes of a body. Large bodies leave some to small ones.
+fn reserve(reserved: &mut ReservedBytes, bytes: usize) -> Result<()> {
+    let is_small = reserved.len().saturating_add(bytes) <= SMALL_BODY_BYTES;
+    let spare = if is_small { 0 } else { reserved.max_bytes() / SMALL_BODIES_PART };
+    if reserved.grow_leaving(bytes, spare) {
+        return Ok(());
+    }
+    let message = "the bodies of other requests take the memory for them";
+    Err(request_error(ErrorKind::Overloaded, message).with_retry_after(OVERLOADED_RETRY_AFTER))
+}
+
+/// Reads a body whose parts come within the idle time of each other. The memory for `length` bytes
+/// is reserved at once, so that a body that does not fit is refused before it comes.
+async fn read_body(
+    edge: &Edge,
+    body: &mut Incoming,
+    length: usize,
+    limit: usize,
+) -> Result<(Bytes, ReservedBytes)> {
+    if length > limit {
+        return Err(too_large(limit));
+    }
+    let mut reserved = edge.body_budget.reserve();
+    reserve(&mut reserved, length)?;
+    let mut buf = BytesMut::with_capacity(length);
     loop {
         let frame = tokio::select! {
             biased;
@@ -320,7 +363,7 @@
             () = pause_ended(edge) => return Err(body_timeout("without a long pause")),
         };
         let Some(frame) = frame else {
-            return Ok(buf.freeze());
+            return Ok((buf.freeze(), reserved));
         };
         let frame = frame.map_err(|err| {
             request_error(ErrorKind::InvalidRequest, format!("the body broke off: {err}"))
@@ -329,9 +372,10 @@
             continue;
         };
         if buf.len() + data.len() > limit {
-            let message = format!("the body is longer than {limit} bytes");
-            return Err(request_error(ErrorKind::TooLarge, message));
+            return Err(too_large(limit));
         }
+        let missing = (buf.len() + data.len()).saturating_sub(reserved.len());
+        reserve(&mut reserved, missing)?;
         buf.extend_from_slice(&data);
     }
 }
--- a/crates/carob-edge/src/settings.rs
+++ b/crates/carob-edge/src/settings.rs
@@ -14,6 +14,10 @@
 const MAX_ABORT_MARGIN: Duration = Duration::from_millis(400);
 /// Longest interval at which a stop checks for open requests and connections.
 const MAX_STOP_INTERVAL: Duration = Duration::from_millis(50);
+/// Memory of a process whose settings tell none, in MB.
+const DEFAULT_MEMORY_MB: u64 = 128;
+/// Part of the memory that the bodies of requests may take.
+const BODIES_PART: u64 = 4;
 /// Parts of a short grace period that are used as these times.
 const GRACE_MARGIN_PART: u32 = 8;
 const ABORT_MARGIN_PART: u32 = 10;
@@ -126,6 +130,9 @@
     /// The limits that the deployment sets.
     #[serde(default)]
     pub bounds: DeploymentLimits,
+    /// Memory that the process may use, in MB; that of the smallest vms if none is given.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory: Option<u64>,
     /// Fleet size from which messages go through one hub vm in each data centre.
     #[serde(default = "default_hub_fleet")]
     pub hub_fleet: usize,
@@ -136,6 +143,13 @@
 }
 
 impl Settings {
+    /// Returns the bytes that the bodies of all requests may take together. A body is copied while it
+    /// is sent, and the rest of the process needs memory too.
+    pub fn max_bodies_bytes(&self) -> usize {
+        let megabytes = self.memory.unwrap_or(DEFAULT_MEMORY_MB);
+        (megabytes.saturating_mul(1 << 20) / BODIES_PART) as usize
+    }
+
     /// Reads and checks a settings file.
     ///
     /// # Errors
--- a/crates/carob-edge/src/store.rs
+++ b/crates/carob-edge/src/store.rs
@@ -12,9 +12,9 @@
 use http::{HeaderMap, HeaderValue, Method};
 use tokio::sync::Notify;
 
+use crate::byte_budget::ByteBudget;
 use crate::outgoing_request::OutgoingRequest;
 use crate::pool::ConnectionPool;
-use crate::response_budget::ResponseBudget;
 
 const MAX_RESPONSE_BYTES: usize = 4 << 20;
 /// Maximum size of all responses together that are being read.
@@ -57,7 +57,7 @@
     clock: Rc<dyn Clock>,
     address: SocketAddr,
     name: UpstreamName,
-    budget: Rc<ResponseBudget>,
+    budget: Rc<ByteBudget>,
     /// The newest era that a response told; none before the first response.
     era: Cell<Option<LogEra>>,
     /// Wakes the tasks that write to the log again what it may have lost.
@@ -78,7 +78,7 @@
     /// Creates a client of the log at `address`.
     pub fn new(pool: Rc<ConnectionPool>, clock: Rc<dyn Clock>, address: SocketAddr) -> Self {
         let name = address.to_string().parse().unwrap_or_default();
-        let budget = ResponseBudget::new(MAX_RESPONSES_BYTES);
+        let budget = ByteBudget::new(MAX_RESPONSES_BYTES);
         StoreClient {
             pool,
             clock,
--- a/deploy/settings.json.tpl
+++ b/deploy/settings.json.tpl
@@ -3,6 +3,7 @@
   "data_centre": {{zone|json}},
   "ip": {{ip|json}},
   "processor": { "share": {{limits.cpu_share|json}}, "speed": {{limits.cores|json}} },
+  "memory": {{limits.memory_mb|json}},
   "listen": { "callers": {{listen.frontend|json}}, "ready": {{listen.ready|json}} },
   "ports": { "first": {{internal_ports.0}}, "last": {{internal_ports.1}} },
   "store": {
--- a/src/error.rs
+++ b/src/error.rs
@@ -117,6 +117,8 @@
     UpstreamFailed = 502 "upstream_failed" "server_error" Unknown;
     /// No upstream can take the request now.
     UpstreamUnavailable = 503 "upstream_unavailable" "server_error" NotRun;
+    /// The bodies of other requests take all memory that there is for them.
+    Overloaded = 503 "overloaded" "server_error" NotRun;
     /// The model is not loaded yet.
     ModelLoading = 503 "model_loading" "server_error" NotRun;
     /// The version of the upstream that began the stream is not known, or no upstream has it.
