--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -6,8 +6,7 @@
 use bytes::Bytes;
 use carob_platform::{ResponseKind, UpstreamHeaders, strip_response_headers};
 use carobglade::{
-    AttemptOutcome, Error, EventSplitter, RequestRate, SoftwareVersion, StreamPoint, UpstreamCrash,
-    UpstreamName,
+    AttemptOutcome, Error, EventSplitter, RequestRate, SoftwareVersion, StreamPoint, UpstreamName,
 };
 use http::HeaderMap;
 
@@ -19,7 +18,7 @@
 use crate::outgoing_request::OutgoingRequest;
 use crate::paths;
 use crate::pool::IncomingResponse;
-use crate::quarantine;
+use crate::quarantine::{self, BrokenAttempt};
 use crate::request::CallerRequest;
 use crate::rooms;
 use crate::turns;
@@ -200,7 +199,10 @@
                 loads.record_latency(&request.service, &self.upstream, self.took(), self.estimate);
                 "open"
             }
-            Ok(ReceivedResponse::Full(_)) => "answered",
+            Ok(ReceivedResponse::Full(_)) => {
+                quarantine::record_served(&self.edge, request.fingerprint);
+                "answered"
+            }
             Err(failure) => failure.outcome.as_str(),
         };
         let failed =
@@ -211,7 +213,7 @@
         let broken =
             matches!(result, Err(failure) if failure.outcome == AttemptOutcome::TransportError);
         if broken {
-            record_crash_suspect(&self.edge, request, choice, self.head.status);
+            record_broken(&self.edge, request, choice, self.head.status);
         }
     }
 }
@@ -225,12 +227,13 @@
 }
 
 /// Records that the connection to an upstream broke while it may have run the request.
-fn record_crash_suspect(edge: &Rc<Edge>, request: &CallerRequest, choice: &Choice, status: u16) {
-    if (200..300).contains(&status) {
-        quarantine::record_broken_start(edge, &request.prompt, &choice.entry);
-    }
-    let (upstream, started_ms) = (choice.entry.name.clone(), choice.entry.started_ms);
-    quarantine::record_suspect(edge, request.fingerprint, &UpstreamCrash { upstream, started_ms });
+fn record_broken(edge: &Rc<Edge>, request: &CallerRequest, choice: &Choice, status: u16) {
+    let has_started = (200..300).contains(&status);
+    let broken = BrokenAttempt {
+        fingerprint: request.fingerprint,
+        started: has_started.then(|| request.prompt.clone()),
+    };
+    quarantine::record_broken(edge, broken, &choice.entry);
 }
 
 async fn send_and_receive(
--- a/crates/carob-edge/src/quarantine.rs
+++ b/crates/carob-edge/src/quarantine.rs
@@ -64,23 +64,46 @@
     }
 }
 
-/// Records that the connection of a response broke after it had begun and before its first event.
-/// That counts as a crash if the upstream then refuses connections, at once or soon.
-pub fn record_broken_start(edge: &Rc<Edge>, prompt: &SharedPrompt, entry: &UpstreamEntry) {
+/// A request whose attempt broke.
+#[derive(Clone, Debug)]
+pub struct BrokenAttempt {
+    /// Identifies the same request when it is sent again.
+    pub fingerprint: Fingerprint,
+    /// The parts of the prompt, if the response had begun and no event had come.
+    pub started: Option<SharedPrompt>,
+}
+
+/// Records that the connection of an attempt broke. That counts as a crash if the upstream then
+/// refuses connections, at once or soon: one that lives may just have closed the connection.
+pub fn record_broken(edge: &Rc<Edge>, broken: BrokenAttempt, entry: &UpstreamEntry) {
     let crash = UpstreamCrash { upstream: entry.name.clone(), started_ms: entry.started_ms };
-    let (edge, prompt, address) = (Rc::clone(edge), prompt.clone(), entry.address);
+    let (edge, address) = (Rc::clone(edge), entry.address);
     tokio::task::spawn_local(async move {
         if !ends(&edge, address).await {
             return;
         }
-        log::warn!(target: "quarantine", upstream:% = crash.upstream, parts:% = prompt; "An upstream crashed at the start of a response.");
-        let changes = edge.quarantine.borrow_mut().record_crash(&prompt, &crash, edge.now());
-        report_changes(&edge, &changes);
-        edge.gossip_wakeup.notify_one();
-        keep_changes(&edge, &changes, Duration::ZERO);
+        log::info!(target: "quarantine", upstream:% = crash.upstream, request:? = broken.fingerprint; "An upstream crashed while a request was in flight.");
+        record_suspect(&edge, broken.fingerprint, &crash);
+        if let Some(prompt) = &broken.started {
+            record_crash(&edge, prompt, &crash);
+        }
     });
 }
 
+/// Records that an upstream crashed at the start of a response.
+fn record_crash(edge: &Rc<Edge>, prompt: &SharedPrompt, crash: &UpstreamCrash) {
+    log::warn!(target: "quarantine", upstream:% = crash.upstream, parts:% = prompt; "An upstream crashed at the start of a response.");
+    let changes = edge.quarantine.borrow_mut().record_crash(prompt, crash, edge.now());
+    report_changes(edge, &changes);
+    edge.gossip_wakeup.notify_one();
+    keep_changes(edge, &changes, Duration::ZERO);
+}
+
+/// Records that a request was served: it does not crash each upstream that runs it.
+pub fn record_served(edge: &Edge, fingerprint: Fingerprint) {
+    edge.suspects.borrow_mut().clear(fingerprint);
+}
+
 /// Records that a run of a brittle upstream rejected a request at `at`.
 pub fn record_rejection(edge: &Rc<Edge>, run: &UpstreamCrash, at: Duration) {
     let changes = edge.quarantine.borrow_mut().record_rejection(run, at, edge.now());
@@ -89,7 +112,7 @@
 }
 
 /// Records that the request `fingerprint` was in flight when an upstream crashed.
-pub fn record_suspect(edge: &Edge, fingerprint: Fingerprint, crash: &UpstreamCrash) {
+fn record_suspect(edge: &Edge, fingerprint: Fingerprint, crash: &UpstreamCrash) {
     let (name, unix_ms) = (crash.to_string(), edge.clock.unix_millis());
     let mut suspects = edge.suspects.borrow_mut();
     suspects.record_crash(fingerprint, &name, unix_ms);
--- a/src/process/suspects.rs
+++ b/src/process/suspects.rs
@@ -82,7 +82,7 @@
     }
 
     /// Removes a request that completed successfully, unless the request is quarantined.
-    pub(crate) fn clear(&mut self, request: Fingerprint) {
+    pub fn clear(&mut self, request: Fingerprint) {
         if !self.is_quarantined(request) {
             self.seen.remove(&request);
         }
