Verdicts are written again after the first drill, too; a body that never fits gets 413

The task that writes verdicts again took the first rise of the era for the log's first answer and did nothing: vms that start when no other one runs would not know a block. Nothing showed it; crashing_prompts::a_block_is_written_again_when_the_log_has_lost_it fails without this change ("the block is not written again" within 12 s) and passes with it. Waiting for an older copy is one function now, for addresses and verdicts.

--- a/crates/carob-edge/src/byte_budget.rs
+++ b/crates/carob-edge/src/byte_budget.rs
@@ -23,6 +23,11 @@
         Rc::new(ByteBudget { max_bytes, used_bytes: Cell::new(0) })
     }
 
+    /// Returns the size of the budget.
+    pub fn max_bytes(&self) -> usize {
+        self.max_bytes
+    }
+
     /// Starts the reservation of a body without any bytes.
     pub fn reserve(self: &Rc<Self>) -> ReservedBytes {
         ReservedBytes { budget: Rc::clone(self), bytes: 0 }
@@ -51,11 +56,6 @@
         self.bytes += bytes;
         true
     }
-
-    /// Returns the size of the budget.
-    pub fn max_bytes(&self) -> usize {
-        self.budget.max_bytes
-    }
 }
 
 impl Drop for ReservedBytes {
--- a/crates/carob-edge/src/follow/mod.rs
+++ b/crates/carob-edge/src/follow/mod.rs
@@ -187,7 +187,8 @@
                 log::info!(target: "follow", topic = settings.topic; "Records expired before they were read; reading a snapshot.");
                 next = None;
             }
-            Err(StoreError::EraChanged) => {
+            // Without a position, the response was of an older era: repeated after a pause.
+            Err(StoreError::EraChanged) if next.is_some() => {
                 log::info!(target: "follow", topic = settings.topic, era:% = edge.store.era(); "The log came back from an older copy; reading a snapshot.");
                 next = None;
             }
@@ -281,8 +282,8 @@
     changed
 }
 
-/// Records up to where this vm read, to share it with other vms. `confirmed_at` is the time up to which
-/// the read is complete, or `None` when more records are left to read.
+/// Records up to where this vm read, to share it with other vms. `confirmed_at` is the time up to
+/// which the read is complete, or `None` when more records are left to read.
 fn record_reading(
     edge: &Edge,
     settings: FollowSettings,
@@ -373,7 +374,7 @@
 pub async fn announce(edge: Rc<Edge>) {
     loop {
         let era = write_address(&edge).await;
-        edge.store.wait_for_era_after(era).await;
+        edge.store.wait_for_older_copy(era).await;
         let spread = Duration::from_secs_f64(edge.fleet_size() as f64 / MAX_ANNOUNCE_RATE);
         tokio::time::sleep(spread.mul_f64(rand::rng().random())).await;
     }
--- a/crates/carob-edge/src/quarantine.rs
+++ b/crates/carob-edge/src/quarantine.rs
@@ -6,7 +6,7 @@
 
 use carob_platform::{LogRequest, VM_TOPIC, encode_keyed_record};
 use carobglade::{
-    Backoff, BlockRecord, BlockedPrompt, Error, ErrorKind, Fingerprint, LogEra, PromptVerdict,
+    Backoff, BlockRecord, BlockedPrompt, Error, ErrorKind, Fingerprint, PromptVerdict,
     QuarantineReport, Result, SharedPrompt, UpstreamCrash, UpstreamEntry, VerdictChange,
     VerdictReason,
 };
@@ -178,12 +178,7 @@
 pub async fn restore_verdicts(edge: Rc<Edge>) {
     let mut era = edge.store.era();
     loop {
-        edge.store.wait_for_era_after(era).await;
-        let is_first = era == LogEra::default();
-        era = edge.store.era();
-        if is_first {
-            continue;
-        }
+        era = edge.store.wait_for_older_copy(era).await;
         edge.kept_verdicts.borrow_mut().clear();
         tokio::time::sleep(RESTORE_DELAY + MAX_KEEP_DELAY.mul_f64(rand::rng().random())).await;
         let verdicts = edge.quarantine.borrow().report(edge.now()).verdicts;
--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -331,10 +331,15 @@
     length.unwrap_or(0)
 }
 
+/// Returns the memory that large bodies leave to small ones.
+fn small_bodies_bytes(edge: &Edge) -> usize {
+    edge.body_budget.max_bytes() / SMALL_BODIES_PART
+}
+
 /// Reserves memory for more bytes of a body. Large bodies leave some to small ones.
-fn reserve(reserved: &mut ReservedBytes, bytes: usize) -> Result<()> {
+fn reserve(edge: &Edge, reserved: &mut ReservedBytes, bytes: usize) -> Result<()> {
     let is_small = reserved.len().saturating_add(bytes) <= SMALL_BODY_BYTES;
-    let spare = if is_small { 0 } else { reserved.max_bytes() / SMALL_BODIES_PART };
+    let spare = if is_small { 0 } else { small_bodies_bytes(edge) };
     if reserved.grow_leaving(bytes, spare) {
         return Ok(());
     }
@@ -350,11 +355,13 @@
     length: usize,
     limit: usize,
 ) -> Result<(Bytes, ReservedBytes)> {
+    // What would not fit into an empty budget is not told to come back.
+    let limit = limit.min(edge.body_budget.max_bytes() - small_bodies_bytes(edge));
     if length > limit {
         return Err(too_large(limit));
     }
     let mut reserved = edge.body_budget.reserve();
-    reserve(&mut reserved, length)?;
+    reserve(edge, &mut reserved, length)?;
     let mut buf = BytesMut::with_capacity(length);
     loop {
         let frame = tokio::select! {
@@ -375,7 +382,7 @@
             return Err(too_large(limit));
         }
         let missing = (buf.len() + data.len()).saturating_sub(reserved.len());
-        reserve(&mut reserved, missing)?;
+        reserve(edge, &mut reserved, missing)?;
         buf.extend_from_slice(&data);
     }
 }
--- a/crates/carob-edge/src/store.rs
+++ b/crates/carob-edge/src/store.rs
@@ -60,7 +60,7 @@
     budget: Rc<ByteBudget>,
     /// The newest era that a response told; none before the first response.
     era: Cell<Option<LogEra>>,
-    /// Wakes the tasks that write to the log again what it may have lost.
+    /// Wakes the tasks that wait for another era.
     era_changed: Notify,
 }
 
@@ -95,8 +95,20 @@
         self.era.get().unwrap_or_default()
     }
 
+    /// Waits until the log has come back from an older copy since it told the era `known`; the default
+    /// stands for a log that has told none yet. Returns the present era.
+    pub async fn wait_for_older_copy(&self, known: LogEra) -> LogEra {
+        let mut known = known;
+        if known == LogEra::default() {
+            self.wait_for_era_after(known).await;
+            known = self.era();
+        }
+        self.wait_for_era_after(known).await;
+        self.era()
+    }
+
     /// Waits until the era of the log is newer than `known`.
-    pub async fn wait_for_era_after(&self, known: LogEra) {
+    async fn wait_for_era_after(&self, known: LogEra) {
         loop {
             let changed = self.era_changed.notified();
             if self.era() > known {
@@ -149,10 +161,13 @@
         if known.is_some_and(|known| era < known) {
             return Err(StoreError::EraChanged);
         }
+        if known == Some(era) {
+            return Ok(());
+        }
         self.era.set(Some(era));
-        if let Some(before) = known.filter(|known| *known < era) {
+        self.era_changed.notify_waiters();
+        if let Some(before) = known {
             log::warn!(target: "log", before:% = before, era:% = era; "The log came back from an older copy.");
-            self.era_changed.notify_waiters();
         }
         Ok(())
     }
