--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -6,7 +6,8 @@
 use bytes::Bytes;
 use carob_platform::{ResponseKind, UpstreamHeaders, strip_response_headers};
 use carobglade::{
-    AttemptOutcome, Error, EventSplitter, RequestRate, SoftwareVersion, StreamPoint, UpstreamName,
+    AttemptOutcome, Error, EventSplitter, EvidenceStrength, RequestRate, SoftwareVersion,
+    StreamPoint, UpstreamName,
 };
 use http::HeaderMap;
 
@@ -226,12 +227,14 @@
     }
 }
 
-/// Records that the connection to an upstream broke while it may have run the request.
+/// Records that the connection to an upstream broke while it may have run the request. Requests that
+/// wait for their turn at the upstream break like the one that it had just begun, before the head.
 fn record_broken(edge: &Rc<Edge>, request: &CallerRequest, choice: &Choice, status: u16) {
-    let has_started = (200..300).contains(&status);
+    let has_begun = (200..300).contains(&status);
     let broken = BrokenAttempt {
         fingerprint: request.fingerprint,
-        started: has_started.then(|| request.prompt.clone()),
+        prompt: request.prompt.clone(),
+        strength: if has_begun { EvidenceStrength::Strong } else { EvidenceStrength::Weak },
     };
     quarantine::record_broken(edge, broken, &choice.entry);
 }
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -162,7 +162,8 @@
     /// Encoded after the message.
     #[serde(skip)]
     pub extension: Extension,
-    /// Parts of prompts that crash upstreams; encoded after the extension.
+    /// Parts of prompts that crash upstreams; encoded after the extension, and the weak evidence
+    /// after the upstreams that are leaving.
     #[serde(skip)]
     pub quarantine: QuarantineReport,
     /// Limits that upstreams name; encoded after the quarantine.
@@ -214,6 +215,7 @@
         let added = (&self.extension, &self.quarantine, &self.limits, &self.rooms, &self.duties);
         bytes.extend(postcard::to_allocvec(&added)?);
         bytes.extend(postcard::to_allocvec(&(&self.reading_eras, &self.leaving_upstreams))?);
+        bytes.extend(postcard::to_allocvec(&self.quarantine.weak)?);
         Ok(bytes)
     }
 
@@ -236,7 +238,8 @@
         let rest = take_added(rest, &mut self.rooms)?;
         let rest = take_added(rest, &mut self.duties)?;
         let rest = take_added(rest, &mut self.reading_eras)?;
-        take_added(rest, &mut self.leaving_upstreams)?;
+        let rest = take_added(rest, &mut self.leaving_upstreams)?;
+        take_added(rest, &mut self.quarantine.weak)?;
         Ok(())
     }
 
--- a/crates/carob-edge/src/quarantine.rs
+++ b/crates/carob-edge/src/quarantine.rs
@@ -6,9 +6,9 @@
 
 use carob_platform::{LogRequest, VM_TOPIC, encode_keyed_record};
 use carobglade::{
-    Backoff, BlockRecord, BlockedPrompt, Error, ErrorKind, Fingerprint, PromptVerdict,
-    QuarantineReport, Result, SharedPrompt, UpstreamCrash, UpstreamEntry, VerdictChange,
-    VerdictReason,
+    Backoff, BlockRecord, BlockedPrompt, Error, ErrorKind, EvidenceStrength, Fingerprint,
+    PromptVerdict, QuarantineReport, Result, SharedPrompt, UpstreamCrash, UpstreamEntry,
+    VerdictChange, VerdictReason,
 };
 use rand::Rng;
 
@@ -69,8 +69,10 @@
 pub struct BrokenAttempt {
     /// Identifies the same request when it is sent again.
     pub fingerprint: Fingerprint,
-    /// The parts of the prompt, if the response had begun and no event had come.
-    pub started: Option<SharedPrompt>,
+    /// The parts of its prompt.
+    pub prompt: SharedPrompt,
+    /// How clearly a crash would point to the request.
+    pub strength: EvidenceStrength,
 }
 
 /// Records that the connection of an attempt broke. That counts as a crash if the upstream then
@@ -82,18 +84,20 @@
         if !ends(&edge, address).await {
             return;
         }
-        log::info!(target: "quarantine", upstream:% = crash.upstream, request:? = broken.fingerprint; "An upstream crashed while a request was in flight.");
+        log::info!(target: "quarantine", upstream:% = crash.upstream, request:? = broken.fingerprint, parts:% = broken.prompt; "An upstream crashed while a request was in flight.");
         record_suspect(&edge, broken.fingerprint, &crash);
-        if let Some(prompt) = &broken.started {
-            record_crash(&edge, prompt, &crash);
-        }
+        record_crash(&edge, &broken, &crash);
     });
 }
 
-/// Records that an upstream crashed at the start of a response.
-fn record_crash(edge: &Rc<Edge>, prompt: &SharedPrompt, crash: &UpstreamCrash) {
-    log::warn!(target: "quarantine", upstream:% = crash.upstream, parts:% = prompt; "An upstream crashed at the start of a response.");
-    let changes = edge.quarantine.borrow_mut().record_crash(prompt, crash, edge.now());
+/// Records that an upstream crashed while an attempt was under way.
+fn record_crash(edge: &Rc<Edge>, broken: &BrokenAttempt, crash: &UpstreamCrash) {
+    if broken.strength == EvidenceStrength::Strong {
+        log::warn!(target: "quarantine", upstream:% = crash.upstream, parts:% = broken.prompt; "An upstream crashed at the start of a response.");
+    }
+    let mut quarantine = edge.quarantine.borrow_mut();
+    let changes = quarantine.record_crash(&broken.prompt, broken.strength, crash, edge.now());
+    drop(quarantine);
     report_changes(edge, &changes);
     edge.gossip_wakeup.notify_one();
     keep_changes(edge, &changes, Duration::ZERO);
--- a/crates/carob-edge/tests/old_builds/values.rs
+++ b/crates/carob-edge/tests/old_builds/values.rs
@@ -124,6 +124,7 @@
             strikes: 2,
             remaining: Duration::from_secs(3500),
         }],
+        weak: Vec::new(),
     }
 }
 
@@ -181,6 +182,18 @@
     }
 }
 
+/// A message of a build that knows weak evidence against parts of prompts.
+pub fn peer_message_with_weak_evidence() -> Message {
+    let crash = UpstreamCrash { upstream: parsed("e"), started_ms: 5 };
+    let suspect = Suspect { part: PromptPart::from_id("1"), model: None };
+    let evidence = Evidence { suspect, crash, position: 1, cleared: true };
+    let message = peer_message_with_eras();
+    Message {
+        quarantine: QuarantineReport { weak: vec![evidence], ..message.quarantine },
+        ..message
+    }
+}
+
 fn reading(topic: Topic, read_to: u64, changed_to: u64, age_ms: u64) -> WireReading {
     WireReading { topic: topic.into(), read_to, changed_to, age_ms }
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -54,8 +54,8 @@
     AdapterId, GossipScope, GossipSource, PlacementGossip, PlacementUpdate,
 };
 pub use prompt_quarantine::{
-    BlockRecord, BlockedPrompt, Evidence, PromptQuarantine, PromptVerdict, QuarantineReport,
-    SharedPrompt, Suspect, UpstreamCrash, VerdictChange, VerdictReason,
+    BlockRecord, BlockedPrompt, Evidence, EvidenceStrength, PromptQuarantine, PromptVerdict,
+    QuarantineReport, SharedPrompt, Suspect, UpstreamCrash, VerdictChange, VerdictReason,
 };
 pub use record::{
     Claim, ClaimOutcome, ClaimRef, ConfigChange, Fingerprint, Join, LogEntry, OrderIntent,
--- a/src/process/prompt_quarantine/evidence.rs
+++ b/src/process/prompt_quarantine/evidence.rs
@@ -8,6 +8,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::overloads::CRASH_WEIGHT;
 use crate::{Error, ErrorKind, ModelName, PromptPart, Result, UpstreamName};
 
 /// How long a crash counts.
@@ -65,6 +66,26 @@
     }
 }
 
+/// How clearly a crash points to the request that was in flight.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum EvidenceStrength {
+    /// The response had not begun, or its events had come for a moment; other requests may have
+    /// been in the same place.
+    Weak,
+    /// The response had begun and had no event yet.
+    Strong,
+}
+
+impl EvidenceStrength {
+    /// Weight of a crash that nothing else explains.
+    const fn weight(self) -> usize {
+        match self {
+            EvidenceStrength::Weak => CRASH_WEIGHT / 2,
+            EvidenceStrength::Strong => CRASH_WEIGHT,
+        }
+    }
+}
+
 /// A crash that counts against a suspect, or no longer does.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Evidence {
@@ -81,6 +102,7 @@
 /// Whether a crash counts against a suspect.
 #[derive(Clone, Copy, Debug)]
 struct CrashState {
+    strength: EvidenceStrength,
     cleared: bool,
     seen_at: Duration,
     changed_at: Duration,
@@ -94,8 +116,9 @@
 }
 
 impl SuspectRecord {
-    fn open_crashes(&self) -> BTreeSet<&UpstreamCrash> {
-        self.crashes.iter().filter(|(_, state)| !state.cleared).map(|(crash, _)| crash).collect()
+    fn open_crashes(&self) -> BTreeMap<&UpstreamCrash, EvidenceStrength> {
+        let open = self.crashes.iter().filter(|(_, state)| !state.cleared);
+        open.map(|(crash, state)| (crash, state.strength)).collect()
     }
 
     fn open_count(&self) -> usize {
@@ -125,7 +148,18 @@
     /// Weight of the crashes that it needs.
     threshold: usize,
     position: u8,
-    crashes: BTreeSet<&'a UpstreamCrash>,
+    crashes: BTreeMap<&'a UpstreamCrash, EvidenceStrength>,
+}
+
+/// Returns the weight of crashes; `is_doubtful` tells which may come from too many rejections.
+fn total_weight(
+    crashes: &BTreeMap<&UpstreamCrash, EvidenceStrength>,
+    is_doubtful: impl Fn(&UpstreamCrash) -> bool,
+) -> usize {
+    let weight = |(crash, strength): (&&UpstreamCrash, &EvidenceStrength)| {
+        strength.weight() / if is_doubtful(crash) { 2 } else { 1 }
+    };
+    crashes.iter().map(weight).sum()
 }
 
 impl Candidate<'_> {
@@ -135,10 +169,6 @@
         (Reverse(self.threshold), self.crashes.len(), self.position, any_model)
     }
 
-    fn weight(&self, weight: impl Fn(&UpstreamCrash) -> usize) -> usize {
-        self.crashes.iter().map(|crash| weight(crash)).sum()
-    }
-
     /// Reports whether several later parts of prompts explain the crashes too, each of them more
     /// than one: the suspect may only be what they have in common.
     fn is_ambiguous(&self, all: &[Candidate<'_>]) -> bool {
@@ -146,8 +176,8 @@
             .iter()
             .filter(|other| other.position > self.position && other.threshold <= self.threshold);
         let explained: BTreeSet<&UpstreamCrash> =
-            later.flat_map(|other| other.crashes.iter().copied()).collect();
-        self.crashes.is_subset(&explained)
+            later.flat_map(|other| other.crashes.keys().copied()).collect();
+        self.crashes.keys().all(|crash| explained.contains(crash))
     }
 }
 
@@ -165,18 +195,26 @@
 }
 
 impl CrashEvidence {
-    /// Adds evidence; returns whether it was news. A crash that was cleared stays so.
-    pub fn apply(&mut self, evidence: &Evidence, now: Duration) -> bool {
+    /// Adds evidence; returns whether it was news. A crash that was cleared stays so, and strong
+    /// evidence stays strong.
+    pub fn apply(
+        &mut self,
+        evidence: &Evidence,
+        strength: EvidenceStrength,
+        now: Duration,
+    ) -> bool {
         let record = self.suspects.entry(evidence.suspect.clone());
         let record = record.or_insert_with(|| SuspectRecord {
             position: evidence.position,
             crashes: BTreeMap::new(),
         });
-        let fresh = CrashState { cleared: evidence.cleared, seen_at: now, changed_at: now };
+        let cleared = evidence.cleared;
+        let fresh = CrashState { strength, cleared, seen_at: now, changed_at: now };
         let news = match record.crashes.get_mut(&evidence.crash) {
-            Some(state) if state.cleared || !evidence.cleared => false,
+            Some(state) if state.cleared || (!cleared && state.strength >= strength) => false,
             Some(state) => {
-                *state = CrashState { seen_at: state.seen_at, ..fresh };
+                let strength = strength.max(state.strength);
+                *state = CrashState { strength, seen_at: state.seen_at, ..fresh };
                 true
             }
             None => {
@@ -225,23 +263,20 @@
         states.map(|state| state.seen_at).min()
     }
 
-    /// Returns the weight of the crashes that count against a suspect.
+    /// Returns the weight of the crashes that count against a suspect; `is_doubtful` tells which may
+    /// come from too many rejections.
     pub fn open_weight(
         &self,
         suspect: &Suspect,
-        weight: impl Fn(&UpstreamCrash) -> usize,
+        is_doubtful: impl Fn(&UpstreamCrash) -> bool,
     ) -> usize {
         let record = self.suspects.get(suspect);
-        record.map_or(0, |record| record.open_crashes().into_iter().map(weight).sum())
-    }
-
-    /// Returns the number of crashes that count against a suspect.
-    pub fn open_count(&self, suspect: &Suspect) -> usize {
-        self.suspects.get(suspect).map_or(0, SuspectRecord::open_count)
+        record.map_or(0, |record| total_weight(&record.open_crashes(), is_doubtful))
     }
 
     /// Returns the fewest suspects that explain the crashes; `threshold` is the weight of crashes
-    /// that a suspect needs, which no suspect before it explains, and `weight` that of a crash.
+    /// that a suspect needs, which no suspect before it explains; crashes for which `is_doubtful` is
+    /// true count half.
     ///
     /// Suspects with a low threshold come first, and of these the one with the most crashes. Of
     /// several that were in the same requests the last part counts, since the parts before it are
@@ -249,13 +284,15 @@
     pub fn explain(
         &self,
         threshold: impl Fn(&Suspect) -> usize,
-        weight: impl Fn(&UpstreamCrash) -> usize,
+        is_doubtful: impl Fn(&UpstreamCrash) -> bool,
     ) -> Vec<Explanation> {
         let all = self.candidates(threshold);
         let mut left = all.clone();
         let mut explanations = Vec::new();
         loop {
-            left.retain(|candidate| candidate.weight(&weight) >= candidate.threshold);
+            left.retain(|candidate| {
+                total_weight(&candidate.crashes, &is_doubtful) >= candidate.threshold
+            });
             let Some(best) = left.iter().max_by_key(|candidate| candidate.rank()).cloned() else {
                 return explanations;
             };
@@ -264,11 +301,11 @@
                 continue;
             }
             for candidate in &mut left {
-                candidate.crashes.retain(|crash| !best.crashes.contains(crash));
+                candidate.crashes.retain(|crash, _| !best.crashes.contains_key(crash));
             }
             explanations.push(Explanation {
                 suspect: best.suspect.clone(),
-                crashes: best.crashes.into_iter().cloned().collect(),
+                crashes: best.crashes.into_keys().cloned().collect(),
             });
         }
     }
@@ -293,20 +330,31 @@
         let explained = |crash: &&UpstreamCrash| {
             explanations.iter().any(|explanation| explanation.crashes.contains(crash))
         };
-        record.open_crashes().iter().all(explained)
+        record.open_crashes().keys().all(explained)
     }
 
-    /// Returns the latest changes, for reports to other processes.
-    pub fn recent(&self, now: Duration) -> Vec<Evidence> {
+    /// Returns the latest changes with evidence of one strength, for reports to other processes.
+    /// Changes for which `is_unlikely` is true are left out first.
+    pub fn recent(
+        &self,
+        strength: EvidenceStrength,
+        is_unlikely: impl Fn(&Suspect) -> bool,
+        now: Duration,
+    ) -> Vec<Evidence> {
         let all = self.suspects.iter().flat_map(|(suspect, record)| {
             let crashes = record.crashes.iter();
             crashes.map(move |(crash, state)| (suspect, record.position, crash, state))
         });
         let mut fresh: Vec<_> = all
+            .filter(|(_, _, _, state)| state.strength == strength)
             .filter(|(_, _, _, state)| now.saturating_sub(state.changed_at) < REPORT_TIME)
             .collect();
-        fresh.sort_by_key(|(_, _, _, state)| Reverse(state.changed_at));
-        fresh.truncate(MAX_REPORTED);
+        if fresh.len() > MAX_REPORTED {
+            fresh.sort_by_cached_key(|(suspect, _, _, state)| {
+                (is_unlikely(suspect), Reverse(state.changed_at))
+            });
+            fresh.truncate(MAX_REPORTED);
+        }
         let evidence = fresh.into_iter().map(|(suspect, position, crash, state)| Evidence {
             suspect: suspect.clone(),
             crash: crash.clone(),
--- a/src/process/prompt_quarantine/mod.rs
+++ b/src/process/prompt_quarantine/mod.rs
@@ -1,10 +1,12 @@
 //! Parts of prompts that crash upstreams, found by what the requests at their crashes have in
 //! common, and blocked in all processes.
 //!
-//! When an upstream crashes, the parts of the requests whose responses had begun and had no event
-//! yet are suspected. A response with a part that ends well clears the part of all crashes before
-//! it, so only a part that no response has survived gathers crashes. The crash of a brittle upstream
-//! that rejected requests just before counts half, since too many rejections may have caused it.
+//! When an upstream crashes, the parts of the requests that were in flight are suspected: fully
+//! where a response had begun and had no event yet, and half where it had not begun or its events had
+//! come for a moment, since sound requests in the same batch look alike. A response with a part that
+//! ends well clears the part of all crashes before it, so only a part that no response has survived
+//! gathers crashes. The crash of a brittle upstream that rejected requests just before counts half,
+//! since too many rejections may have caused it.
 //! Processes tell each other their evidence and their verdicts; all reach the same verdict from the
 //! same evidence.
 
@@ -21,7 +23,7 @@
 
 pub use self::block_record::BlockRecord;
 use self::evidence::{CrashEvidence, Explanation};
-pub use self::evidence::{Evidence, Suspect, UpstreamCrash};
+pub use self::evidence::{Evidence, EvidenceStrength, Suspect, UpstreamCrash};
 use self::overloads::{CRASH_WEIGHT, Overloads};
 use self::survivors::Survivors;
 pub use self::verdicts::PromptVerdict;
@@ -133,6 +135,9 @@
     pub evidence: Vec<Evidence>,
     /// All verdicts.
     pub verdicts: Vec<PromptVerdict>,
+    /// The latest changes of weak evidence, which is encoded apart.
+    #[serde(skip)]
+    pub weak: Vec<Evidence>,
 }
 
 /// Finds and blocks the parts of prompts that crash upstreams.
@@ -169,11 +174,12 @@
         self.overloads.has_rejected(run, now)
     }
 
-    /// Records that an upstream crashed while the response to a request had begun and had no event
-    /// yet; returns the verdicts that changed.
+    /// Records that an upstream crashed while a request was in flight; returns the verdicts that
+    /// changed.
     pub fn record_crash(
         &mut self,
         prompt: &SharedPrompt,
+        strength: EvidenceStrength,
         crash: &UpstreamCrash,
         now: Duration,
     ) -> Vec<VerdictChange> {
@@ -181,7 +187,7 @@
         self.overloads.record_crash(crash, now);
         for (position, suspect) in prompt.suspects() {
             let evidence = Evidence { suspect, crash: crash.clone(), position, cleared: false };
-            news |= self.evidence.apply(&evidence, now);
+            news |= self.evidence.apply(&evidence, strength, now);
         }
         self.evidence.limit_suspects();
         if news { self.judge(now) } else { Vec::new() }
@@ -207,7 +213,7 @@
 
     /// Returns the weight of the crashes that count against a suspect.
     fn open_weight(&self, suspect: &Suspect) -> usize {
-        self.evidence.open_weight(suspect, |crash| self.overloads.weight(crash))
+        self.evidence.open_weight(suspect, |crash| self.overloads.is_doubtful(crash))
     }
 
     fn lift(
@@ -228,8 +234,10 @@
     fn judge(&mut self, now: Duration) -> Vec<VerdictChange> {
         let mut explanations = self.relapses(now);
         explanations.extend(
-            self.evidence
-                .explain(|suspect| self.threshold(suspect), |crash| self.overloads.weight(crash)),
+            self.evidence.explain(
+                |suspect| self.threshold(suspect),
+                |crash| self.overloads.is_doubtful(crash),
+            ),
         );
         let mut changes = Vec::new();
         for Explanation { suspect, crashes } in &explanations {
@@ -247,10 +255,11 @@
         for suspect in self.verdicts.held().into_iter().filter(|suspect| !named(suspect)) {
             // A process that lacks the evidence for a block does not judge it.
             let threshold = self.threshold(&suspect);
-            let (weight, count) = (self.open_weight(&suspect), self.evidence.open_count(&suspect));
+            let weight = self.open_weight(&suspect);
+            let undoubted = self.evidence.open_weight(&suspect, |_| false);
             if weight >= threshold && self.evidence.is_explained(&suspect, &explanations) {
                 changes.extend(self.lift(&suspect, VerdictReason::OtherPart, now));
-            } else if weight < threshold && count * CRASH_WEIGHT >= threshold {
+            } else if weight < threshold && undoubted >= threshold {
                 changes.extend(self.lift(&suspect, VerdictReason::Overload, now));
             }
         }
@@ -288,9 +297,11 @@
         let mut changes: Vec<VerdictChange> =
             report.verdicts.iter().flat_map(|verdict| self.apply_verdict(verdict, now)).collect();
         let mut news = false;
-        for evidence in &report.evidence {
+        let strong = report.evidence.iter().map(|evidence| (evidence, EvidenceStrength::Strong));
+        let weak = report.weak.iter().map(|evidence| (evidence, EvidenceStrength::Weak));
+        for (evidence, strength) in strong.chain(weak) {
             self.overloads.record_crash(&evidence.crash, now);
-            news |= self.evidence.apply(evidence, now);
+            news |= self.evidence.apply(evidence, strength, now);
         }
         self.evidence.limit_suspects();
         if news {
@@ -337,7 +348,14 @@
 
     /// Returns what other processes are told.
     pub fn report(&self, now: Duration) -> QuarantineReport {
-        QuarantineReport { evidence: self.evidence.recent(now), verdicts: self.verdicts.all(now) }
+        let recent = |strength| {
+            self.evidence.recent(strength, |suspect| self.survivors.contains(suspect), now)
+        };
+        QuarantineReport {
+            evidence: recent(EvidenceStrength::Strong),
+            verdicts: self.verdicts.all(now),
+            weak: recent(EvidenceStrength::Weak),
+        }
     }
 
     /// Forgets what no longer counts.
--- a/src/process/prompt_quarantine/overloads.rs
+++ b/src/process/prompt_quarantine/overloads.rs
@@ -7,10 +7,8 @@
 
 /// Time after a rejection in which a crash may come from too many of them, and its news arrive.
 const OVERLOAD_TIME: Duration = Duration::from_secs(4);
-/// Weight of a crash that nothing but a prompt explains.
-pub(super) const CRASH_WEIGHT: usize = 2;
-/// Weight of a crash that too many rejections may explain.
-const DOUBTFUL_WEIGHT: usize = 1;
+/// Weight of a crash that nothing but one prompt explains.
+pub(super) const CRASH_WEIGHT: usize = 4;
 
 /// The runs of brittle upstreams that rejected requests, each named by the crash that would end it,
 /// and the crashes that are in doubt for it.
@@ -44,9 +42,9 @@
         self.rejected_at.get(run).is_some_and(|at| now <= *at + OVERLOAD_TIME)
     }
 
-    /// Returns how much a crash counts against what ran.
-    pub fn weight(&self, crash: &UpstreamCrash) -> usize {
-        if self.doubtful.contains(crash) { DOUBTFUL_WEIGHT } else { CRASH_WEIGHT }
+    /// Reports whether too many rejections may explain a crash.
+    pub fn is_doubtful(&self, crash: &UpstreamCrash) -> bool {
+        self.doubtful.contains(crash)
     }
 
     /// Forgets old rejections, and the crashes for which `is_known` is false.
--- a/tests/prompt_quarantine.rs
+++ b/tests/prompt_quarantine.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use carobglade::EvidenceStrength::{Strong, Weak};
 use carobglade::{
     ModelName, PromptPart, PromptQuarantine, QuarantineReport, SharedPrompt, UpstreamCrash,
     VerdictChange, VerdictReason,
@@ -37,7 +38,8 @@
     numbers: std::ops::Range<u64>,
     now: Duration,
 ) -> Vec<VerdictChange> {
-    let crashes = numbers.map(|number| quarantine.record_crash(prompt, &crash(number), now));
+    let crashes =
+        numbers.map(|number| quarantine.record_crash(prompt, Strong, &crash(number), now));
     crashes.last().unwrap_or_default()
 }
 
@@ -59,11 +61,53 @@
     assert!(!is_blocked(&quarantine, &["a", "b", "c"], secs(2)));
 }
 
+/// Guards against requests that crash upstreams before a byte of their responses arrives.
+#[test]
+fn a_crash_before_the_response_or_within_its_first_events_counts_half() {
+    let mut quarantine = PromptQuarantine::default();
+    let deadly = prompt(&["a", "b", "dead"]);
+    for number in 0..5 {
+        quarantine.record_crash(&deadly, Weak, &crash(number), secs(number));
+        assert!(!is_blocked(&quarantine, &["dead"], secs(number)));
+    }
+    quarantine.record_crash(&deadly, Weak, &crash(5), secs(5));
+    assert!(is_blocked(&quarantine, &["dead"], secs(5)));
+    assert!(!is_blocked(&quarantine, &["a", "b"], secs(5)));
+}
+
+#[test]
+fn evidence_that_becomes_strong_counts_in_full() {
+    let mut quarantine = PromptQuarantine::default();
+    for (number, strengths) in [[Weak, Strong], [Strong, Weak], [Weak, Strong]].iter().enumerate() {
+        for strength in strengths {
+            assert!(!is_blocked(&quarantine, &["dead"], secs(1)));
+            quarantine.record_crash(&prompt(&["dead"]), *strength, &crash(number as u64), secs(1));
+        }
+    }
+    assert!(is_blocked(&quarantine, &["dead"], secs(1)));
+}
+
+/// Guards against sound requests that are refused because they wait at upstreams that others crash.
+#[test]
+fn requests_that_wait_beside_deadly_ones_are_not_blocked() {
+    let mut quarantine = PromptQuarantine::default();
+    quarantine.record_survival(&prompt(&["a", "b"]), secs(0));
+    for number in 0..6 {
+        for waiting in [&["a", "b"][..], &["a", "c"], &["a", "b", "dead"]] {
+            quarantine.record_crash(&prompt(waiting), Weak, &crash(number), secs(number));
+        }
+        quarantine.record_survival(&prompt(&["a", "c"]), secs(number));
+    }
+    assert!(is_blocked(&quarantine, &["dead"], secs(6)));
+    assert!(!is_blocked(&quarantine, &["a", "b"], secs(6)));
+    assert!(!is_blocked(&quarantine, &["a", "c"], secs(6)));
+}
+
 #[test]
 fn one_crash_counts_once_however_many_requests_and_processes_saw_it() {
     let mut quarantine = PromptQuarantine::default();
     for number in [0, 0, 0, 1, 1] {
-        quarantine.record_crash(&prompt(&["a", "dead"]), &crash(number), secs(1));
+        quarantine.record_crash(&prompt(&["a", "dead"]), Strong, &crash(number), secs(1));
     }
     assert!(!is_blocked(&quarantine, &["a", "dead"], secs(1)));
 }
@@ -99,7 +143,7 @@
     quarantine.record_survival(&prompt(&["a", "b", "sound"]), secs(1));
     let prompts = [prompt(&["a", "b", "dead1"]), prompt(&["a", "b", "dead2"])];
     for number in 0..6 {
-        quarantine.record_crash(&prompts[number as usize % 2], &crash(number), secs(1));
+        quarantine.record_crash(&prompts[number as usize % 2], Strong, &crash(number), secs(1));
         assert!(!is_blocked(&quarantine, &["a", "b", "sound"], secs(1)), "crash {number}");
     }
     assert!(is_blocked(&quarantine, &["a", "b", "dead1"], secs(1)));
@@ -122,7 +166,7 @@
     let mut quarantine = PromptQuarantine::default();
     let (small, large) = (prompt_with(&["a", "b"], "small"), prompt_with(&["a", "b"], "large"));
     for number in 0..4 {
-        quarantine.record_crash(&large, &crash(number), secs(number));
+        quarantine.record_crash(&large, Strong, &crash(number), secs(number));
         quarantine.record_survival(&small, secs(number));
         // Other requests of the caller survive on the model.
         quarantine.record_survival(&prompt(&["a"]), secs(number));
@@ -176,7 +220,7 @@
     for number in 0..300_u64 {
         let ids: Vec<String> = (0..50).map(|i| format!("{:x}", number * 50 + i)).collect();
         let ids: Vec<&str> = ids.iter().map(String::as_str).collect();
-        quarantine.record_crash(&prompt(&ids), &crash(number), ms(number));
+        quarantine.record_crash(&prompt(&ids), Strong, &crash(number), ms(number));
         crash_on(
             &mut quarantine,
             &prompt(&ids[..1]),
@@ -198,7 +242,7 @@
     let mut changes = Vec::new();
     for number in numbers {
         quarantine.record_rejection(&crash(number), now - ms(200), now);
-        changes.extend(quarantine.record_crash(prompt, &crash(number), now));
+        changes.extend(quarantine.record_crash(prompt, Strong, &crash(number), now));
     }
     changes
 }
@@ -263,7 +307,12 @@
             for vm in &mut fleet.vms {
                 vm.record_rejection(&crash(number), now, now);
             }
-            fleet.vms[number as usize].record_crash(&prompt(&["a", "b"]), &crash(number), now);
+            fleet.vms[number as usize].record_crash(
+                &prompt(&["a", "b"]),
+                Strong,
+                &crash(number),
+                now,
+            );
             fleet.exchange();
         }
         for _ in 0..10 {
@@ -309,10 +358,11 @@
 #[test]
 fn crashes_seen_by_one_vm_each_are_added_up_everywhere() {
     for seed in 0..50 {
+        let crashes = if seed % 2 == 0 { (3, Strong) } else { (6, Weak) };
         let mut fleet = Fleet::new(seed);
-        for number in 0..3 {
-            let vm = &mut fleet.vms[2 * number as usize];
-            vm.record_crash(&prompt(&["a", "b", "dead"]), &crash(number), fleet.now);
+        for number in 0..crashes.0 {
+            let vm = &mut fleet.vms[2 * number as usize % VMS];
+            vm.record_crash(&prompt(&["a", "b", "dead"]), crashes.1, &crash(number), fleet.now);
             fleet.exchange();
         }
         // A vm that has just started knows nothing of the crashes.
@@ -349,7 +399,8 @@
                     let caller = format!("{:x}", fleet.random.random_range(1..6));
                     let vm = fleet.random.random_range(0..VMS);
                     let (now, prompt) = (fleet.now, prompt(&[&caller, &session]));
-                    fleet.vms[vm].record_crash(&prompt, &crash(number), now);
+                    let strength = if seed % 2 == 0 { Strong } else { Weak };
+                    fleet.vms[vm].record_crash(&prompt, strength, &crash(number), now);
                 }
             }
             fleet.exchange();
