--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -19,7 +19,7 @@
 use crate::outgoing_request::OutgoingRequest;
 use crate::paths;
 use crate::pool::IncomingResponse;
-use crate::quarantine::{self, BrokenAttempt};
+use crate::quarantine::{self, BrokenAttempt, UpstreamRun};
 use crate::request::CallerRequest;
 use crate::rooms;
 use crate::turns;
@@ -231,12 +231,9 @@
 /// wait for their turn at the upstream break like the one that it had just begun, before the head.
 fn record_broken(edge: &Rc<Edge>, request: &CallerRequest, choice: &Choice, status: u16) {
     let has_begun = (200..300).contains(&status);
-    let broken = BrokenAttempt {
-        fingerprint: request.fingerprint,
-        prompt: request.prompt.clone(),
-        strength: if has_begun { EvidenceStrength::Strong } else { EvidenceStrength::Weak },
-    };
-    quarantine::record_broken(edge, broken, &choice.entry);
+    let strength = if has_begun { EvidenceStrength::Strong } else { EvidenceStrength::Weak };
+    let broken = BrokenAttempt::new(request, strength);
+    quarantine::record_broken(edge, broken, &UpstreamRun::from(&choice.entry));
 }
 
 async fn send_and_receive(
--- a/crates/carob-edge/src/event_stream.rs
+++ b/crates/carob-edge/src/event_stream.rs
@@ -10,6 +10,7 @@
 use crate::edge::Edge;
 use crate::load_guard::LoadGuard;
 use crate::pool::IncomingResponse;
+use crate::quarantine::UpstreamRun;
 use crate::request::CallerRequest;
 
 /// A stream whose first events arrived.
@@ -28,6 +29,8 @@
 pub struct EventStream {
     /// The upstream that sends the stream.
     pub name: UpstreamName,
+    /// The run of that upstream.
+    pub run: UpstreamRun,
     /// The version of the upstream's software.
     pub version: SoftwareVersion,
     /// The response; `None` once it failed, which closes its connection.
@@ -46,7 +49,8 @@
         load: LoadGuard,
     ) -> Self {
         let (name, version) = (entry.name.clone(), entry.version.clone());
-        EventStream { name, version, response: Some(response), splitter, ended: false, load }
+        let run = UpstreamRun::from(entry);
+        EventStream { name, run, version, response: Some(response), splitter, ended: false, load }
     }
 
     /// Returns the next complete events, or `None` at the end of a complete stream.
--- a/crates/carob-edge/src/quarantine.rs
+++ b/crates/carob-edge/src/quarantine.rs
@@ -13,6 +13,7 @@
 use rand::Rng;
 
 use crate::edge::Edge;
+use crate::request::CallerRequest;
 
 /// Maximum retry time of a request that is refused for an hour or more.
 pub const QUARANTINE_RETRY_AFTER: Duration = Duration::from_secs(60);
@@ -75,18 +76,42 @@
     pub strength: EvidenceStrength,
 }
 
+impl BrokenAttempt {
+    /// Describes an attempt of a request whose connection broke.
+    pub fn new(request: &CallerRequest, strength: EvidenceStrength) -> Self {
+        let (fingerprint, prompt) = (request.fingerprint, request.prompt.clone());
+        BrokenAttempt { fingerprint, prompt, strength }
+    }
+}
+
+/// The run of an upstream that an attempt went to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct UpstreamRun {
+    /// Names the crash that would end the run.
+    pub crash: UpstreamCrash,
+    /// Address at which it listens.
+    pub address: SocketAddr,
+}
+
+impl From<&UpstreamEntry> for UpstreamRun {
+    fn from(entry: &UpstreamEntry) -> Self {
+        let (upstream, started_ms) = (entry.name.clone(), entry.started_ms);
+        UpstreamRun { crash: UpstreamCrash { upstream, started_ms }, address: entry.address }
+    }
+}
+
 /// Records that the connection of an attempt broke. That counts as a crash if the upstream then
 /// refuses connections, at once or soon: one that lives may just have closed the connection.
-pub fn record_broken(edge: &Rc<Edge>, broken: BrokenAttempt, entry: &UpstreamEntry) {
-    let crash = UpstreamCrash { upstream: entry.name.clone(), started_ms: entry.started_ms };
-    let (edge, address) = (Rc::clone(edge), entry.address);
+pub fn record_broken(edge: &Rc<Edge>, broken: BrokenAttempt, run: &UpstreamRun) {
+    let (edge, run) = (Rc::clone(edge), run.clone());
     tokio::task::spawn_local(async move {
-        if !ends(&edge, address).await {
+        if !ends(&edge, run.address).await {
             return;
         }
+        let crash = &run.crash;
         log::info!(target: "quarantine", upstream:% = crash.upstream, request:? = broken.fingerprint, parts:% = broken.prompt; "An upstream crashed while a request was in flight.");
-        record_suspect(&edge, broken.fingerprint, &crash);
-        record_crash(&edge, &broken, &crash);
+        record_suspect(&edge, broken.fingerprint, crash);
+        record_crash(&edge, &broken, crash);
     });
 }
 
@@ -255,24 +280,35 @@
         SurvivalTimer { started: edge.now(), recorded: false }
     }
 
+    /// Records that the source broke off. The start of a stream that has not survived may have
+    /// crashed its upstream, like one without an event.
+    pub fn record_broken(&self, edge: &Rc<Edge>, request: &CallerRequest, run: &UpstreamRun) {
+        if !self.recorded {
+            record_broken(edge, BrokenAttempt::new(request, EvidenceStrength::Weak), run);
+        }
+    }
+
     /// Records further events.
-    pub fn record_events(&mut self, edge: &Rc<Edge>, prompt: &SharedPrompt) {
+    pub fn record_events(&mut self, edge: &Rc<Edge>, request: &CallerRequest) {
         if !self.recorded && edge.now().saturating_sub(self.started) >= SURVIVAL_TIME {
-            self.record(edge, prompt);
+            self.record(edge, request);
         }
     }
 
     /// Records the end of the stream. An end that only the connection tells proves nothing: it may
     /// be that of the upstream.
-    pub fn record_end(&mut self, edge: &Rc<Edge>, prompt: &SharedPrompt, delimited: bool) {
+    pub fn record_end(&mut self, edge: &Rc<Edge>, request: &CallerRequest, delimited: bool) {
         if !self.recorded && delimited {
-            self.record(edge, prompt);
+            self.record(edge, request);
         }
     }
 
-    fn record(&mut self, edge: &Rc<Edge>, prompt: &SharedPrompt) {
+    fn record(&mut self, edge: &Rc<Edge>, request: &CallerRequest) {
         self.recorded = true;
-        let changes = edge.quarantine.borrow_mut().record_survival(prompt, edge.now());
+        record_served(edge, request.fingerprint);
+        let mut quarantine = edge.quarantine.borrow_mut();
+        let changes = quarantine.record_survival(&request.prompt, edge.now());
+        drop(quarantine);
         report_changes(edge, &changes);
         keep_changes(edge, &changes, Duration::ZERO);
     }
--- a/crates/carob-edge/src/relay.rs
+++ b/crates/carob-edge/src/relay.rs
@@ -108,16 +108,19 @@
             let mut second = None;
             let events = match self.next(&mut source, &mut second).await {
                 Progress::Events(events) => {
-                    survival.record_events(self.edge, &self.request.prompt);
+                    survival.record_events(self.edge, self.request);
                     self.open.record_events(&source.name, source.last_id());
                     events
                 }
                 Progress::End => {
-                    survival.record_end(self.edge, &self.request.prompt, source.is_delimited());
+                    survival.record_end(self.edge, self.request, source.is_delimited());
                     return Ok(());
                 }
                 Progress::Replaced(stream) => self.replace(&mut source, &mut survival, *stream),
                 Progress::Broken(outcome) => {
+                    if outcome == AttemptOutcome::TransportError {
+                        survival.record_broken(self.edge, self.request, &source.run);
+                    }
                     let stream = self.resume(&source, outcome, second).await?;
                     self.replace(&mut source, &mut survival, stream)
                 }
