--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -14,7 +14,7 @@
     HubSelectorSettings, Incarnation, Load, LoadTracker, ModelDemand, PlacementGossip,
     PlatformConfig, PromptQuarantine, RateLimiter, RateLimiterSettings, RecentMaximum,
     ResponseTimes, RetryBudget, RetryBudgetSettings, Suspect, Suspects, TokenPace, Tokens,
-    UpstreamLimits, UpstreamName, UpstreamRooms, UsageRelay, VmName, VmProfile,
+    UpstreamCrash, UpstreamLimits, UpstreamName, UpstreamRooms, UsageRelay, VmName, VmProfile,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -25,6 +25,7 @@
 use crate::origin_state::OriginState;
 use crate::path_state::PathState;
 use crate::pool::ConnectionPool;
+use crate::quarantine::BrokenAttempt;
 use crate::settings::Settings;
 use crate::stop_counts::StopCounts;
 use crate::store::StoreClient;
@@ -87,6 +88,8 @@
     pub suspects: RefCell<Suspects>,
     /// Parts of prompts that crash upstreams.
     pub quarantine: RefCell<PromptQuarantine>,
+    /// Broken attempts whose upstreams may have ended, by the crash that would have ended them.
+    pub crash_checks: RefCell<BTreeMap<UpstreamCrash, Vec<BrokenAttempt>>>,
     /// Retry budget of each service.
     pub retry_budgets: RefCell<BTreeMap<String, RetryBudget>>,
     /// Duties that this process holds.
@@ -205,6 +208,7 @@
             response_times: RefCell::default(),
             suspects: RefCell::default(),
             quarantine: RefCell::default(),
+            crash_checks: RefCell::default(),
             retry_budgets: RefCell::default(),
             duty_leases: RefCell::new(DutyLeases::new(duty_settings)),
             hubs: RefCell::new(hubs),
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod charge;
 mod choose;
 mod connect;
+mod crash_check;
 mod datagram;
 mod duty_claims;
 mod edge;
--- a/crates/carob-edge/src/quarantine.rs
+++ b/crates/carob-edge/src/quarantine.rs
@@ -12,6 +12,7 @@
 };
 use rand::Rng;
 
+use crate::crash_check;
 use crate::edge::Edge;
 use crate::request::CallerRequest;
 
@@ -24,14 +25,6 @@
 /// Time limit for writing a verdict to the log.
 const APPEND_TIMEOUT: Duration = Duration::from_millis(1200);
 const APPEND_MAX_BACKOFF: Duration = Duration::from_secs(2);
-/// Times from a broken start at which the upstream is asked for a connection. A process that ends
-/// may close its connections before the address at which it listens.
-const CRASH_CHECKS: [Duration; 4] = [
-    Duration::ZERO,
-    Duration::from_millis(30),
-    Duration::from_millis(100),
-    Duration::from_millis(300),
-];
 /// Time from its first event after which a stream has survived.
 const SURVIVAL_TIME: Duration = Duration::from_secs(1);
 /// Time between the vms of a fleet, one after the other, that let requests through again at the end
@@ -100,23 +93,42 @@
     }
 }
 
-/// Records that the connection of an attempt broke. That counts as a crash if the upstream then
-/// refuses connections, at once or soon: one that lives may just have closed the connection.
+/// Records that the connection of an attempt broke. That counts as a crash if the upstream ends:
+/// one that lives may just have closed the connection.
 pub fn record_broken(edge: &Rc<Edge>, broken: BrokenAttempt, run: &UpstreamRun) {
-    let (edge, run) = (Rc::clone(edge), run.clone());
-    tokio::task::spawn_local(async move {
-        if !ends(&edge, run.address).await {
+    let mut checks = edge.crash_checks.borrow_mut();
+    if let Some(waiting) = checks.get_mut(&run.crash) {
+        waiting.push(broken);
+        return;
+    }
+    checks.insert(run.crash.clone(), vec![broken]);
+    drop(checks);
+    tokio::task::spawn_local(check_run(Rc::clone(edge), run.clone()));
+}
+
+/// Checks whether a run ends, once for all attempts that broke before the check and again for those
+/// that broke meanwhile.
+async fn check_run(edge: Rc<Edge>, run: UpstreamRun) {
+    let mut waiting = 1;
+    while waiting > 0 {
+        let ended = crash_check::ends(&edge, &run).await;
+        let mut all = edge.crash_checks.borrow_mut().remove(&run.crash).unwrap_or_default();
+        if ended {
+            all.iter().for_each(|broken| record_crash(&edge, broken, &run.crash));
             return;
         }
-        let crash = &run.crash;
-        log::info!(target: "quarantine", upstream:% = crash.upstream, request:? = broken.fingerprint, parts:% = broken.prompt; "An upstream crashed while a request was in flight.");
-        record_suspect(&edge, broken.fingerprint, crash);
-        record_crash(&edge, &broken, crash);
-    });
+        all.drain(..waiting.min(all.len()));
+        waiting = all.len();
+        if waiting > 0 {
+            edge.crash_checks.borrow_mut().insert(run.crash.clone(), all);
+        }
+    }
 }
 
 /// Records that an upstream crashed while an attempt was under way.
 fn record_crash(edge: &Rc<Edge>, broken: &BrokenAttempt, crash: &UpstreamCrash) {
+    log::info!(target: "quarantine", upstream:% = crash.upstream, request:? = broken.fingerprint, parts:% = broken.prompt; "An upstream crashed while a request was in flight.");
+    record_suspect(edge, broken.fingerprint, crash);
     if broken.strength == EvidenceStrength::Strong {
         log::warn!(target: "quarantine", upstream:% = crash.upstream, parts:% = broken.prompt; "An upstream crashed at the start of a response.");
     }
@@ -162,18 +174,6 @@
     }
 }
 
-/// Reports whether an upstream refuses connections at one of the checks.
-async fn ends(edge: &Edge, address: SocketAddr) -> bool {
-    let started = edge.now();
-    for check in CRASH_CHECKS {
-        tokio::time::sleep((started + check).saturating_sub(edge.now())).await;
-        if edge.pool.is_refused(address).await {
-            return true;
-        }
-    }
-    false
-}
-
 /// Applies what another vm told.
 pub fn apply_report(edge: &Rc<Edge>, report: &QuarantineReport) {
     let changes = edge.quarantine.borrow_mut().apply_report(report, edge.now());
