--- a/crates/carob-edge/src/request.rs
+++ b/crates/carob-edge/src/request.rs
@@ -209,9 +209,7 @@
     let target = origin_form(&parts.uri)?;
     let hash = xxhash_rust::xxh3::xxh3_64(split_id(&route, &caller_headers).as_bytes());
     let service = route.service(hash).unwrap_or_default().to_owned();
-    let caller = tenant.as_ref().map_or("", |tenant| tenant.name.as_str());
-    let path = format!("{caller}\0{target}");
-    let fingerprint = Fingerprint::of(parts.method.as_str(), &path, &body);
+    let fingerprint = fingerprint(&parts, tenant.as_ref(), &target, &caller_headers, &body);
     let prompt = shared_prompt(&caller_headers);
     quarantine::check(edge, &prompt)?;
     if edge.suspects.borrow().is_quarantined(fingerprint) {
@@ -246,6 +244,24 @@
     resumes.unwrap_or(&caller_headers.request_id)
 }
 
+/// Returns the fingerprint of a request. Requests to one path with one body differ if their prompts,
+/// which only headers tell, do.
+fn fingerprint(
+    parts: &Parts,
+    tenant: Option<&PlatformTenant>,
+    target: &Uri,
+    caller_headers: &CallerHeaders,
+    body: &[u8],
+) -> Fingerprint {
+    let caller = tenant.map_or("", |tenant| tenant.name.as_str());
+    let mut path = format!("{caller}\0{target}");
+    for segment in &caller_headers.prefix_segments {
+        path.push('\0');
+        path.push_str(&segment.id);
+    }
+    Fingerprint::of(parts.method.as_str(), &path, body)
+}
+
 /// Returns the parts that other requests may share: all but the last, which belongs to the request.
 fn shared_prompt(caller_headers: &CallerHeaders) -> SharedPrompt {
     let segments = caller_headers.prefix_segments.as_slice();
