Operators evacuate a data centre (EVAC)

Change: the records `evacuate/NAME` of the operator's topic are read, as configurations are; the registry of upstreams answers that an upstream of such a data centre accepts no new work, which attempts, retries, resumed streams, waits, carried connections and plans of replicas ask already. `carobctl platform evacuate` asks for it and takes it back, `platform status` shows it.

--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -115,12 +115,11 @@
             Err(_) => has_turn = false,
         }
     }
-    // The upstream may have announced in the meantime that it is leaving, or started again.
+    // The upstream may have announced in the meantime that it is leaving, or started again, or its
+    // data centre is evacuated.
     let view = edge.view.borrow();
-    let accepts = view
-        .upstreams
-        .entry(&choice.entry.name)
-        .is_some_and(|entry| !entry.draining && entry.started_ms == choice.entry.started_ms);
+    let (name, started_ms) = (&choice.entry.name, choice.entry.started_ms);
+    let accepts = view.upstreams.accepting_run(name, started_ms).is_some();
     Ok((has_turn && accepts).then_some(choice))
 }
 
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -10,8 +10,8 @@
 
 use carob_net::Clock;
 use carobglade::{
-    CallerTimeouts, CallerTimeoutsSettings, DutyLeases, DutyLeasesSettings, HubSelector,
-    HubSelectorSettings, Incarnation, Load, LoadTracker, ModelDemand, PlacementGossip,
+    CallerTimeouts, CallerTimeoutsSettings, DataCentre, DutyLeases, DutyLeasesSettings,
+    HubSelector, HubSelectorSettings, Incarnation, Load, LoadTracker, ModelDemand, PlacementGossip,
     PlatformConfig, PromptQuarantine, RateLimiter, RateLimiterSettings, RecentMaximum,
     ResponseTimes, RetryBudget, RetryBudgetSettings, Suspect, Suspects, TokenPace, Tokens,
     UpstreamCrash, UpstreamLimits, UpstreamName, UpstreamRooms, UsageRelay, VmName, VmProfile,
@@ -336,6 +336,20 @@
         self.planner_wakeup.notify_one();
     }
 
+    /// Puts the evacuations in force that the log tells, and wakes requests and the planner if any
+    /// changed.
+    pub fn update_evacuations(&self) {
+        let mut view = self.view.borrow_mut();
+        if !view.apply_evacuations(self.now()) {
+            return;
+        }
+        let evacuated: Vec<&str> =
+            view.upstreams.evacuated().iter().map(DataCentre::as_str).collect();
+        log::warn!(target: "upstreams", data_centres = evacuated.join(",").as_str(); "The evacuated data centres changed.");
+        drop(view);
+        self.on_placement_changed();
+    }
+
     /// Returns the number of vms in the fleet, including this one.
     pub fn fleet_size(&self) -> usize {
         self.view.borrow().peers.len() + 1
--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -3,7 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use carob_platform::{CONFIG_KEY, DecodeError, KeyedRecord, decode_config, decode_upstream};
+use carob_platform::{
+    CONFIG_KEY, DecodeError, KeyedRecord, decode_config, decode_upstream, evacuated_data_centre,
+};
 use carobglade::{
     BlockRecord, EntryChange, UpstreamEntry, UpstreamName, VersionRecord, VmName, VmProfile,
 };
@@ -19,12 +21,23 @@
 
 impl RecordSink for ConfigSink {
     fn on_snapshot(&mut self, edge: &Edge, records: &[KeyedRecord]) {
-        for record in records {
+        for record in records.iter().filter(|record| record.key == CONFIG_KEY) {
             self.on_record(edge, record);
         }
+        let live = records.iter().filter(|record| !record.value.is_empty());
+        let listed = live.filter_map(|record| evacuated_data_centre(&record.key)).collect();
+        let (era, now) = (edge.store.era(), edge.now());
+        edge.view.borrow_mut().evacuations.apply_snapshot(listed, era, now);
+        edge.update_evacuations();
     }
 
     fn on_record(&mut self, edge: &Edge, record: &KeyedRecord) -> bool {
+        if let Some(data_centre) = evacuated_data_centre(&record.key) {
+            let evacuated = !record.value.is_empty();
+            edge.view.borrow_mut().evacuations.apply_record(&data_centre, evacuated);
+            edge.update_evacuations();
+            return true;
+        }
         if record.key != CONFIG_KEY || record.value.is_empty() {
             return false;
         }
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -121,6 +121,7 @@
         edge.loads.borrow_mut().decay_stats();
         edge.suspects.borrow_mut().expire(edge.clock.unix_millis());
         quarantine::maintain(&edge);
+        edge.update_evacuations();
         origins::maintain(&edge);
         paths::maintain(&edge);
         edge.limits.borrow_mut().expire(edge.now());
--- a/crates/carob-edge/src/tunnel_server.rs
+++ b/crates/carob-edge/src/tunnel_server.rs
@@ -158,9 +158,7 @@
         return Err(StatusCode::SERVICE_UNAVAILABLE);
     }
     let view = edge.view.borrow();
-    let entry =
-        view.upstreams.entry(&name).filter(|entry| entry.started_ms == started && !entry.draining);
-    entry.cloned().ok_or(StatusCode::NOT_FOUND)
+    view.upstreams.accepting_run(&name, started).cloned().ok_or(StatusCode::NOT_FOUND)
 }
 
 fn text<'a>(headers: &'a HeaderMap, name: &str) -> &'a str {
--- a/crates/carob-edge/src/view.rs
+++ b/crates/carob-edge/src/view.rs
@@ -10,8 +10,8 @@
 
 use carob_platform::KeyedRecord;
 use carobglade::{
-    Freshness, FreshnessSettings, LogPosition, LogReading, PlatformConfig, RecentChanges,
-    UpstreamRegistry, UpstreamRegistrySettings, VmName,
+    Evacuations, Freshness, FreshnessSettings, LogPosition, LogReading, PlatformConfig,
+    RecentChanges, UpstreamRegistry, UpstreamRegistrySettings, VmName,
 };
 use serde::{Deserialize, Serialize};
 
@@ -57,6 +57,8 @@
     pub freshness: Freshness,
     /// The known upstreams.
     pub upstreams: UpstreamRegistry,
+    /// The data centres that operators evacuate.
+    pub evacuations: Evacuations,
     /// The other vms of the fleet.
     pub peers: BTreeMap<VmName, PeerVm>,
     /// Whether the list of vms was read at least once.
@@ -83,6 +85,7 @@
             config: None,
             freshness: Freshness::new(settings),
             upstreams: UpstreamRegistry::new(UpstreamRegistrySettings::default()),
+            evacuations: Evacuations::default(),
             peers: BTreeMap::new(),
             vms_known: false,
             readings: BTreeMap::new(),
@@ -132,6 +135,11 @@
         self.shared_readings.get(&Topic::Configuration).is_some_and(|reading| reading.is_fresh(now))
     }
 
+    /// Applies the evacuations in force to the list of upstreams; reports whether that changed any.
+    pub fn apply_evacuations(&mut self, now: Duration) -> bool {
+        self.upstreams.set_evacuated(self.evacuations.in_force(now))
+    }
+
     /// Replaces the configuration if `config` has a newer version; reports whether it did.
     pub fn apply_config(&mut self, config: PlatformConfig) -> bool {
         let newer = self.config.as_ref().is_none_or(|old| old.version < config.version);
--- a/crates/carobctl/src/main.rs
+++ b/crates/carobctl/src/main.rs
@@ -14,7 +14,7 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 
-use carobglade::{Change, Config, ConfigWire, Offset};
+use carobglade::{Change, Config, ConfigWire, DataCentre, Offset};
 use clap::{Arg, ArgAction, ArgMatches, Command, value_parser};
 use clap_complete::Shell;
 use eyre::{Context, Result, bail};
@@ -72,6 +72,14 @@
     address_arg("log", "Address of the platform's log")
 }
 
+fn data_centre_arg() -> Arg {
+    Arg::new("data_centre")
+        .required(true)
+        .value_name("DATA_CENTRE")
+        .help("Name of the data centre, as the list of upstreams has it")
+        .value_parser(value_parser!(DataCentre))
+}
+
 fn admin_arg() -> Arg {
     address_arg("admin", "Admin address of any entry process")
 }
@@ -182,6 +190,13 @@
                                 .help("Id of the part"),
                         )
                         .arg(log_arg()),
+                )
+                .subcommand(
+                    Command::new("evacuate")
+                        .about("Send nothing more to the upstreams of a data centre")
+                        .arg(data_centre_arg())
+                        .arg(flag("end", "Take the evacuation back"))
+                        .arg(log_arg()),
                 ),
         )
         .subcommand(
@@ -297,6 +312,12 @@
             let Some(part) = args.get_one::<String>("part") else { bail!("no part") };
             platform_commands::lift(*log, part).await
         }
+        "evacuate" => {
+            let Some(place) = args.get_one::<DataCentre>("data_centre") else {
+                bail!("no data centre")
+            };
+            platform_commands::evacuate(*log, place, !args.get_flag("end")).await
+        }
         _ => platform_commands::check(*log).await,
     }
 }
--- a/crates/carobctl/src/platform_commands.rs
+++ b/crates/carobctl/src/platform_commands.rs
@@ -9,9 +9,11 @@
 use carob_platform::{
     CONFIG_KEY, DUTY_GROUP, KeyedRecord, LogRequest, OPERATOR_TOPIC, UPSTREAM_TOPIC, VM_TOPIC,
     decode_config, decode_newest_page, decode_partition_owners, decode_upstream,
-    encode_keyed_record,
+    encode_keyed_record, evacuated_data_centre, evacuation_key,
+};
+use carobglade::{
+    BlockRecord, DataCentre, PlatformConfig, PromptPart, UpstreamEntry, VersionRecord,
 };
-use carobglade::{BlockRecord, PlatformConfig, PromptPart, UpstreamEntry, VersionRecord};
 use eyre::{Result, WrapErr, eyre};
 use http::{HeaderMap, Method};
 use serde_json::json;
@@ -124,6 +126,48 @@
     Ok(if missing.is_empty() { CommandOutcome::Done } else { CommandOutcome::Invalid })
 }
 
+/// Appends a record of a keyed topic.
+async fn append(log: SocketAddr, topic: &str, key: &str, value: &[u8]) -> Result<()> {
+    let request = LogRequest::append(topic, encode_keyed_record(key, value));
+    let url = format!("http://{log}{}", request.target);
+    let client = HttpClient::unpooled();
+    let sent = client.send(Method::POST, &url, HeaderMap::new(), request.body.into(), LOG_TIMEOUT);
+    let answer = sent.await.map_err(|err| eyre!("log {log}: {err}"))?;
+    let answer = answer.read_to_end(LOG_TIMEOUT).await.map_err(|err| eyre!("log {log}: {err}"))?;
+    if answer.status != 200 {
+        return Err(eyre!("log {log} answered {} for {key}", answer.status));
+    }
+    Ok(())
+}
+
+/// Returns the data centres that are evacuated, according to the log.
+async fn evacuated_data_centres(log: SocketAddr) -> Result<Vec<DataCentre>> {
+    let records = read_newest(log, OPERATOR_TOPIC).await?;
+    let live = records.iter().filter(|record| !record.value.is_empty());
+    Ok(live.filter_map(|record| evacuated_data_centre(&record.key)).collect())
+}
+
+/// Evacuates a data centre, or takes that back. No upstream of the list has to be there: some may be
+/// about to start.
+///
+/// # Errors
+///
+/// Returns an error when the log does not answer or refuses the record.
+pub async fn evacuate(
+    log: SocketAddr,
+    data_centre: &DataCentre,
+    evacuated: bool,
+) -> Result<CommandOutcome> {
+    if !evacuated && !evacuated_data_centres(log).await?.contains(data_centre) {
+        eprintln!("carobctl: data centre {data_centre} is not evacuated");
+        return Ok(CommandOutcome::Invalid);
+    }
+    let value: &[u8] = if evacuated { b"{}" } else { b"" };
+    append(log, OPERATOR_TOPIC, &evacuation_key(data_centre), value).await?;
+    println!("{}: {data_centre}", if evacuated { "evacuated" } else { "taken back" });
+    Ok(CommandOutcome::Done)
+}
+
 /// Returns the verdicts on parts of prompts that the log keeps, by their keys.
 fn block_records(records: &[KeyedRecord]) -> BTreeMap<String, BlockRecord> {
     let blocks = records.iter().filter(|record| BlockRecord::is_key(&record.key));
@@ -139,7 +183,6 @@
 pub async fn lift(log: SocketAddr, id: &str) -> Result<CommandOutcome> {
     let part = PromptPart::from_id(id);
     let records = read_newest(log, VM_TOPIC).await?;
-    let client = HttpClient::unpooled();
     let blocks = block_records(&records).into_iter();
     let blocks: Vec<_> =
         blocks.filter(|(_, block)| block.suspect.part == part && block.strikes > 0).collect();
@@ -148,17 +191,7 @@
         return Ok(CommandOutcome::Invalid);
     }
     for (key, block) in blocks {
-        let record = encode_keyed_record(&key, &block.lifted().encode());
-        let request = LogRequest::append(VM_TOPIC, record);
-        let url = format!("http://{log}{}", request.target);
-        let sent =
-            client.send(Method::POST, &url, HeaderMap::new(), request.body.into(), LOG_TIMEOUT);
-        let answer = sent.await.map_err(|err| eyre!("log {log}: {err}"))?;
-        let answer =
-            answer.read_to_end(LOG_TIMEOUT).await.map_err(|err| eyre!("log {log}: {err}"))?;
-        if answer.status != 200 {
-            return Err(eyre!("log {log} answered {} for {}", answer.status, block.suspect));
-        }
+        append(log, VM_TOPIC, &key, &block.lifted().encode()).await?;
         println!("lifted: {}", block.suspect);
     }
     Ok(CommandOutcome::Done)
@@ -187,6 +220,8 @@
     let unreadable = entries.len() - upstreams.len();
     let version = config.as_ref().map(|config| config.version);
     let holders = duty_holders(log).await?;
+    let evacuated = evacuated_data_centres(log).await?;
+    let evacuated: Vec<&str> = evacuated.iter().map(DataCentre::as_str).collect();
     let vm_records = vms
         .iter()
         .filter(|record| !BlockRecord::is_key(&record.key) && !VersionRecord::is_key(&record.key));
@@ -204,7 +239,7 @@
         });
         let upstream_values: Vec<serde_json::Value> = upstream_values.collect();
         let document = json!({ "version": version, "vms": names, "upstreams": upstream_values, "duties": holders,
-                               "blocked": blocked, "unreadable": unreadable });
+                               "blocked": blocked, "evacuated": evacuated, "unreadable": unreadable });
         println!("{document}");
         return Ok(CommandOutcome::Done);
     }
@@ -218,6 +253,7 @@
         println!("duties of {vm}: {}", duties.join(" "));
     }
     blocked.iter().for_each(|suspect| println!("blocked: {suspect}"));
+    evacuated.iter().for_each(|name| println!("evacuated: {name}"));
     for entry in &upstreams {
         let state = if entry.draining { "leaves" } else { "ready" };
         println!(
--- a/src/process/upstream_registry.rs
+++ b/src/process/upstream_registry.rs
@@ -103,13 +103,14 @@
 /// time, because an upstream that could not renew its entry writes it again.
 ///
 /// An upstream that said in a response that it is leaving accepts no new work, whatever its entry
-/// says, until it starts again.
+/// says, until it starts again. Neither does one in a data centre that is evacuated.
 #[derive(Clone, Debug, Default)]
 pub struct UpstreamRegistry {
     settings: UpstreamRegistrySettings,
     entries: BTreeMap<UpstreamName, UpstreamEntry>,
     expiring: BTreeMap<UpstreamName, Duration>,
     leaving: BTreeMap<UpstreamName, Leaving>,
+    evacuated: BTreeSet<DataCentre>,
     read_at: Option<Duration>,
     returned_at: Option<Duration>,
 }
@@ -250,6 +251,30 @@
         late
     }
 
+    /// Sets the data centres whose upstreams get no new work; reports whether that changed any.
+    pub fn set_evacuated(&mut self, data_centres: &BTreeSet<DataCentre>) -> bool {
+        let changed = self.evacuated != *data_centres;
+        if changed {
+            self.evacuated.clone_from(data_centres);
+        }
+        changed
+    }
+
+    /// Returns the data centres whose upstreams get no new work.
+    pub fn evacuated(&self) -> &BTreeSet<DataCentre> {
+        &self.evacuated
+    }
+
+    /// Returns the entry of a run of an upstream if it accepts new work.
+    pub fn accepting_run(&self, name: &UpstreamName, started_ms: u64) -> Option<&UpstreamEntry> {
+        let entry = self.entries.get(name).filter(|entry| entry.started_ms == started_ms);
+        entry.filter(|entry| self.accepts(entry))
+    }
+
+    fn accepts(&self, entry: &UpstreamEntry) -> bool {
+        !entry.draining && !self.evacuated.contains(&entry.data_centre)
+    }
+
     /// Returns the entry of an upstream.
     pub fn entry(&self, name: &UpstreamName) -> Option<&UpstreamEntry> {
         self.entries.get(name)
@@ -262,6 +287,6 @@
 
     /// Returns the upstreams of a service that accept new work.
     pub fn accepting(&self, service: &str) -> impl Iterator<Item = &UpstreamEntry> {
-        self.entries.values().filter(move |entry| entry.service == service && !entry.draining)
+        self.entries.values().filter(move |entry| entry.service == service && self.accepts(entry))
     }
 }
