--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -30,6 +30,7 @@
 use crate::stop_counts::StopCounts;
 use crate::store::StoreClient;
 use crate::turn_requests::TurnRequests;
+use crate::turns;
 use crate::undecoded::Undecoded;
 use crate::view::ClusterView;
 
@@ -340,13 +341,16 @@
     /// changed.
     pub fn update_evacuations(&self) {
         let mut view = self.view.borrow_mut();
+        let before = view.upstreams.evacuated().clone();
         if !view.apply_evacuations(self.now()) {
             return;
         }
+        let back = before.difference(view.upstreams.evacuated()).cloned().collect();
         let evacuated: Vec<&str> =
             view.upstreams.evacuated().iter().map(DataCentre::as_str).collect();
         log::warn!(target: "upstreams", data_centres = evacuated.join(",").as_str(); "The evacuated data centres changed.");
         drop(view);
+        turns::record_return(self, &back);
         self.on_placement_changed();
     }
 
--- a/crates/carob-edge/src/follow/sinks.rs
+++ b/crates/carob-edge/src/follow/sinks.rs
@@ -14,6 +14,7 @@
 use super::RecordSink;
 use crate::edge::Edge;
 use crate::quarantine;
+use crate::turns;
 use crate::view::PeerVm;
 
 /// Applies the operator's configuration.
@@ -100,6 +101,9 @@
         };
         let name = entry.name.clone();
         let draining = entry.draining;
+        if !entry.cold_time.is_zero() {
+            turns::record_cold(edge, &entry, entry.cold_time);
+        }
         let change = edge.view.borrow_mut().upstreams.upsert(entry);
         record_version(edge, &name);
         match change {
--- a/crates/carob-edge/src/turns.rs
+++ b/crates/carob-edge/src/turns.rs
@@ -1,11 +1,14 @@
 //! Turns of requests at upstreams that name a limit, across all vms.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use carob_platform::server_limit;
-use carobglade::{LimitNotice, RequestRate, Turn, UpstreamEntry, UpstreamName, VmName};
+use carobglade::{
+    ColdLimit, DataCentre, LimitNotice, RequestRate, Turn, UpstreamEntry, UpstreamName, VmName,
+};
 use http::HeaderMap;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -73,6 +76,41 @@
     rate
 }
 
+/// Records that an upstream is cold for `time` longer; nothing changes if its service takes it for
+/// warm at once.
+pub fn record_cold(edge: &Edge, entry: &UpstreamEntry, time: Duration) {
+    let config = edge.config();
+    let service = config.as_ref().and_then(|config| config.services.get(&entry.service));
+    let Some(rate) = service.and_then(|service| service.cold_rate) else {
+        return;
+    };
+    let cold = ColdLimit { rate, until: edge.now() + time };
+    let mut limits = edge.limits.borrow_mut();
+    if limits.record_cold(&entry.name, entry.started_ms, cold, edge.now()) {
+        drop(limits);
+        report_change(edge, &entry.name, Some(rate), "cold");
+    }
+}
+
+/// Records that the upstreams of data centres whose evacuation ended come back cold.
+pub fn record_return(edge: &Edge, data_centres: &BTreeSet<DataCentre>) {
+    let Some(config) = edge.config() else {
+        return;
+    };
+    let view = edge.view.borrow();
+    let back: Vec<UpstreamEntry> = view
+        .upstreams
+        .entries()
+        .filter(|entry| data_centres.contains(&entry.data_centre))
+        .cloned()
+        .collect();
+    drop(view);
+    for entry in &back {
+        let service = config.services.get(&entry.service);
+        record_cold(edge, entry, service.map_or(Duration::ZERO, |service| service.cold_time));
+    }
+}
+
 fn report_change(edge: &Edge, name: &UpstreamName, rate: Option<RequestRate>, source: &str) {
     let limit = rate.map(|rate| rate.to_string()).unwrap_or_default();
     log::info!(target: "limits", upstream:% = name, limit = limit.as_str(), source = source; "The limit of an upstream changed.");
@@ -114,8 +152,8 @@
 
 /// Reports whether one of `entries` names no limit.
 pub fn has_unlimited(edge: &Edge, entries: &[UpstreamEntry]) -> bool {
-    let limits = edge.limits.borrow();
-    entries.iter().any(|entry| limits.rate(&entry.name).is_none())
+    let (limits, now) = (edge.limits.borrow(), edge.now());
+    entries.iter().any(|entry| limits.rate(&entry.name, now).is_none())
 }
 
 /// Waits for the turn of a request that can wait for `max_wait`; returns whether it has one.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -61,8 +61,8 @@
     TokenPool,
 };
 pub use process::{
-    AdapterId, Backoff, BlockRecord, BlockedPrompt, Claim, ClaimOutcome, ClaimRef, ConfigChange,
-    ConnectPlan, ControlState, DECAY_INTERVAL, DutyChange, DutyClaim, DutyLeases,
+    AdapterId, Backoff, BlockRecord, BlockedPrompt, Claim, ClaimOutcome, ClaimRef, ColdLimit,
+    ConfigChange, ConnectPlan, ControlState, DECAY_INTERVAL, DutyChange, DutyClaim, DutyLeases,
     DutyLeasesSettings, EngineReport, EngineState, EntryChange, Evacuations, Evidence,
     EvidenceStrength, Fingerprint, Freshness, FreshnessSettings, GossipScope, GossipSource,
     GroupAssignment, HubSelector, HubSelectorSettings, Join, LeavingNotice, LimitNotice, Load,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -77,7 +77,7 @@
 pub use suspects::{QUARANTINE_THRESHOLD, Suspects};
 pub(crate) use token_bucket::TokenBucket;
 pub use tunnel_vms::{TunnelVms, TunnelVmsSettings};
-pub use upstream_limits::{LimitNotice, Turn, UpstreamLimits};
+pub use upstream_limits::{ColdLimit, LimitNotice, Turn, UpstreamLimits};
 pub use upstream_paths::{ConnectPlan, PathChange, UpstreamPaths, UpstreamPathsSettings};
 pub use upstream_registry::{
     EntryChange, LeavingNotice, LoadedModel, UpstreamEntry, UpstreamRegistry,
--- a/src/process/upstream_limits.rs
+++ b/src/process/upstream_limits.rs
@@ -1,5 +1,7 @@
 //! The limits that upstreams name, and the turns in which all processes together keep to them.
 //!
+//! An upstream that is cold, after its start or its return, has a limit too, which its service sets.
+//!
 //! A limit holds for all processes together, and may be as small as one request a second, so it
 //! cannot be divided among them. One process, the owner of the upstream's schedule, gives every
 //! request its turn; the others ask it. A process that takes over the schedule of another begins
@@ -43,12 +45,24 @@
     Refused(#[serde(deserialize_with = "crate::deserialize_told_time")] Duration),
 }
 
+/// The limit of an upstream that is cold.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdLimit {
+    /// Requests a second that it takes from all processes together.
+    pub rate: RequestRate,
+    /// Time at which it is warm.
+    pub until: Duration,
+}
+
 /// What a process knows of the limit of one upstream.
 #[derive(Clone, Copy, Debug)]
 struct KnownLimit {
     started_ms: u64,
+    /// What the upstream names, if it names a limit.
     rate: Option<RequestRate>,
-    seen_at: Duration,
+    cold: Option<ColdLimit>,
+    /// When the upstream named its limit, or none; `None` if it said nothing yet.
+    seen_at: Option<Duration>,
     /// The next turn, as far as this process knows.
     next_turn: Duration,
     /// Time before which requests that another upstream can take do not ask for a turn.
@@ -56,12 +70,38 @@
 }
 
 impl KnownLimit {
-    fn notice(&self, upstream: &UpstreamName, now: Duration) -> LimitNotice {
+    /// Creates what is known of a run that has said nothing yet.
+    fn new(started_ms: u64, cold: Option<ColdLimit>) -> Self {
+        KnownLimit {
+            started_ms,
+            rate: None,
+            cold,
+            seen_at: None,
+            next_turn: Duration::ZERO,
+            ask_after: Duration::ZERO,
+        }
+    }
+
+    /// Returns the lower one of the limits that hold.
+    fn rate_at(&self, now: Duration) -> Option<RequestRate> {
+        let cold = self.cold.filter(|cold| now < cold.until).map(|cold| cold.rate);
+        match (self.rate, cold) {
+            (Some(named), Some(cold)) if cold.per_second() < named.per_second() => Some(cold),
+            (named, cold) => named.or(cold),
+        }
+    }
+
+    fn notice(
+        &self,
+        upstream: &UpstreamName,
+        rate: Option<RequestRate>,
+        now: Duration,
+    ) -> LimitNotice {
         LimitNotice {
             upstream: upstream.clone(),
             started_ms: self.started_ms,
-            rate: self.rate,
-            age: now.saturating_sub(self.seen_at),
+            rate,
+            age: now.saturating_sub(self.seen_at.unwrap_or_default()),
         }
     }
 }
@@ -91,25 +131,61 @@
     ) -> bool {
         let rate = rate.filter(|rate| rate.per_second() < MAX_RATE);
         let known = self.known.get(upstream).copied();
-        let newer =
-            known.is_none_or(|known| (started_ms, seen_at) > (known.started_ms, known.seen_at));
+        let newer = known
+            .is_none_or(|known| (started_ms, Some(seen_at)) > (known.started_ms, known.seen_at));
         if !newer || (known.is_none() && rate.is_none()) {
             return false;
         }
         let before = known.filter(|known| known.started_ms == started_ms);
-        let turns = before.filter(|before| before.rate.is_some() && rate.is_some());
-        let limit = KnownLimit {
-            started_ms,
-            rate,
-            seen_at,
-            next_turn: turns.map_or(Duration::ZERO, |before| before.next_turn),
-            ask_after: turns.map_or(Duration::ZERO, |before| before.ask_after),
+        let cold = before.and_then(|before| before.cold);
+        let new = KnownLimit::new(started_ms, cold);
+        let limit = KnownLimit { rate, seen_at: Some(seen_at), ..new };
+        self.replace(upstream, before, limit, seen_at);
+        before.and_then(|before| before.rate) != rate
+    }
+
+    /// Records that an upstream, whose run started at `started_ms`, is cold; returns whether that
+    /// changed its limit.
+    pub fn record_cold(
+        &mut self,
+        upstream: &UpstreamName,
+        started_ms: u64,
+        cold: ColdLimit,
+        now: Duration,
+    ) -> bool {
+        let known = self.known.get(upstream).copied();
+        if cold.until <= now || known.is_some_and(|known| known.started_ms > started_ms) {
+            return false;
+        }
+        let before = known.filter(|known| known.started_ms == started_ms);
+        let until = before.and_then(|before| before.cold).map_or(cold.until, |known| known.until);
+        let cold = ColdLimit { until: until.max(cold.until), ..cold };
+        let new = KnownLimit::new(started_ms, Some(cold));
+        let limit = match before {
+            Some(before) => KnownLimit { rate: before.rate, seen_at: before.seen_at, ..new },
+            None => new,
         };
-        self.known.insert(upstream.clone(), limit);
-        if before.is_none() || rate.is_none() {
-            self.schedules.remove(upstream);
+        self.replace(upstream, before, limit, now);
+        before.and_then(|before| before.rate_at(now)) != limit.rate_at(now)
+    }
+
+    /// Replaces what is known of a run; turns go on where both have a limit.
+    fn replace(
+        &mut self,
+        upstream: &UpstreamName,
+        before: Option<KnownLimit>,
+        mut limit: KnownLimit,
+        now: Duration,
+    ) {
+        let is_limited = limit.rate_at(now).is_some();
+        match before.filter(|before| before.rate_at(now).is_some() && is_limited) {
+            Some(before) => {
+                limit.next_turn = before.next_turn;
+                limit.ask_after = before.ask_after;
+            }
+            None => drop(self.schedules.remove(upstream)),
         }
-        before.and_then(|before| before.rate) != rate
+        self.known.insert(upstream.clone(), limit);
     }
 
     /// Applies what another process told; returns whether the limit changed.
@@ -118,21 +194,23 @@
         self.record(&notice.upstream, notice.started_ms, notice.rate, seen_at)
     }
 
-    /// Returns the limits, for reports to other processes.
+    /// Returns the limits that upstreams named, for reports to other processes. Which upstreams are
+    /// cold, all of them read in the list.
     pub fn notices(&self, now: Duration) -> Vec<LimitNotice> {
-        let known = self.known.iter();
-        known.map(|(upstream, limit)| limit.notice(upstream, now)).collect()
+        let told = self.known.iter().filter(|(_, limit)| limit.seen_at.is_some());
+        told.map(|(upstream, limit)| limit.notice(upstream, limit.rate, now)).collect()
     }
 
-    /// Returns the notice of an upstream that names a limit.
+    /// Returns the notice of an upstream that has a limit.
     pub fn notice(&self, upstream: &UpstreamName, now: Duration) -> Option<LimitNotice> {
-        let limit = self.known.get(upstream).filter(|limit| limit.rate.is_some())?;
-        Some(limit.notice(upstream, now))
+        let limit = self.known.get(upstream)?;
+        let rate = limit.rate_at(now)?;
+        Some(limit.notice(upstream, Some(rate), now))
     }
 
-    /// Returns the limit of an upstream, if it names one.
-    pub fn rate(&self, upstream: &UpstreamName) -> Option<RequestRate> {
-        self.known.get(upstream)?.rate
+    /// Returns the limit of an upstream, if it has one.
+    pub fn rate(&self, upstream: &UpstreamName, now: Duration) -> Option<RequestRate> {
+        self.known.get(upstream)?.rate_at(now)
     }
 
     /// Returns the number of upstreams that name a limit.
@@ -153,7 +231,7 @@
         max_wait: Duration,
         now: Duration,
     ) -> Option<Duration> {
-        let limit = self.known.get(upstream).filter(|limit| limit.rate.is_some())?;
+        let limit = self.known.get(upstream).filter(|limit| limit.rate_at(now).is_some())?;
         if max_wait.is_zero() {
             let wait = limit.ask_after.saturating_sub(now);
             return (!wait.is_zero()).then_some(wait);
@@ -172,7 +250,8 @@
         now: Duration,
     ) {
         if let Some(limit) = self.known.get_mut(upstream) {
-            let pause = limit.rate.map_or(Duration::ZERO, |rate| interval(rate).mul_f64(spread));
+            let rate = limit.rate_at(now);
+            let pause = rate.map_or(Duration::ZERO, |rate| interval(rate).mul_f64(spread));
             limit.next_turn = now + wait;
             limit.ask_after = now + wait + pause;
         }
@@ -185,7 +264,7 @@
         max_wait: Duration,
         now: Duration,
     ) -> Turn {
-        let Some(rate) = self.rate(upstream) else {
+        let Some(rate) = self.rate(upstream, now) else {
             return Turn::After(Duration::ZERO);
         };
         let next = self.schedules.entry(upstream.clone()).or_insert(now + interval(rate));
@@ -200,7 +279,7 @@
 
     /// Counts a request that needs no turn, in the schedule of this process.
     pub fn count(&mut self, upstream: &UpstreamName, now: Duration) {
-        let Some(rate) = self.rate(upstream) else {
+        let Some(rate) = self.rate(upstream, now) else {
             return;
         };
         let next = self.schedules.entry(upstream.clone()).or_insert(now + interval(rate));
@@ -216,7 +295,8 @@
     /// Forgets limits that ended.
     pub fn expire(&mut self, now: Duration) {
         self.known.retain(|_, limit| {
-            limit.rate.is_some() || now.saturating_sub(limit.seen_at) < REPORT_TIME
+            let is_told = limit.seen_at.is_some_and(|seen_at| now < seen_at + REPORT_TIME);
+            limit.rate_at(now).is_some() || is_told
         });
     }
 }
--- a/src/process/upstream_registry.rs
+++ b/src/process/upstream_registry.rs
@@ -34,6 +34,8 @@
     pub slots: u32,
     /// Whether the upstream announced that it is leaving.
     pub draining: bool,
+    /// Time for which the upstream is cold, as of its entry: it takes few requests a second.
+    pub cold_time: Duration,
     /// The loaded models.
     pub models: Vec<LoadedModel>,
     /// Models whose weights are kept outside the accelerator, and so load fast.
--- a/src/units.rs
+++ b/src/units.rs
@@ -172,13 +172,23 @@
     }
 }
 
+impl TryFrom<f64> for RequestRate {
+    type Error = Error;
+
+    fn try_from(rate: f64) -> Result<Self> {
+        let valid = rate.is_finite() && rate >= 0.0;
+        valid
+            .then_some(RequestRate(rate))
+            .ok_or_else(|| invalid(format!("rate {rate} must be a decimal number, 0 or more")))
+    }
+}
+
 impl FromStr for RequestRate {
     type Err = Error;
 
     fn from_str(text: &str) -> Result<Self> {
-        let rate = text.trim().parse().ok().filter(|rate: &f64| rate.is_finite() && *rate >= 0.0);
-        rate.map(RequestRate)
-            .ok_or_else(|| invalid(format!("rate {text:?} must be a decimal number, 0 or more")))
+        let rate = text.trim().parse().ok().and_then(|rate: f64| RequestRate::try_from(rate).ok());
+        rate.ok_or_else(|| invalid(format!("rate {text:?} must be a decimal number, 0 or more")))
     }
 }
 
--- a/src/version/platform_config.rs
+++ b/src/version/platform_config.rs
@@ -4,7 +4,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use crate::{KeyDigest, ModelName, TenantName, Tokens};
+use crate::{KeyDigest, ModelName, RequestRate, TenantName, Tokens};
 
 /// Whether requests of a route may run more than once, and whether their response is a stream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -119,6 +119,10 @@
     pub max_connections: u32,
     /// Engine properties; `None` for a plain service.
     pub engine: Option<Engine>,
+    /// Time for which an upstream is cold after its start or its return.
+    pub cold_time: Duration,
+    /// Requests a second that a cold upstream takes; `None` if it takes as many as a warm one.
+    pub cold_rate: Option<RequestRate>,
 }
 
 /// A tenant with its priority and rate limit.
--- a/tests/evacuations.rs
+++ b/tests/evacuations.rs
@@ -31,6 +31,7 @@
         version: "v1".parse().unwrap(),
         slots: 8,
         draining: false,
+        cold_time: Duration::ZERO,
         models: Vec::new(),
         cached_models: Vec::new(),
         heartbeat: 0,
--- a/tests/order_tracker.rs
+++ b/tests/order_tracker.rs
@@ -73,6 +73,7 @@
             version: "v1".parse().unwrap(),
             slots: 64,
             draining: false,
+            cold_time: Duration::ZERO,
             models: self.loaded_models(),
             cached_models: Vec::new(),
             heartbeat,
--- a/tests/placement_gossip.rs
+++ b/tests/placement_gossip.rs
@@ -26,6 +26,7 @@
         version: "v1".parse().unwrap(),
         slots: 64,
         draining: false,
+        cold_time: Duration::ZERO,
         models: vec![LoadedModel { name: model(), adapters: vec!["a1".into()] }],
         cached_models: Vec::new(),
         heartbeat: 1,
--- a/tests/upstream_limits.rs
+++ b/tests/upstream_limits.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use carobglade::{
-    HubSelector, HubSelectorSettings, RequestRate, Turn, UpstreamLimits, UpstreamName, VmName,
-    VmProfile,
+    ColdLimit, HubSelector, HubSelectorSettings, RequestRate, Turn, UpstreamLimits, UpstreamName,
+    VmName, VmProfile,
 };
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -54,6 +54,62 @@
     assert_eq!(turn(ms(5001)), Turn::Refused(ms(499)), "unused turns are not saved up");
 }
 
+fn cold(text: &str, until: Duration) -> ColdLimit {
+    ColdLimit { rate: rate(text), until }
+}
+
+/// Guards against upstreams that come back cold and fall over from a second's requests.
+#[test]
+fn a_cold_upstream_has_turns_until_it_is_warm() {
+    let mut limits = UpstreamLimits::default();
+    assert!(limits.record_cold(&engine(), 1, cold("4", ms(3000)), ms(0)));
+    assert!(!limits.record_cold(&engine(), 1, cold("4", ms(2500)), ms(100)));
+    let sent = (0..300)
+        .filter(|step| limits.take_turn(&engine(), ms(0), ms(10 * step)) == Turn::After(ms(0)));
+    assert_eq!(sent.count(), 11, "four a second, none in the first interval");
+    assert_eq!(limits.rate(&engine(), ms(3000)), None);
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(3000)), Turn::After(ms(0)));
+    limits.expire(ms(3000));
+    assert!(limits.notices(ms(3000)).is_empty());
+}
+
+#[test]
+fn responses_without_a_limit_leave_a_cold_upstream_its_turns() {
+    let mut limits = UpstreamLimits::default();
+    limits.record_cold(&engine(), 1, cold("4", ms(3000)), ms(0));
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(0)), Turn::Refused(ms(250)));
+    assert!(!limits.record(&engine(), 1, None, ms(240)));
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(250)), Turn::After(ms(0)));
+    assert!(!limits.record(&engine(), 1, None, ms(260)));
+    assert_eq!(limits.take_turn(&engine(), ms(0), ms(270)), Turn::Refused(ms(230)));
+}
+
+#[test]
+fn the_lower_one_of_two_limits_holds() {
+    let mut limits = limited("2", ms(0));
+    limits.record_cold(&engine(), 1, cold("4", ms(3000)), ms(0));
+    assert_eq!(limits.rate(&engine(), ms(10)), Some(rate("2")));
+    limits.record(&engine(), 1, Some(rate("9")), ms(20));
+    assert_eq!(limits.rate(&engine(), ms(30)), Some(rate("4")));
+    assert_eq!(limits.rate(&engine(), ms(3000)), Some(rate("9")));
+    // Another run of the upstream is another upstream.
+    assert!(!limits.record_cold(&engine(), 0, cold("1", ms(9000)), ms(30)));
+    limits.record(&engine(), 2, None, ms(40));
+    assert_eq!(limits.rate(&engine(), ms(50)), None);
+}
+
+/// Guards against an owner of turns that has not read yet that the upstream is cold.
+#[test]
+fn a_request_for_a_turn_tells_that_an_upstream_is_cold() {
+    let mut limits = UpstreamLimits::default();
+    limits.record_cold(&engine(), 1, cold("4", ms(3000)), ms(0));
+    let mut owner = UpstreamLimits::default();
+    owner.apply(&limits.notice(&engine(), ms(100)).unwrap(), ms(100));
+    assert_eq!(owner.take_turn(&engine(), ms(0), ms(100)), Turn::Refused(ms(250)));
+    owner.record(&engine(), 1, None, ms(3100));
+    assert_eq!(owner.take_turn(&engine(), ms(0), ms(3100)), Turn::After(ms(0)));
+}
+
 #[test]
 fn requests_that_can_wait_get_turns_one_after_the_other() {
     let mut limits = limited("2", ms(0));
@@ -109,13 +165,13 @@
     assert!(!other.apply(&early[0], ms(1100)), "no news");
     one.record(&engine(), 1, None, ms(2000));
     assert!(other.apply(&one.notices(ms(2100))[0], ms(2100)));
-    assert_eq!(other.rate(&engine()), None);
+    assert_eq!(other.rate(&engine(), ms(0)), None);
     // A vm that has not heard of the end tells of the limit, 1.2 s old.
     assert!(!other.apply(&early[0].clone(), ms(1100)), "the limit that ended is back");
     // The next run of the upstream has said nothing of a limit.
     let mut restarted = limited("1", ms(1000));
     assert!(!restarted.record(&engine(), 2, None, ms(500)));
-    assert_eq!(restarted.rate(&engine()), None);
+    assert_eq!(restarted.rate(&engine(), ms(0)), None);
 }
 
 #[test]
@@ -186,7 +242,7 @@
     /// A vm that knows no limit does not ask.
     fn send(&mut self, name: &VmName, limit: RequestRate, now: Duration) -> Option<Duration> {
         let (limits, hubs) = self.vms.get_mut(name)?;
-        if limits.rate(&engine()).is_none() {
+        if limits.rate(&engine(), now).is_none() {
             // A vm that has just started sends, and the upstream's response tells it.
             limits.record(&engine(), 1, Some(limit), now);
             self.told_at.insert(name.clone(), now);
--- a/tests/upstream_registry.rs
+++ b/tests/upstream_registry.rs
@@ -20,6 +20,7 @@
         version: "v1".parse().unwrap(),
         slots: 8,
         draining: false,
+        cold_time: Duration::ZERO,
         models: vec![LoadedModel { name: "large".parse().unwrap(), adapters: vec!["a1".into()] }],
         cached_models: Vec::new(),
         heartbeat,
