A tenant beyond its rate is served by urgency

Cause: a tenant that asks for three times its rate gets its rate, and nobody decides which requests do. In a large fleet the few urgent ones are refused like the many others, since each vm leaves a low bucket to the others until it has heard from them.

What a tenant asks for is learned by class; of the burst, twice the share of those before a request is left to them, at most half; those that come first and ask for the smaller part take their tokens before the peers know.

--- a/crates/carob-edge/src/charge.rs
+++ b/crates/carob-edge/src/charge.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use carobglade::{Error, ErrorKind, PlatformTenant, Result, Tokens};
+use carobglade::{Error, ErrorKind, PlatformTenant, Result, Tokens, Urgency, UrgencyClass};
 
 use crate::edge::Edge;
 use crate::request::CallerRequest;
@@ -21,11 +21,13 @@
     };
     let mut wait = Duration::ZERO;
     let reserve = edge.largest_charge(&request.route.name, request.charged_tokens());
+    let urgency = record_demand(edge, request, tenant);
     loop {
-        let admitted = edge.rate_limiter.borrow_mut().admit_with_reserve(
+        let admitted = edge.rate_limiter.borrow_mut().admit_in_order(
             &tenant.name,
             request.charged_tokens(),
             reserve,
+            urgency,
             edge.now(),
         );
         let Err(missing) = admitted else {
@@ -36,7 +38,7 @@
         }
         let max_wait = MAX_QUOTA_WAIT.min(request.route.latency_goal / 4);
         if wait + missing > max_wait {
-            log_exceeded_rate(edge, request, tenant, reserve);
+            log_exceeded_rate(edge, request, tenant, reserve, urgency);
             let message = format!("tenant {} used up its rate", tenant.name);
             return Err(Error::new(ErrorKind::RateExceeded, message).with_retry_after(missing));
         }
@@ -45,12 +47,24 @@
     }
 }
 
+/// Records what a request asks for; returns where it stands among those of its tenant. The priority of
+/// a tenant is that of all its requests, so those of the routes count.
+fn record_demand(edge: &Edge, request: &CallerRequest, tenant: &PlatformTenant) -> Urgency {
+    let now = edge.now();
+    let (priority, latency_goal) = (request.route.priority, request.route.latency_goal);
+    let class = UrgencyClass { priority, latency_goal };
+    let mut demand = edge.urgent_demand.borrow_mut();
+    demand.record(&tenant.name, class, request.charged_tokens(), now);
+    demand.urgency(&tenant.name, class, now)
+}
+
 /// Logs what this process knew of the tenant's bucket when it refused a request.
 fn log_exceeded_rate(
     edge: &Edge,
     request: &CallerRequest,
     tenant: &PlatformTenant,
     reserve: Tokens,
+    urgency: Urgency,
 ) {
     let bucket = edge.rate_limiter.borrow().bucket(&tenant.name).unwrap_or_default();
     log::info!(
@@ -59,6 +73,7 @@
         tenant = tenant.name.as_str(),
         tokens = request.charged_tokens().0,
         reserve = reserve.0,
+        above = (urgency.above * 100.0) as u64,
         rate = bucket.rate,
         burst = bucket.burst,
         level = bucket.level,
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -14,7 +14,8 @@
     HubSelectorSettings, Incarnation, Load, LoadTracker, ModelDemand, PlacementGossip,
     PlatformConfig, PromptQuarantine, RateLimiter, RateLimiterSettings, RecentMaximum,
     ResponseTimes, RetryBudget, RetryBudgetSettings, Suspect, Suspects, TokenPace, Tokens,
-    UpstreamCrash, UpstreamLimits, UpstreamName, UpstreamRooms, UsageRelay, VmName, VmProfile,
+    UpstreamCrash, UpstreamLimits, UpstreamName, UpstreamRooms, UrgentDemand, UsageRelay, VmName,
+    VmProfile,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -77,6 +78,8 @@
     pub loads: RefCell<LoadTracker>,
     /// Token buckets of tenants.
     pub rate_limiter: RefCell<RateLimiter>,
+    /// Tokens that tenants ask for, by the priority of routes.
+    pub urgent_demand: RefCell<UrgentDemand>,
     /// Tokens that the largest recent request of each route was charged.
     largest_charges: RefCell<BTreeMap<String, RecentMaximum>>,
     /// Demand for models, from this vm and its peers.
@@ -207,6 +210,7 @@
             view: RefCell::new(ClusterView::new(Duration::from_millis(settings.bounds.revoke))),
             loads: RefCell::default(),
             rate_limiter: RefCell::new(RateLimiter::new(limiter_settings, settings.first, now)),
+            urgent_demand: RefCell::default(),
             largest_charges: RefCell::default(),
             demand: RefCell::default(),
             token_pace: RefCell::default(),
@@ -297,6 +301,7 @@
         for tenant in config.tenants.values() {
             rate_limiter.set_limits(&tenant.name, tenant.rate, tenant.burst);
         }
+        self.urgent_demand.borrow_mut().retain(|name| config.tenants.contains_key(name));
         self.largest_charges
             .borrow_mut()
             .retain(|name, _| config.routes.values().flatten().any(|route| route.name == *name));
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -90,8 +90,8 @@
     AttemptHistory, AttemptOutcome, DispatchCandidate, DispatchDecision, DispatchSettings,
     HedgeSettings, HedgeTimer, ModelCall, RecentMaximum, RequestClass, RequestTiming, RequestWork,
     RetryBudget, RetryBudgetSettings, RetryDecision, StopAdmission, StopAdmissionSettings,
-    TokenPace, dispatch, estimate_prompt_tokens, extract_api_key, is_credential_header,
-    strip_query_keys,
+    TokenPace, Urgency, UrgencyClass, UrgentDemand, dispatch, estimate_prompt_tokens,
+    extract_api_key, is_credential_header, strip_query_keys,
 };
 pub use units::{
     ByteSize, DataCentre, Incarnation, LogEra, ModelName, Offset, PromptPart, RejectionLimit,
--- a/src/process/quota/rate_limiter.rs
+++ b/src/process/quota/rate_limiter.rs
@@ -12,10 +12,16 @@
 
 use super::report_times::{PeerChange, ReportTimes};
 use super::tenant_bucket::{BucketState, PeerUsage, TenantBucket};
-use crate::{Incarnation, TenantName, Tokens, VmName};
+use crate::{Incarnation, TenantName, Tokens, Urgency, VmName};
 
 /// Fraction of the burst up to which a bucket keeps a reserve.
 const MAX_RESERVE_FRACTION: f64 = 0.5;
+/// What is left to more urgent requests, in multiples of their share of the burst: they do not come
+/// evenly.
+const KEPT_FACTOR: f64 = 2.0;
+/// Largest fraction of a tenant's tokens that requests ask for which may take them before the peers
+/// know. What the others leave them covers what all processes take unseen.
+const MAX_FIRST_SHARE: f64 = 0.5;
 
 /// Settings of a [`RateLimiter`].
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -251,31 +257,56 @@
         tokens: Tokens,
         reserve: Tokens,
         now: Duration,
+    ) -> Result<(), Duration> {
+        self.admit_in_order(tenant, tokens, reserve, Urgency::ALIKE, now)
+    }
+
+    /// Admits a request as [`admit_with_reserve`](Self::admit_with_reserve) does, in the order of a
+    /// tenant's requests: a part of the burst, as large as the share of more urgent requests, is left
+    /// to them, though at most half of the burst with the reserve. Requests that ask for the smaller
+    /// part of the tenant's tokens may take them before the peers know; the others wait for that.
+    ///
+    /// # Errors
+    ///
+    /// The time until a retry may succeed, as for [`admit`](Self::admit).
+    pub fn admit_in_order(
+        &mut self,
+        tenant: &TenantName,
+        tokens: Tokens,
+        reserve: Tokens,
+        urgency: Urgency,
+        now: Duration,
     ) -> Result<(), Duration> {
         self.advance(now);
         let fleet = self.fleet();
         let Some(bucket) = self.buckets.get_mut(tenant).filter(|b| b.rate > 0.0) else {
             return Ok(());
         };
-        let reserve = (reserve.0 as f64).min(bucket.burst * MAX_RESERVE_FRACTION);
-        let needed = (tokens.0 as f64).max(reserve).min(bucket.burst);
-        let level = bucket.level - bucket.peer_flow(now) * self.relay_delay.as_secs_f64();
+        let max_reserve = bucket.burst * MAX_RESERVE_FRACTION;
+        let reserve = (reserve.0 as f64).min(max_reserve);
+        let kept = (bucket.burst * urgency.above * KEPT_FACTOR).min(max_reserve - reserve);
+        let tokens = tokens.0 as f64;
+        let needed = tokens.max(reserve).min(bucket.burst - kept);
+        let level = bucket.level - bucket.peer_flow(now) * self.relay_delay.as_secs_f64() - kept;
         if level < needed {
             let wait = (needed - level) / bucket.rate;
             return Err(Duration::from_secs_f64(wait.min(60.0)));
         }
         let limit = (level + bucket.unreported) / fleet * self.settings.unreported_shares;
-        if bucket.unreported > 0.0 && bucket.unreported + tokens.0 as f64 > limit {
+        let is_first = urgency.within <= MAX_FIRST_SHARE;
+        if bucket.unreported > 0.0 && bucket.unreported + tokens > limit {
             self.report_due = true;
-            return Err(self.settings.report_delay);
+            if !is_first {
+                return Err(self.settings.report_delay);
+            }
         }
-        if bucket.defers_to_peers(tokens.0 as f64, level, fleet, self.relay_delay, now) {
+        if !is_first && bucket.defers_to_peers(tokens, level, fleet, self.relay_delay, now) {
             return Err(self.settings.report_delay);
         }
-        bucket.record_taken(tokens.0 as f64, self.relay_delay, now);
-        bucket.level -= tokens.0 as f64;
-        bucket.unreported += tokens.0 as f64;
-        bucket.total += tokens.0;
+        bucket.record_taken(tokens, self.relay_delay, now);
+        bucket.level -= tokens;
+        bucket.unreported += tokens;
+        bucket.total += tokens as u64;
         Ok(())
     }
 
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -13,6 +13,7 @@
 pub mod routing;
 mod stop_admission;
 mod token_pace;
+mod urgent_demand;
 
 pub use api_key::{extract_api_key, is_credential_header, strip_query_keys};
 pub use attempt_history::{AttemptHistory, AttemptOutcome, RetryDecision};
@@ -26,3 +27,4 @@
 pub use retry_budget::{RetryBudget, RetryBudgetSettings};
 pub use stop_admission::{RequestWork, StopAdmission, StopAdmissionSettings};
 pub use token_pace::TokenPace;
+pub use urgent_demand::{Urgency, UrgencyClass, UrgentDemand};
--- a/tests/rate_limiter/main.rs
+++ b/tests/rate_limiter/main.rs
@@ -6,6 +6,7 @@
 mod support;
 mod same_levels;
 mod simulated_fleet;
+mod urgent_requests;
 mod walking_limiter;
 mod withdrawn_tenants;
 
