--- a/src/process/prompt_quarantine/evidence.rs
+++ b/src/process/prompt_quarantine/evidence.rs
@@ -169,6 +169,24 @@
         (Reverse(self.threshold), self.crashes.len(), self.position, any_model)
     }
 
+    /// Reports whether this suspect, a later part, explains most of the crashes of `other`, and the
+    /// others are weakly linked ones that block no part by themselves: requests without the part may
+    /// have waited at those upstreams beside a deadly one that left no evidence, as one that was
+    /// given up.
+    fn narrows(&self, other: &Candidate<'_>, is_doubtful: impl Fn(&UpstreamCrash) -> bool) -> bool {
+        let mut surplus = other.crashes.clone();
+        surplus.retain(|crash, _| !self.crashes.contains_key(crash));
+        let is_part = self.crashes.len() + surplus.len() == other.crashes.len();
+        let is_weak = surplus.values().all(|strength| *strength == EvidenceStrength::Weak);
+        let weight = total_weight(&surplus, &is_doubtful);
+        self.position > other.position
+            && self.threshold <= other.threshold
+            && is_part
+            && is_weak
+            && weight < other.threshold
+            && weight < total_weight(&self.crashes, &is_doubtful)
+    }
+
     /// Reports whether several later parts of prompts explain the crashes too, each of them more
     /// than one: the suspect may only be what they have in common.
     fn is_ambiguous(&self, all: &[Candidate<'_>]) -> bool {
@@ -280,7 +298,7 @@
     ///
     /// Suspects with a low threshold come first, and of these the one with the most crashes. Of
     /// several that were in the same requests the last part counts, since the parts before it are
-    /// shared with more requests.
+    /// shared with more requests, which may be in flight at further crashes by chance.
     pub fn explain(
         &self,
         threshold: impl Fn(&Suspect) -> usize,
@@ -290,12 +308,14 @@
         let mut left = all.clone();
         let mut explanations = Vec::new();
         loop {
-            left.retain(|candidate| {
+            let weighty = left.iter().filter(|candidate| {
                 total_weight(&candidate.crashes, &is_doubtful) >= candidate.threshold
             });
-            let Some(best) = left.iter().max_by_key(|candidate| candidate.rank()).cloned() else {
+            let Some(first) = weighty.max_by_key(|candidate| candidate.rank()) else {
                 return explanations;
             };
+            let narrower = left.iter().filter(|other| other.narrows(first, &is_doubtful));
+            let best = narrower.max_by_key(|candidate| candidate.rank()).unwrap_or(first).clone();
             left.retain(|candidate| candidate.suspect != best.suspect);
             if best.is_ambiguous(&all) {
                 continue;
@@ -322,15 +342,22 @@
         candidates.collect()
     }
 
-    /// Reports whether all crashes that count against a suspect are in `explanations`.
-    pub fn is_explained(&self, suspect: &Suspect, explanations: &[Explanation]) -> bool {
+    /// Returns the weight of the crashes that count against a suspect and are not in `explanations`.
+    pub fn unexplained_weight(
+        &self,
+        suspect: &Suspect,
+        explanations: &[Explanation],
+        is_doubtful: impl Fn(&UpstreamCrash) -> bool,
+    ) -> usize {
         let Some(record) = self.suspects.get(suspect) else {
-            return false;
+            return 0;
         };
-        let explained = |crash: &&UpstreamCrash| {
+        let is_explained = |crash: &UpstreamCrash| {
             explanations.iter().any(|explanation| explanation.crashes.contains(crash))
         };
-        record.open_crashes().keys().all(explained)
+        let mut crashes = record.open_crashes();
+        crashes.retain(|crash, _| !is_explained(crash));
+        total_weight(&crashes, is_doubtful)
     }
 
     /// Returns the latest changes with evidence of one strength, for reports to other processes.
--- a/src/process/prompt_quarantine/mod.rs
+++ b/src/process/prompt_quarantine/mod.rs
@@ -257,7 +257,10 @@
             let threshold = self.threshold(&suspect);
             let weight = self.open_weight(&suspect);
             let undoubted = self.evidence.open_weight(&suspect, |_| false);
-            if weight >= threshold && self.evidence.is_explained(&suspect, &explanations) {
+            let is_doubtful = |crash: &UpstreamCrash| self.overloads.is_doubtful(crash);
+            let unexplained =
+                self.evidence.unexplained_weight(&suspect, &explanations, is_doubtful);
+            if weight >= threshold && unexplained < threshold {
                 changes.extend(self.lift(&suspect, VerdictReason::OtherPart, now));
             } else if weight < threshold && undoubted >= threshold {
                 changes.extend(self.lift(&suspect, VerdictReason::Overload, now));
--- a/tests/prompt_quarantine.rs
+++ b/tests/prompt_quarantine.rs
@@ -103,6 +103,46 @@
     assert!(!is_blocked(&quarantine, &["a", "c"], secs(6)));
 }
 
+/// Guards against sound requests that are refused since one of them waited at an upstream that a
+/// deadly request crashed which was given up at the block, so that it left no evidence itself.
+#[test]
+fn requests_that_wait_at_one_crash_more_do_not_move_a_block() {
+    for (strength, crashes) in [(Strong, 3), (Weak, 6)] {
+        for waits_first in [true, false] {
+            let mut quarantine = PromptQuarantine::default();
+            let wait_at = |quarantine: &mut PromptQuarantine| {
+                quarantine.record_crash(&prompt(&["a", "b"]), Weak, &crash(10), secs(7));
+            };
+            if waits_first {
+                wait_at(&mut quarantine);
+            }
+            for number in 0..crashes {
+                let deadly = prompt(&["a", "b", "dead"]);
+                quarantine.record_crash(&deadly, strength, &crash(number), secs(7));
+            }
+            wait_at(&mut quarantine);
+            assert!(is_blocked(&quarantine, &["dead"], secs(7)), "{strength:?}, {waits_first}");
+            assert!(!is_blocked(&quarantine, &["a", "b"], secs(7)), "{strength:?}, {waits_first}");
+        }
+    }
+}
+
+/// The part that all crashes have in common is found in the end, though the first ones had a later
+/// part in common, too.
+#[test]
+fn crashes_before_the_response_move_a_block_once_they_suffice_for_one() {
+    let mut quarantine = PromptQuarantine::default();
+    for number in 0..6 {
+        quarantine.record_crash(&prompt(&["a", "dead", "chance"]), Weak, &crash(number), secs(1));
+    }
+    for number in 6..12 {
+        assert!(is_blocked(&quarantine, &["chance"], secs(2)), "crash {number}");
+        quarantine.record_crash(&prompt(&["a", "dead"]), Weak, &crash(number), secs(2));
+    }
+    assert!(is_blocked(&quarantine, &["a", "dead"], secs(2)));
+    assert!(!is_blocked(&quarantine, &["chance"], secs(2)));
+}
+
 #[test]
 fn one_crash_counts_once_however_many_requests_and_processes_saw_it() {
     let mut quarantine = PromptQuarantine::default();
