Requests go where the work is least, by learned costs and speeds

What callers saw: requests with the same tokens take engines very different times: a model's prompts are read up to nine times as fast as another's, and engines differ in speed. A vm of 71 sends one engine a request in some ten seconds, so it never learns either; it counted tokens, and took one ratio for all models of an engine.

Change: `WorkHistory` sums observed and nominal time by model and by upstream; `WorkCosts` decides which request tells what; vms tell each other their sums every two seconds, in a part at the end of their messages. The backlog of an engine counts work in place of tokens. Switched on for services whose configuration holds models of unlike size.

--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -6,8 +6,8 @@
 use bytes::Bytes;
 use carob_platform::{ResponseKind, UpstreamHeaders, strip_response_headers};
 use carobglade::{
-    AttemptOutcome, Error, EventSplitter, EvidenceStrength, RequestRate, SoftwareVersion,
-    StreamPoint, UpstreamName,
+    AttemptOutcome, Error, EventSplitter, EvidenceStrength, ExpectedWork, RequestRate,
+    SoftwareVersion, StreamPoint, UpstreamName,
 };
 use http::HeaderMap;
 
@@ -24,6 +24,7 @@
 use crate::request::CallerRequest;
 use crate::rooms;
 use crate::turns;
+use crate::work;
 
 /// Maximum size of a response that is not streamed.
 const MAX_RESPONSE_BYTES: usize = 8 << 20;
@@ -138,6 +139,7 @@
     upstream: UpstreamName,
     version: SoftwareVersion,
     estimate: Duration,
+    work: ExpectedWork,
     running: u32,
     load_tokens: u64,
     started: Duration,
@@ -154,6 +156,7 @@
             upstream: choice.entry.name.clone(),
             version: choice.entry.version.clone(),
             estimate: choice.estimate,
+            work: choice.work.unwrap_or_default(),
             running: choice.running,
             load_tokens: choice.load_tokens,
             started: edge.now(),
@@ -180,7 +183,7 @@
 
     fn log(&self, end: &str) {
         let limit = self.head.limit.map(|limit| limit.to_string()).unwrap_or_default();
-        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, connection:% = self.connection, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
+        log::info!(target: "request", id = self.id.as_str(), upstream:% = self.upstream, version:% = self.version, end = end, connection:% = self.connection, status = self.head.status, limit = limit.as_str(), took = self.took().as_millis() as u64, expected = self.estimate.as_millis() as u64, cost = (self.work.cost * 100.0) as u64, slowness = (self.work.slowness * 100.0) as u64, running = self.running, load = self.load_tokens; "An upstream was tried.");
     }
 
     /// Records the result in the loads and in the log; a transport error marks the request as a
@@ -199,6 +202,7 @@
         let end = match result {
             Ok(ReceivedResponse::Stream(..)) => {
                 loads.record_latency(&request.service, &self.upstream, self.took(), self.estimate);
+                work::record_first_event(&self.edge, request, choice, &self.upstream, self.took());
                 "open"
             }
             Ok(ReceivedResponse::Full(_)) => {
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -5,8 +5,8 @@
 
 use carobglade::{
     AdapterId, DispatchCandidate, DispatchDecision, DispatchSettings, Error, ErrorKind,
-    GossipSource, RequestTiming, Result, RouteKind, SoftwareVersion, UpstreamEntry, UpstreamName,
-    dispatch,
+    ExpectedWork, GossipSource, RequestTiming, Result, RouteKind, SoftwareVersion, UpstreamEntry,
+    UpstreamName, dispatch,
 };
 use rand::Rng;
 
@@ -16,6 +16,7 @@
 use crate::rooms::{self, RoomGuard};
 use crate::stop_admission;
 use crate::turns;
+use crate::work;
 
 /// Time between two output tokens of a busy engine.
 const TIME_PER_TOKEN: Duration = Duration::from_millis(14);
@@ -31,6 +32,8 @@
     pub entry: UpstreamEntry,
     /// The expected time to the first byte.
     pub estimate: Duration,
+    /// What was expected of an upstream of normal speed, where costs are learned.
+    pub work: Option<ExpectedWork>,
     /// Requests that ran at the upstream when it was chosen, as far as this process knows.
     pub running: u32,
     /// Tokens of these requests.
@@ -277,14 +280,20 @@
     let total = loads.total_load(&entry.name, now);
     let stats = loads.stats(&request.service, &entry.name);
     let engine = request.config.engine(&request.service);
+    let cost = work::token_cost(edge, request);
+    let latency_ratio = match cost {
+        Some(_) => edge.work.borrow().slowness(&entry.name, stats.latency_ratio),
+        None => stats.latency_ratio,
+    };
     DispatchCandidate {
         prompt_backlog: total.prompt_backlog,
         prefill_tokens: request.prompt_tokens(),
+        token_cost: cost,
         token_rate: total.tokens_per_stream(),
         running: total.running,
         slots: entry.slots,
         memory: engine.map_or((0, 0), |engine| (total.tokens, engine.kv_capacity.0)),
-        latency_ratio: stats.latency_ratio,
+        latency_ratio,
         failure_rate: stats.failure_rate,
         remote: entry.data_centre.as_str() != edge.settings.data_centre,
     }
@@ -332,9 +341,11 @@
             let entry =
                 eligible.into_iter().nth(index).ok_or_else(|| unavailable_error(edge, request))?;
             let candidate = dispatch_candidates[index];
+            let expected = candidate.expected_work(&timing, &DispatchSettings::default());
             Ok(Choice {
                 entry,
                 estimate,
+                work: candidate.token_cost.map(|_| expected),
                 running: candidate.running,
                 load_tokens: candidate.memory.0,
                 token_rate: candidate.token_rate,
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -15,7 +15,7 @@
     PlatformConfig, PromptQuarantine, RateLimiter, RateLimiterSettings, RecentMaximum,
     ResponseTimes, RetryBudget, RetryBudgetSettings, Suspect, Suspects, TokenPace, Tokens,
     UpstreamCrash, UpstreamLimits, UpstreamName, UpstreamRooms, UrgentDemand, UsageRelay, VmName,
-    VmProfile,
+    VmProfile, WorkCosts,
 };
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -104,6 +104,8 @@
     pub usage_relay: RefCell<UsageRelay>,
     /// Cached sums over all vms with the time when they were computed, for digests to members.
     totals: RefCell<Option<(Duration, Rc<Totals>)>>,
+    /// What requests for each model cost, and how slow each upstream is.
+    pub work: RefCell<WorkCosts>,
     /// Requested adapters, and the placement changes that were announced.
     pub placement: RefCell<PlacementGossip>,
     /// Pooled connections to upstreams and to the log.
@@ -223,6 +225,7 @@
             hubs: RefCell::new(hubs),
             usage_relay: RefCell::default(),
             totals: RefCell::default(),
+            work: RefCell::default(),
             placement: RefCell::default(),
             pool,
             response_budget: ByteBudget::new(MAX_RESPONSES_BYTES),
@@ -338,6 +341,7 @@
         self.pool.close_idle(name);
         self.paths.table.borrow_mut().remove(name);
         self.loads.borrow_mut().reset_stats(name);
+        self.work.borrow_mut().reset_upstream(name);
         self.placement.borrow_mut().remove_updates(name);
     }
 
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -62,6 +62,7 @@
 mod undecoded;
 mod view;
 pub mod wire;
+mod work;
 
 pub use logging::start as start_logging;
 pub use process::run;
--- a/crates/carob-edge/src/load_guard.rs
+++ b/crates/carob-edge/src/load_guard.rs
@@ -7,12 +7,14 @@
 use crate::edge::Edge;
 use crate::request::CallerRequest;
 use crate::rooms::RoomGuard;
+use crate::work;
 
 /// Counts a request in the load of its upstream until the guard is dropped.
 pub struct LoadGuard {
     edge: Rc<Edge>,
     name: UpstreamName,
     service: String,
+    /// Work of the prompt while it counts in the backlog.
     prompt: u64,
     tokens: u64,
     /// Output tokens in one event, while the progress of the stream is recorded.
@@ -31,8 +33,8 @@
         name: &UpstreamName,
         room: Option<Rc<RoomGuard>>,
     ) -> Self {
-        let prompt = request.prompt_tokens();
-        let tokens = prompt + request.expected_output();
+        let prompt = work::prompt_work(edge, request);
+        let tokens = request.prompt_tokens() + request.expected_output();
         edge.loads.borrow_mut().record_start(name, prompt, tokens);
         if let (Some(model), Some(adapter)) =
             (&request.caller_headers.model, &request.caller_headers.adapter)
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -44,6 +44,19 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireProgress(pub u32, pub u64, pub u64);
 
+/// Times of requests: name hash, observed and nominal milliseconds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireTimes(pub u32, pub u32, pub u32);
+
+/// Costs of models and slowness of upstreams, as sums of times.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WireWork {
+    /// Times of prompts, by hash of service and model.
+    pub models: Vec<WireTimes>,
+    /// Times to the first event, by hash of the upstream.
+    pub upstreams: Vec<WireTimes>,
+}
+
 /// Builds the usage report of this vm.
 pub fn own_usage_report(edge: &Edge) -> UsageReport {
     edge.update_fleet_size();
@@ -182,6 +195,9 @@
     /// Upstreams that said that they are leaving; encoded after the eras.
     #[serde(skip)]
     pub leaving_upstreams: Vec<LeavingNotice>,
+    /// Costs of models and slowness of upstreams, in some messages; encoded after the weak evidence.
+    #[serde(skip)]
+    pub work: Option<WireWork>,
 }
 
 /// A message with what was lost of it.
@@ -215,7 +231,7 @@
         let added = (&self.extension, &self.quarantine, &self.limits, &self.rooms, &self.duties);
         bytes.extend(postcard::to_allocvec(&added)?);
         bytes.extend(postcard::to_allocvec(&(&self.reading_eras, &self.leaving_upstreams))?);
-        bytes.extend(postcard::to_allocvec(&self.quarantine.weak)?);
+        bytes.extend(postcard::to_allocvec(&(&self.quarantine.weak, &self.work))?);
         Ok(bytes)
     }
 
@@ -239,7 +255,8 @@
         let rest = take_added(rest, &mut self.duties)?;
         let rest = take_added(rest, &mut self.reading_eras)?;
         let rest = take_added(rest, &mut self.leaving_upstreams)?;
-        take_added(rest, &mut self.quarantine.weak)?;
+        let rest = take_added(rest, &mut self.quarantine.weak)?;
+        take_added(rest, &mut self.work)?;
         Ok(())
     }
 
@@ -345,6 +362,7 @@
             duties: None,
             reading_eras: Vec::new(),
             leaving_upstreams: Vec::new(),
+            work: None,
         }
     }
 
@@ -386,6 +404,11 @@
         Message { own_usage, ..self }
     }
 
+    /// Adds costs of models and slowness of upstreams.
+    pub fn with_work(self, work: Option<WireWork>) -> Self {
+        Message { work, ..self }
+    }
+
     /// Takes all usage reports out of the message, including the sender's.
     pub fn take_reports(&mut self) -> Vec<UsageReport> {
         let relayed = std::mem::take(&mut self.relayed_usage);
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -21,10 +21,12 @@
 use crate::edge::Edge;
 use crate::send_interval;
 use crate::view::PeerVm;
+use crate::work;
 
 use message::own_usage_report;
 pub use message::{
-    Decoded, Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading, WireUsageReport,
+    Decoded, Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading, WireTimes,
+    WireUsageReport, WireWork,
 };
 pub use receive::listen;
 pub use sender_role::SenderRole;
@@ -36,6 +38,8 @@
 const UPDATE_REPEAT_TIME: Duration = Duration::from_millis(450);
 /// Interval between two usage reports in a fleet with hubs.
 const USAGE_INTERVAL: Duration = Duration::from_millis(400);
+/// Interval between two reports of the work of requests.
+const WORK_INTERVAL: Duration = Duration::from_secs(2);
 /// Time for which a hub batches usage reports.
 const RELAY_INTERVAL: Duration = Duration::from_millis(120);
 const MAX_MESSAGE_BYTES: usize = 48 << 10;
@@ -54,6 +58,7 @@
 /// Sends the state of this vm to other vms periodically, and at once when there is news.
 pub async fn run_sender(edge: Rc<Edge>, socket: Rc<UdpSocket>) {
     let mut reported_at = Duration::ZERO;
+    let mut work_told_at = Duration::ZERO;
     loop {
         let uses_hubs = edge.hubs.borrow().uses_hubs();
         let news =
@@ -61,8 +66,12 @@
         if news.await.is_ok() {
             tokio::time::sleep(MIN_SEND_INTERVAL).await;
         }
+        let tells_work = edge.now().saturating_sub(work_told_at) >= WORK_INTERVAL;
+        if tells_work {
+            work_told_at = edge.now();
+        }
         if !uses_hubs {
-            send_to_peers(&edge, &socket);
+            send_to_peers(&edge, &socket, tells_work);
             continue;
         }
         let urgent = edge.rate_limiter.borrow().is_report_due();
@@ -70,15 +79,16 @@
         if due {
             reported_at = edge.now();
         }
-        send_through_hubs(&edge, &socket, due.then(|| own_usage_report(&edge)));
+        send_through_hubs(&edge, &socket, due.then(|| own_usage_report(&edge)), tells_work);
     }
 }
 
-fn send_to_peers(edge: &Edge, socket: &UdpSocket) {
+fn send_to_peers(edge: &Edge, socket: &UdpSocket, tells_work: bool) {
     let responder = edge.hubs.borrow_mut().log_reader(edge.now());
     edge.hubs.borrow_mut().record_request(&responder, edge.now());
     let message = Message::new(edge, SenderRole::Peer).with_own_usage(Some(own_usage_report(edge)));
-    let message = message.with_responder(&responder);
+    let work = tells_work.then(|| work::report(edge, SenderRole::Peer));
+    let message = message.with_responder(&responder).with_work(work);
     let peers: BTreeMap<VmName, PeerVm> = edge.view.borrow().peers.clone();
     let Some(bytes) = encode(&message) else {
         return;
@@ -90,12 +100,18 @@
 
 /// Sends the report of a member to its hub. A hub instead sends its sums to the hubs of the other
 /// data centres, and a digest to its members when there is urgent news.
-fn send_through_hubs(edge: &Edge, socket: &UdpSocket, report: Option<UsageReport>) {
+fn send_through_hubs(
+    edge: &Edge,
+    socket: &UdpSocket,
+    report: Option<UsageReport>,
+    tells_work: bool,
+) {
     let now = edge.now();
     if !edge.hubs.borrow_mut().is_hub(now) {
         let data_centre = edge.hubs.borrow().profile().data_centre.clone();
         let hub = edge.hubs.borrow_mut().hub_of(&data_centre, now);
-        let message = Message::new(edge, SenderRole::Member).with_own_usage(report);
+        let work = tells_work.then(|| work::report(edge, SenderRole::Member));
+        let message = Message::new(edge, SenderRole::Member).with_own_usage(report).with_work(work);
         hub.iter().for_each(|hub| send_request(edge, socket, hub, &message));
         return;
     }
@@ -103,7 +119,8 @@
         edge.usage_relay.borrow_mut().relay_to_all(report);
         edge.relay_wakeup.notify_one();
     }
-    let sums = Message::new(edge, SenderRole::Hub);
+    let work = tells_work.then(|| work::report(edge, SenderRole::Hub));
+    let sums = Message::new(edge, SenderRole::Hub).with_work(work);
     let hubs = other_hubs(edge);
     hubs.iter().for_each(|hub| edge.hubs.borrow_mut().record_request(hub, now));
     send_to_each(edge, socket, &hubs, &sums);
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -8,7 +8,7 @@
 
 use super::message::{Decoded, Message, VERSION};
 use super::sender_role::SenderRole;
-use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_digest, send_to};
+use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_to};
 use crate::duty_claims::{self, CLAIM_VERSION};
 use crate::edge::Edge;
 use crate::leaving;
@@ -18,6 +18,7 @@
 use crate::rooms::{self, ROOM_VERSION};
 use crate::turns::{self, TURN_VERSION};
 use crate::view::PeerVm;
+use crate::work;
 
 /// Label of messages that cannot be decoded in metrics.
 const MESSAGE_ROLE: &str = "message";
@@ -144,6 +145,9 @@
     if let Some(claim) = &message.duties {
         duty_claims::apply(edge, &message.vm, claim);
     }
+    if let Some(work) = &message.work {
+        work::apply(edge, &message.vm, work);
+    }
     quarantine::apply_report(edge, &message.quarantine);
     quarantine::apply_suspects(edge, &message.suspects);
 }
@@ -169,7 +173,9 @@
 fn respond(edge: &Edge, socket: &UdpSocket, message: &Message) {
     match message.sender {
         SenderRole::Member => {
-            send_digest(edge, socket, &message.vm, message.request_time, message.since)
+            let work = message.work.as_ref().map(|_| edge.work.borrow().excluding_vm(&message.vm));
+            let digest = Message::digest(edge, &message.vm, message.request_time, message.since);
+            send_to(edge, socket, &message.vm, &digest.with_work(work.map(Into::into)));
         }
         SenderRole::Peer if message.responder == Some(name_hash(edge.vm.as_str())) => {
             let readings = Message::readings(edge, message.request_time, message.since);
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -105,6 +105,7 @@
         edge.metrics.record_state(process_state(&edge));
         edge.pool.close_expired();
         edge.loads.borrow_mut().decay_stats();
+        edge.work.borrow_mut().decay(edge.now());
         edge.suspects.borrow_mut().expire(edge.clock.unix_millis());
         quarantine::maintain(&edge);
         evacuation::update(&edge);
--- a/crates/carob-edge/src/wire.rs
+++ b/crates/carob-edge/src/wire.rs
@@ -10,7 +10,7 @@
 pub use crate::origin_message::{ORIGIN_VERSION, OriginMessage};
 pub use crate::peers::{
     Decoded, Extension, Message, OwnUsage, SenderRole, UnknownNumber, WireLoad, WireProgress,
-    WireReading, WireReporter, WireTopic, WireUsageReport,
+    WireReading, WireReporter, WireTimes, WireTopic, WireUsageReport, WireWork,
 };
 pub use crate::rooms::{ROOM_VERSION, RoomMessage};
 pub use crate::turns::{TURN_VERSION, TurnMessage};
--- a/crates/carob-edge/tests/old_builds/newer.rs
+++ b/crates/carob-edge/tests/old_builds/newer.rs
@@ -50,9 +50,9 @@
 
 #[test]
 fn bytes_after_a_message_are_ignored() {
-    let longer = [&bytes("weak/peer_message.hex")[..], APPENDED].concat();
+    let longer = [&bytes("work/peer_message.hex")[..], APPENDED].concat();
     let decoded = Message::decode(&longer).unwrap();
-    assert_eq!(decoded.message, values::peer_message_with_weak_evidence());
+    assert_eq!(decoded.message, values::peer_message_with_work());
     assert_eq!(decoded.lost, None);
 }
 
--- a/crates/carob-edge/tests/old_builds/samples.rs
+++ b/crates/carob-edge/tests/old_builds/samples.rs
@@ -60,8 +60,8 @@
     let sample = bytes("peer_message.hex");
     let value = values::peer_message();
     assert_eq!(Message::decode(&sample).unwrap().message, value);
-    // This build appends three lists; an empty one is a zero.
-    assert_eq!(value.encode().unwrap(), [&sample[..], &[0, 0, 0]].concat());
+    // This build appends four parts; an empty one is a zero.
+    assert_eq!(value.encode().unwrap(), [&sample[..], &[0, 0, 0, 0]].concat());
 }
 
 #[test]
@@ -69,7 +69,7 @@
     let sample = bytes("eras/peer_message.hex");
     let value = values::peer_message_with_eras();
     assert_eq!(Message::decode(&sample).unwrap().message, value);
-    assert_eq!(value.encode().unwrap(), [&sample[..], &[0]].concat());
+    assert_eq!(value.encode().unwrap(), [&sample[..], &[0, 0]].concat());
 }
 
 #[test]
@@ -77,6 +77,14 @@
     let sample = bytes("weak/peer_message.hex");
     let value = values::peer_message_with_weak_evidence();
     assert_eq!(Message::decode(&sample).unwrap().message, value);
+    assert_eq!(value.encode().unwrap(), [&sample[..], &[0]].concat());
+}
+
+#[test]
+fn peer_message_with_work() {
+    let sample = bytes("work/peer_message.hex");
+    let value = values::peer_message_with_work();
+    assert_eq!(Message::decode(&sample).unwrap().message, value);
     assert_eq!(value.encode().unwrap(), sample);
 }
 
--- a/crates/carob-edge/tests/old_builds/values.rs
+++ b/crates/carob-edge/tests/old_builds/values.rs
@@ -6,7 +6,7 @@
 use carob_edge::Settings;
 use carob_edge::wire::{
     ClaimMessage, Extension, Message, OriginMessage, OwnUsage, RoomMessage, SenderRole, Topic,
-    TurnMessage, VmEntry, WireLoad, WireProgress, WireReading,
+    TurnMessage, VmEntry, WireLoad, WireProgress, WireReading, WireTimes, WireWork,
 };
 use carobglade::{
     AdapterId, BlockRecord, DutyClaim, Evidence, Fingerprint, HubSelector, HubSelectorSettings,
@@ -169,6 +169,7 @@
         duties: Some(claim()),
         reading_eras: Vec::new(),
         leaving_upstreams: Vec::new(),
+        work: None,
     }
 }
 
@@ -194,6 +195,13 @@
     }
 }
 
+/// A message of a build that knows the work of requests.
+pub fn peer_message_with_work() -> Message {
+    let times = |name| vec![WireTimes(name, 300, 200)];
+    let work = WireWork { models: times(7), upstreams: times(8) };
+    Message { work: Some(work), ..peer_message_with_weak_evidence() }
+}
+
 fn reading(topic: Topic, read_to: u64, changed_to: u64, age_ms: u64) -> WireReading {
     WireReading { topic: topic.into(), read_to, changed_to, age_ms }
 }
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -37,6 +37,8 @@
 mod upstream_registry;
 mod upstream_room;
 mod usage_relay;
+mod work_costs;
+mod work_history;
 
 pub use backoff::Backoff;
 pub use control_state::{ControlState, Member, Verdict};
@@ -85,3 +87,5 @@
 };
 pub use upstream_room::{RoomEvent, RoomNotice, RoomRequest, RoomTicket, UpstreamRooms};
 pub use usage_relay::{UsageRelay, UsageReport};
+pub use work_costs::{ExpectedWork, WorkCosts, WorkReport};
+pub use work_history::{WorkHistory, WorkHistorySettings, WorkTimes};
--- a/src/process/model_demand.rs
+++ b/src/process/model_demand.rs
@@ -23,7 +23,8 @@
     peers: BTreeMap<VmName, (Duration, BTreeMap<u32, u32>)>,
 }
 
-fn model_hash(service: &str, model: &ModelName) -> u32 {
+/// Returns the hash that stands for a model in messages between processes.
+pub(super) fn model_hash(service: &str, model: &ModelName) -> u32 {
     super::load_tracker::name_hash(&format!("{service}\0{model}"))
 }
 
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -3,6 +3,8 @@
 
 use std::time::Duration;
 
+use crate::ExpectedWork;
+
 /// Milliseconds until a running request ends and frees memory on an engine whose memory is full.
 const MEMORY_WAIT_MS: f64 = 200.0;
 
@@ -52,10 +54,12 @@
 /// An upstream that could take a request.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct DispatchCandidate {
-    /// Prompt tokens queued at the upstream ahead of the request.
+    /// Prompt tokens queued at the upstream ahead of the request, each counted by its work.
     pub prompt_backlog: u64,
     /// Prompt tokens of the request that the upstream has to process.
     pub prefill_tokens: u64,
+    /// Work of each of them, compared with that of `prompt_backlog`; none if it is the same.
+    pub token_cost: Option<f64>,
     /// Output tokens that each of the upstream's responses gets, in tokens a second, if known.
     pub token_rate: Option<f64>,
     /// Requests that the upstream runs now.
@@ -137,8 +141,8 @@
 impl DispatchCandidate {
     /// Estimates the time to the first byte.
     pub fn estimate(&self, timing: &RequestTiming, settings: &DispatchSettings) -> Duration {
-        let prefill =
-            (self.prompt_backlog + self.prefill_tokens) as f64 / settings.prefill_rate.max(0.1);
+        let prefill = self.prompt_backlog as f64 / settings.prefill_rate.max(0.1)
+            + self.prompt_time(settings) * self.token_cost.unwrap_or(1.0);
         let load = settings.load_latency.as_secs_f64() * 1000.0 * f64::from(self.running);
         let start = settings.base_latency.as_secs_f64() * 1000.0;
         let (used, size) = self.memory;
@@ -157,6 +161,26 @@
         Duration::from_secs_f64(millis.min(1e7) / 1000.0)
     }
 
+    /// Returns the time that the prompt takes if each token costs the same, in milliseconds.
+    fn prompt_time(&self, settings: &DispatchSettings) -> f64 {
+        self.prefill_tokens as f64 / settings.prefill_rate.max(0.1)
+    }
+
+    /// Returns what is expected of the request at an upstream of normal speed.
+    pub fn expected_work(
+        &self,
+        timing: &RequestTiming,
+        settings: &DispatchSettings,
+    ) -> ExpectedWork {
+        let normal = DispatchCandidate { latency_ratio: 1.0, ..*self };
+        ExpectedWork {
+            nominal: normal.estimate(timing, settings),
+            prompt: Duration::from_secs_f64(self.prompt_time(settings) / 1000.0),
+            cost: self.token_cost.unwrap_or(1.0),
+            slowness: self.latency_ratio,
+        }
+    }
+
     /// Estimates the time to the first byte if the upstream had nothing else to do.
     fn idle_estimate(&self, timing: &RequestTiming, settings: &DispatchSettings) -> Duration {
         let memory = (0, self.memory.1);
--- a/src/version/platform_config.rs
+++ b/src/version/platform_config.rs
@@ -110,6 +110,15 @@
     pub models: BTreeMap<ModelName, EngineModel>,
 }
 
+impl Engine {
+    /// Reports whether models differ in size, so that their requests may differ in cost.
+    pub fn has_unlike_models(&self) -> bool {
+        let mut sizes = self.models.values().map(|model| model.weights_mb);
+        let first = sizes.next();
+        sizes.any(|size| Some(size) != first)
+    }
+}
+
 /// A service and the limits of its upstreams.
 #[derive(Clone, Debug, PartialEq)]
 pub struct PlatformService {
--- a/tests/dispatch.rs
+++ b/tests/dispatch.rs
@@ -134,6 +134,16 @@
     assert_eq!(plain(5).estimate(&timing, &DispatchSettings::default()), ms(0));
 }
 
+/// Guards against requests of cheap models that are refused as if their prompts took long to read.
+#[test]
+fn the_cost_of_a_model_counts_for_its_own_prompt() {
+    let costly = DispatchCandidate { prefill_tokens: 6000, ..candidate(9000) };
+    let cheap = DispatchCandidate { token_cost: Some(0.1), ..costly };
+    let timing = RequestTiming { latency_goal: ms(700), ..timing() };
+    assert!(matches!(decide(&[costly], &timing), DispatchDecision::RetryLater(_)));
+    assert_eq!(chosen_index(&[cheap], &timing), 0);
+}
+
 #[test]
 fn without_candidates_there_is_no_upstream() {
     assert_eq!(decide(&[], &timing()), DispatchDecision::NoUpstream);
