--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -202,7 +202,8 @@
         let end = match result {
             Ok(ReceivedResponse::Stream(..)) => {
                 loads.record_latency(&request.service, &self.upstream, self.took(), self.estimate);
-                work::record_first_event(&self.edge, request, choice, &self.upstream, self.took());
+                let (edge, upstream) = (&self.edge, &self.upstream);
+                work::record_first_event(edge, request, upstream, self.took(), &self.work);
                 "open"
             }
             Ok(ReceivedResponse::Full(_)) => {
--- a/crates/carob-edge/src/peers/message.rs
+++ b/crates/carob-edge/src/peers/message.rs
@@ -13,6 +13,7 @@
 
 use super::sender_role::SenderRole;
 use super::wire_number::{WireReporter, WireTopic};
+use super::wire_work::WireWork;
 use super::{MIN_SEND_INTERVAL, UPDATE_REPEAT_TIME};
 use crate::duty_claims;
 use crate::edge::Edge;
@@ -44,19 +45,6 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct WireProgress(pub u32, pub u64, pub u64);
 
-/// Times of requests: name hash, observed and nominal milliseconds.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireTimes(pub u32, pub u32, pub u32);
-
-/// Costs of models and slowness of upstreams, as sums of times.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct WireWork {
-    /// Times of prompts, by hash of service and model.
-    pub models: Vec<WireTimes>,
-    /// Times to the first event, by hash of the upstream.
-    pub upstreams: Vec<WireTimes>,
-}
-
 /// Builds the usage report of this vm.
 pub fn own_usage_report(edge: &Edge) -> UsageReport {
     edge.update_fleet_size();
--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -9,6 +9,7 @@
 mod receive;
 mod sender_role;
 mod wire_number;
+mod wire_work;
 
 use std::collections::BTreeMap;
 use std::rc::Rc;
@@ -21,16 +22,15 @@
 use crate::edge::Edge;
 use crate::send_interval;
 use crate::view::PeerVm;
-use crate::work;
 
 use message::own_usage_report;
 pub use message::{
-    Decoded, Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading, WireTimes,
-    WireUsageReport, WireWork,
+    Decoded, Extension, Message, OwnUsage, WireLoad, WireProgress, WireReading, WireUsageReport,
 };
 pub use receive::listen;
 pub use sender_role::SenderRole;
 pub use wire_number::{UnknownNumber, WireReporter, WireTopic};
+pub use wire_work::{WireTimes, WireWork};
 
 /// Minimum interval between two messages.
 const MIN_SEND_INTERVAL: Duration = Duration::from_millis(20);
@@ -87,7 +87,7 @@
     let responder = edge.hubs.borrow_mut().log_reader(edge.now());
     edge.hubs.borrow_mut().record_request(&responder, edge.now());
     let message = Message::new(edge, SenderRole::Peer).with_own_usage(Some(own_usage_report(edge)));
-    let work = tells_work.then(|| work::report(edge, SenderRole::Peer));
+    let work = tells_work.then(|| WireWork::new(edge, SenderRole::Peer));
     let message = message.with_responder(&responder).with_work(work);
     let peers: BTreeMap<VmName, PeerVm> = edge.view.borrow().peers.clone();
     let Some(bytes) = encode(&message) else {
@@ -110,7 +110,7 @@
     if !edge.hubs.borrow_mut().is_hub(now) {
         let data_centre = edge.hubs.borrow().profile().data_centre.clone();
         let hub = edge.hubs.borrow_mut().hub_of(&data_centre, now);
-        let work = tells_work.then(|| work::report(edge, SenderRole::Member));
+        let work = tells_work.then(|| WireWork::new(edge, SenderRole::Member));
         let message = Message::new(edge, SenderRole::Member).with_own_usage(report).with_work(work);
         hub.iter().for_each(|hub| send_request(edge, socket, hub, &message));
         return;
@@ -119,7 +119,7 @@
         edge.usage_relay.borrow_mut().relay_to_all(report);
         edge.relay_wakeup.notify_one();
     }
-    let work = tells_work.then(|| work::report(edge, SenderRole::Hub));
+    let work = tells_work.then(|| WireWork::new(edge, SenderRole::Hub));
     let sums = Message::new(edge, SenderRole::Hub).with_work(work);
     let hubs = other_hubs(edge);
     hubs.iter().for_each(|hub| edge.hubs.borrow_mut().record_request(hub, now));
--- a/crates/carob-edge/src/peers/receive.rs
+++ b/crates/carob-edge/src/peers/receive.rs
@@ -8,6 +8,7 @@
 
 use super::message::{Decoded, Message, VERSION};
 use super::sender_role::SenderRole;
+use super::wire_work::WireWork;
 use super::{MAX_MESSAGE_BYTES, MIN_SEND_INTERVAL, send_to};
 use crate::duty_claims::{self, CLAIM_VERSION};
 use crate::edge::Edge;
@@ -18,7 +19,6 @@
 use crate::rooms::{self, ROOM_VERSION};
 use crate::turns::{self, TURN_VERSION};
 use crate::view::PeerVm;
-use crate::work;
 
 /// Label of messages that cannot be decoded in metrics.
 const MESSAGE_ROLE: &str = "message";
@@ -146,7 +146,7 @@
         duty_claims::apply(edge, &message.vm, claim);
     }
     if let Some(work) = &message.work {
-        work::apply(edge, &message.vm, work);
+        edge.work.borrow_mut().apply_report(&message.vm, work.into(), edge.now());
     }
     quarantine::apply_report(edge, &message.quarantine);
     quarantine::apply_suspects(edge, &message.suspects);
@@ -173,9 +173,9 @@
 fn respond(edge: &Edge, socket: &UdpSocket, message: &Message) {
     match message.sender {
         SenderRole::Member => {
-            let work = message.work.as_ref().map(|_| edge.work.borrow().excluding_vm(&message.vm));
+            let work = message.work.as_ref().map(|_| WireWork::for_member(edge, &message.vm));
             let digest = Message::digest(edge, &message.vm, message.request_time, message.since);
-            send_to(edge, socket, &message.vm, &digest.with_work(work.map(Into::into)));
+            send_to(edge, socket, &message.vm, &digest.with_work(work));
         }
         SenderRole::Peer if message.responder == Some(name_hash(edge.vm.as_str())) => {
             let readings = Message::readings(edge, message.request_time, message.since);
