Connections whose body stands still give way to new ones

What callers saw: more clients than a vm has connections for, each with a body that stops short of its end, kept every connection until the timeout of their route, also at a path without a route. An ordinary caller was closed unread in six of six tries. Memory (70,044 and 45,208 KiB of 120 MB) and descriptors (210 of 280) stayed under their bounds.

Cause: a request counted as in progress from the end of its head on, and such a connection never gives way.

Change: until its body has been read, or is not read further, a connection is in a stage of its own, which gives way after idle ones; of these the one whose last bytes are oldest. Nothing has run of it. A body that makes progress stays as long as one stands still.

A test of the table without a network.

--- a/crates/carob-edge/src/caller_connection.rs
+++ b/crates/carob-edge/src/caller_connection.rs
@@ -28,6 +28,8 @@
     /// Its place among the connections of callers.
     gate: Rc<GateConnection>,
     serving: Cell<bool>,
+    /// Whether the body of the request in progress is still read.
+    receiving: Cell<bool>,
     /// Time of the last byte that was written, or of the end of the last request.
     idle_since: Cell<Duration>,
     /// Whether bytes wait to be written because the caller takes none.
@@ -53,6 +55,7 @@
         Rc::new(ConnectionState {
             gate,
             serving: Cell::new(false),
+            receiving: Cell::new(false),
             idle_since: Cell::new(edge.now()),
             write_blocked: Cell::new(false),
             head_began: Cell::new(None),
@@ -64,10 +67,13 @@
         })
     }
 
-    /// Records that a whole head was read; the request ends when the guard is dropped.
-    pub fn begin_request(self: &Rc<Self>) -> ServingGuard {
+    /// Records that a whole head was read; the request ends when the guard is dropped. `has_body`
+    /// tells whether a body follows.
+    pub fn begin_request(self: &Rc<Self>, has_body: bool) -> ServingGuard {
         self.serving.set(true);
-        self.gate.set_stage(ConnectionStage::Serving);
+        self.receiving.set(has_body);
+        let stage = if has_body { ConnectionStage::PartialBody } else { ConnectionStage::Serving };
+        self.gate.set_stage(stage);
         self.head_began.set(None);
         self.partial_head.set(None);
         ServingGuard(Rc::clone(self))
@@ -89,6 +95,12 @@
         self.serving.get()
     }
 
+    /// Reports whether the connection may give way to a new one. Nothing has run of a request whose
+    /// body is not complete.
+    pub fn may_give_way(&self) -> bool {
+        !self.serving.get() || self.receiving.get()
+    }
+
     /// Returns when the first byte of an incomplete head arrived.
     pub fn head_began(&self) -> Option<Duration> {
         self.head_began.get()
@@ -124,6 +136,9 @@
     /// Records that `count` bytes were read.
     fn record_read(&self, count: usize) {
         if self.serving.get() {
+            if self.receiving.get() {
+                self.gate.record_progress();
+            }
             return;
         }
         if self.head_began.get().is_none() {
@@ -137,6 +152,12 @@
 }
 
 impl ServingGuard {
+    /// Records that the body was read, or is not read further.
+    pub fn end_body(&self) {
+        self.0.receiving.set(false);
+        self.0.gate.set_stage(ConnectionStage::Serving);
+    }
+
     /// Makes the connection end with a reset, whatever ends it, until the response is whole.
     pub fn begin_unframed(&self) {
         self.0.unframed.set(true);
@@ -151,6 +172,7 @@
 impl Drop for ServingGuard {
     fn drop(&mut self) {
         self.0.serving.set(false);
+        self.0.receiving.set(false);
         self.0.gate.set_stage(ConnectionStage::Idle);
         self.0.idle_since.set(self.0.edge.now());
         self.0.request_ended.notify_one();
--- a/crates/carob-edge/src/connection_gate.rs
+++ b/crates/carob-edge/src/connection_gate.rs
@@ -85,6 +85,11 @@
         self.gate.table.borrow_mut().set_stage(self.id, stage, self.gate.clock.now());
     }
 
+    /// Records that more of a body has arrived.
+    pub fn record_progress(&self) {
+        self.gate.table.borrow_mut().record_progress(self.id, self.gate.clock.now());
+    }
+
     /// Completes when the connection has to give way.
     pub async fn evicted(&self) {
         self.evicted.notified().await;
--- a/crates/carob-edge/src/handle.rs
+++ b/crates/carob-edge/src/handle.rs
@@ -8,6 +8,7 @@
 
 use crate::attempt::{AttemptResponse, FullResponse};
 use crate::attempts::{Attempts, FAILED_RETRY_AFTER};
+use crate::caller_connection::ServingGuard;
 use crate::charge::{charge, refund};
 use crate::edge::Edge;
 use crate::in_flight::InFlightGuard;
@@ -20,7 +21,11 @@
 use crate::stop_admission::{self, draining_error};
 
 /// Serves a request and returns the response, or an error response when it is refused.
-pub async fn handle(edge: Rc<Edge>, request: Request<Incoming>) -> Response<ResponseBody> {
+pub async fn handle(
+    edge: Rc<Edge>,
+    request: Request<Incoming>,
+    serving: &ServingGuard,
+) -> Response<ResponseBody> {
     let active = edge.active_requests.increment();
     let arrival = edge.now();
     let id = request.headers().get("request-id").cloned();
@@ -35,7 +40,10 @@
         }
     };
     let (size, result) = match reading.await {
-        Ok(request) => (Some(request.size()), serve(&edge, request, active).await),
+        Ok(request) => {
+            serving.end_body();
+            (Some(request.size()), serve(&edge, request, active).await)
+        }
         Err(err) => (None, Err(err)),
     };
     match result {
@@ -47,6 +55,7 @@
             // A body that was late is not waited for again.
             let late = err.kind() == ErrorKind::BodyTimeout;
             let whole = size.is_some() || (!late && discard_body(&mut body).await);
+            serving.end_body();
             edge.stop_counts.record_refusal();
             let took = edge.now().saturating_sub(arrival);
             let id = id.as_ref().and_then(|id| id.to_str().ok()).unwrap_or_default();
--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -8,7 +8,7 @@
 use carob_net::announce_keep_alive;
 use eyre::{Result, WrapErr};
 use http::Request;
-use hyper::body::Incoming;
+use hyper::body::{Body, Incoming};
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
@@ -129,9 +129,9 @@
     let service_state = Rc::clone(&state);
     let service = service_fn(move |request: Request<Incoming>| {
         let (edge, version) = (Rc::clone(&service_edge), request.version());
-        let serving = service_state.begin_request();
+        let serving = service_state.begin_request(!request.body().is_end_stream());
         async move {
-            let mut response = handle(Rc::clone(&edge), request).await;
+            let mut response = handle(Rc::clone(&edge), request, &serving).await;
             let promise = edge.settings.keep_alive_promise();
             announce_keep_alive(response.headers_mut(), promise, edge.stopping.get());
             Ok::<_, Infallible>(response.map(|body| ServedBody::new(body, version, serving)))
@@ -163,7 +163,7 @@
                 writable = true;
                 break Ok(());
             }
-            () = gate.evicted(), if !state.is_serving() => {
+            () = gate.evicted(), if state.may_give_way() => {
                 let partial = state.head_began().is_some();
                 edge.metrics.record_idle_close(CloseReason::Replaced.as_str(), partial);
                 return;
--- a/src/connection/connection_table.rs
+++ b/src/connection/connection_table.rs
@@ -19,6 +19,8 @@
     PartialHead,
     /// A request was answered, and no other one has come.
     Idle,
+    /// The body of a request has arrived in part; counted from the last bytes of it.
+    PartialBody,
     /// A request is in progress. Such a connection never gives way.
     Serving,
 }
@@ -87,6 +89,14 @@
         }
     }
 
+    /// Records that more of a body has arrived, where one arrives.
+    pub fn record_progress(&mut self, id: ConnectionId, now: Duration) {
+        if self.stages.get(&id).is_some_and(|known| known.0 == ConnectionStage::PartialBody) {
+            self.set_stage(id, ConnectionStage::Idle, now);
+            self.set_stage(id, ConnectionStage::PartialBody, now);
+        }
+    }
+
     /// Records the end of a connection.
     pub fn close(&mut self, id: ConnectionId) {
         if let Some((stage, since)) = self.stages.remove(&id) {
--- a/tests/connection_table.rs
+++ b/tests/connection_table.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use carobglade::ConnectionAdmission::{Admitted, Refused, Replaces};
-use carobglade::ConnectionStage::{Idle, PartialHead, Serving};
+use carobglade::ConnectionStage::{Idle, PartialBody, PartialHead, Serving};
 use carobglade::{ConnectionId, ConnectionStage, ConnectionTable};
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
@@ -41,6 +41,22 @@
     assert_eq!(table.len(), 4);
 }
 
+/// Guards against a crowd of bodies that stop short of their end, which takes all connections until
+/// the timeout of its route.
+#[test]
+fn of_bodies_the_one_that_stands_still_longest_gives_way() {
+    let mut table = ConnectionTable::new(3);
+    let ids: Vec<ConnectionId> = (0..3).map(|i| open(&mut table, ms(i)).0).collect();
+    ids.iter().for_each(|id| table.set_stage(*id, PartialBody, ms(3)));
+    table.record_progress(ids[0], ms(5));
+    table.set_stage(ids[1], Serving, ms(6));
+    table.record_progress(ids[1], ms(7));
+    let (new, replaced) = open(&mut table, ms(8));
+    assert_eq!(replaced, Some(ids[2]));
+    table.set_stage(new, PartialBody, ms(8));
+    assert_eq!(open(&mut table, ms(9)).1, Some(ids[0]));
+}
+
 #[test]
 fn what_is_told_of_a_closed_connection_is_ignored() {
     let mut table = ConnectionTable::new(1);
