carob-entry bounds the memory of all bodies together

What callers saw: 240 clients with bodies of 1 MiB, the limit, each short of its end: carob-entry took 272,744 to 276,804 KiB (120 MB wanted), also at a path without a route, and grew with the crowd.

Cause: each body was read whole up to its limit, and nothing bounded their sum.

--- a/crates/carob-entry/src/caller_api.rs
+++ b/crates/carob-entry/src/caller_api.rs
@@ -56,7 +56,8 @@
         Ok(guard) if headers_within_limit(shared, request.headers()) => {
             let limits =
                 (shared.settings.limits.body_bytes, millis(shared.settings.times.body_timeout));
-            match request.read_body(limits.0, limits.1).await {
+            let mut reserved = shared.body_budget.reserve();
+            match request.read_body_within(limits.0, limits.1, &mut reserved).await {
                 Ok(body) => {
                     let incoming = CallerRequest {
                         method: request.method().clone(),
@@ -64,6 +65,7 @@
                         query: request.query().to_owned(),
                         headers: request.headers().clone(),
                         body,
+                        reserved: Arc::new(reserved),
                         id: id.to_owned(),
                         started,
                     };
--- a/crates/carob-entry/src/caller_request.rs
+++ b/crates/carob-entry/src/caller_request.rs
@@ -1,8 +1,10 @@
 //! A caller's request with its whole body.
 
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use carob_net::ReservedBody;
 use http::{HeaderMap, Method};
 
 /// A caller's request with its whole body.
@@ -18,6 +20,8 @@
     pub headers: HeaderMap,
     /// The whole body.
     pub body: Bytes,
+    /// The memory that the body takes.
+    pub reserved: Arc<ReservedBody>,
     /// Request id, from the caller or generated.
     pub id: String,
     /// Time of arrival, since the start of the process.
--- a/crates/carob-entry/src/settings.rs
+++ b/crates/carob-entry/src/settings.rs
@@ -72,6 +72,9 @@
     /// Maximum size of a request body, in bytes.
     #[serde(rename = "body")]
     pub body_bytes: usize,
+    /// Maximum bytes of the bodies of all requests together.
+    #[serde(rename = "bodies")]
+    pub total_bodies: usize,
     /// Maximum size of the names and values of a request's headers, in bytes.
     #[serde(rename = "headers")]
     pub header_bytes: usize,
@@ -174,6 +177,7 @@
     fn default() -> Self {
         Limits {
             body_bytes: 1 << 20,
+            total_bodies: 32 << 20,
             header_bytes: 16 << 10,
             outcome_bytes: 4096,
             upstream_requests: 32,
@@ -258,6 +262,7 @@
         let (limits, times) = (&self.limits, &self.times);
         vec![
             ("$.limits.body", limits.body_bytes as u64, 1024, 64 << 20),
+            ("$.limits.bodies", limits.total_bodies as u64, 2 * limits.body_bytes as u64, 16 << 30),
             ("$.limits.headers", limits.header_bytes as u64, 1024, 32 << 10),
             ("$.limits.outcome", limits.outcome_bytes as u64, 0, 65_536),
             ("$.limits.upstream", u64::from(limits.upstream_requests), 1, 4096),
--- a/crates/carob-entry/src/shared_state.rs
+++ b/crates/carob-entry/src/shared_state.rs
@@ -4,7 +4,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use carob_net::{Clock, HttpClient, SystemClock, lock};
+use carob_net::{BodyBudget, Clock, HttpClient, SystemClock, lock};
 use carobglade::{
     Heartbeat, Incarnation, Record, ServingStatus, TenantName, VmName, VmRef, tenant_slots,
 };
@@ -42,6 +42,8 @@
     pub claims_batcher: Batcher,
     /// State replayed from the log.
     pub log_state: LogState,
+    /// Memory for the bodies of requests.
+    pub body_budget: Arc<BodyBudget>,
     /// Rate slots and tokens that this process holds.
     pub quota: Quota,
     /// The other processes, by their heartbeats.
@@ -78,6 +80,7 @@
             control_batcher: Batcher::new(&log, "control", &me),
             claims_batcher: Batcher::new(&log, "claims", &me),
             me,
+            body_budget: BodyBudget::new(settings.limits.total_bodies),
             settings,
             clock,
             metrics,
--- a/crates/carob-net/src/lib.rs
+++ b/crates/carob-net/src/lib.rs
@@ -8,6 +8,7 @@
 //! serve(options, |request| async move { Reply::text(200, request.path()) }).unwrap();
 //! ```
 
+mod body_budget;
 mod body_end;
 mod chunk_channel;
 mod client;
@@ -22,6 +23,7 @@
 mod silence;
 mod watched_stream;
 
+pub use body_budget::{BodyBudget, ReservedBody};
 pub use body_end::BodyEnd;
 pub use chunk_channel::{ChunkReceiver, ChunkSender, IncompleteBody, chunk_channel};
 pub use client::{HttpClient, HttpResponse, StreamingResponse};
--- a/crates/carob-net/src/server.rs
+++ b/crates/carob-net/src/server.rs
@@ -11,6 +11,7 @@
 
 use bytes::{Bytes, BytesMut};
 use carobglade::{Error, ErrorKind};
+use http::header::CONTENT_LENGTH;
 use http::request::Parts;
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 use serde::Serialize;
@@ -19,10 +20,13 @@
 use xitca_web::http::{WebRequest, WebResponse};
 use xitca_web::service::fn_service;
 
+use crate::body_budget::{BodyBudget, ReservedBody};
 use crate::chunk_channel::{ChunkReceiver, ChunkSender, IncompleteBody, chunk_channel};
 use crate::keep_alive::{KeepAlivePromises, PromiseGuard};
 
 const MAX_HEADERS: usize = 64;
+/// Time in which some of the requests that hold the memory for bodies have ended.
+const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(500);
 const MAX_HEAD_BYTES: usize = 32 * 1024; // of the header section of one request
 
 /// Options for [`serve`].
@@ -102,7 +106,28 @@
         limit: usize,
         timeout: Duration,
     ) -> carobglade::Result<Bytes> {
-        let reading = read_all(&mut self.body, limit);
+        let mut unlimited = BodyBudget::new(usize::MAX).reserve();
+        self.read_body_within(limit, timeout, &mut unlimited).await
+    }
+
+    /// Reads the whole body, whose memory is taken from `reserved`. That for the length that the head
+    /// names is taken at once, so that a body that does not fit is refused before it comes.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::read_body`], and `Overloaded` when the bodies of other requests take the memory.
+    pub async fn read_body_within(
+        &mut self,
+        limit: usize,
+        timeout: Duration,
+        reserved: &mut ReservedBody,
+    ) -> carobglade::Result<Bytes> {
+        let length = self.parts.headers.get(CONTENT_LENGTH);
+        let length = length.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
+        if length > limit {
+            return Err(too_large(limit));
+        }
+        let reading = read_all(&mut self.body, length, limit, reserved);
         tokio::time::timeout(timeout, reading).await.unwrap_or_else(|_| {
             let message = format!("body did not arrive within {} ms", timeout.as_millis());
             Err(Error::new(ErrorKind::InvalidRequest, message))
@@ -110,17 +135,37 @@
     }
 }
 
-async fn read_all(body: &mut RequestBody, limit: usize) -> carobglade::Result<Bytes> {
-    let mut buf = BytesMut::new();
+fn too_large(limit: usize) -> Error {
+    Error::new(ErrorKind::TooLarge, format!("body is longer than {limit} bytes"))
+}
+
+fn reserve(reserved: &mut ReservedBody, bytes: usize) -> carobglade::Result<()> {
+    if reserved.grow_to(bytes) {
+        return Ok(());
+    }
+    let message = "the bodies of other requests take the memory for them";
+    Err(Error::new(ErrorKind::Overloaded, message).with_retry_after(OVERLOADED_RETRY_AFTER))
+}
+
+async fn read_all(
+    body: &mut RequestBody,
+    length: usize,
+    limit: usize,
+    reserved: &mut ReservedBody,
+) -> carobglade::Result<Bytes> {
+    reserve(reserved, length)?;
+    let mut buf = BytesMut::with_capacity(length);
     while let Some(chunk) = body.data().await {
         let chunk = chunk.map_err(|err| {
             Error::new(ErrorKind::InvalidRequest, format!("body broke off: {err}"))
         })?;
         if buf.len() + chunk.len() > limit {
-            let message = format!("body is longer than {limit} bytes");
-            return Err(Error::new(ErrorKind::TooLarge, message));
+            return Err(too_large(limit));
         }
+        reserve(reserved, buf.len() + chunk.len())?;
         buf.extend_from_slice(&chunk);
+        // A buffer grows by more than what it needs.
+        reserve(reserved, buf.capacity())?;
     }
     Ok(buf.freeze())
 }
