A known backlog counts by the share that is still to be done

Cause: a prompt counts in the backlog of its engine until its first event, and the news of that takes a gossip round; so part of each backlog is done already.

Change: the share that is left is learned for each service from requests that found more work than their own, told and used like the costs of models.

Tests: `the_share_of_the_backlog_that_is_left_is_learned`; an upstream with no known slowness no longer ends the process (found by a test of the same file).

--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -289,6 +289,7 @@
         prompt_backlog: total.prompt_backlog,
         prefill_tokens: request.prompt_tokens(),
         token_cost: cost,
+        backlog_left: cost.map(|_| edge.work.borrow().backlog_left(&request.service)),
         token_rate: total.tokens_per_stream(),
         running: total.running,
         slots: entry.slots,
--- a/src/process/work_costs.rs
+++ b/src/process/work_costs.rs
@@ -13,6 +13,14 @@
 /// Time for the prompt alone below which a request says nothing of its model's cost.
 const MIN_PROMPT_TIME: Duration = Duration::from_millis(10);
 
+/// Returns the hash that stands for the backlogs of a service among those of its models.
+fn backlog_hash(service: &str) -> u32 {
+    name_hash(&format!("{service}\0"))
+}
+
+/// Slowness below which an upstream counts as this fast.
+const MIN_SLOWNESS: f64 = 0.05;
+
 /// What was expected of a request when it was sent.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct ExpectedWork {
@@ -22,6 +30,10 @@
     pub prompt: Duration,
     /// Cost of the model that was assumed.
     pub cost: f64,
+    /// The part of `nominal` that the backlog takes if all of it is still to be done.
+    pub backlog: Duration,
+    /// Share of the backlog that was assumed to be still to be done.
+    pub backlog_left: f64,
     /// Slowness of the upstream that was assumed.
     pub slowness: f64,
 }
@@ -29,7 +41,7 @@
 /// What each process tells the others.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct WorkReport {
-    /// Times of prompts, by hash of service and model.
+    /// Times of prompts, by hash of service and model, and of the backlogs of services.
     pub models: BTreeMap<u32, WorkTimes>,
     /// Times to the first event, by hash of the upstream.
     pub upstreams: BTreeMap<u32, WorkTimes>,
@@ -56,6 +68,12 @@
         self.models.ratio(model_hash(service, model), 1.0)
     }
 
+    /// Returns the share of a known backlog that is still to be done when a request arrives: reports
+    /// of what was done arrive late, and a prompt counts until it is read to its end.
+    pub fn backlog_left(&self, service: &str) -> f64 {
+        self.models.ratio(backlog_hash(service), 1.0).min(1.0)
+    }
+
     /// Returns how slow an upstream is now, 1 at normal speed; near `prior` where little was seen.
     pub fn slowness(&self, upstream: &UpstreamName, prior: f64) -> f64 {
         self.upstreams.ratio(name_hash(upstream.as_str()), prior)
@@ -71,14 +89,20 @@
         expected: &ExpectedWork,
     ) {
         self.upstreams.record(name_hash(upstream.as_str()), observed, expected.nominal);
-        let others = expected.nominal.saturating_sub(expected.prompt.mul_f64(expected.cost));
+        let at_normal_speed = observed.div_f64(expected.slowness.max(MIN_SLOWNESS));
+        let own = expected.prompt.mul_f64(expected.cost);
+        let queued = expected.backlog.mul_f64(expected.backlog_left);
         // What waited behind other work says more of that work than of the model.
-        if expected.prompt < MIN_PROMPT_TIME || others > expected.prompt {
-            return;
+        if expected.backlog > own {
+            let others = expected.nominal.saturating_sub(queued);
+            let observed = at_normal_speed.saturating_sub(others);
+            self.models.record(backlog_hash(service), observed, expected.backlog);
+        }
+        let others = expected.nominal.saturating_sub(own);
+        if expected.prompt >= MIN_PROMPT_TIME && others <= expected.prompt {
+            let observed = at_normal_speed.saturating_sub(others);
+            self.models.record(model_hash(service, model), observed, expected.prompt);
         }
-        let at_normal_speed = observed.div_f64(expected.slowness.max(f64::MIN_POSITIVE));
-        let own = at_normal_speed.saturating_sub(others);
-        self.models.record(model_hash(service, model), own, expected.prompt);
     }
 
     /// Returns the sums of this process and of the vms that `vms` accepts.
--- a/src/request/dispatch.rs
+++ b/src/request/dispatch.rs
@@ -60,6 +60,8 @@
     pub prefill_tokens: u64,
     /// Work of each of them, compared with that of `prompt_backlog`; none if it is the same.
     pub token_cost: Option<f64>,
+    /// Share of `prompt_backlog` that is still to be done, if known.
+    pub backlog_left: Option<f64>,
     /// Output tokens that each of the upstream's responses gets, in tokens a second, if known.
     pub token_rate: Option<f64>,
     /// Requests that the upstream runs now.
@@ -141,7 +143,7 @@
 impl DispatchCandidate {
     /// Estimates the time to the first byte.
     pub fn estimate(&self, timing: &RequestTiming, settings: &DispatchSettings) -> Duration {
-        let prefill = self.prompt_backlog as f64 / settings.prefill_rate.max(0.1)
+        let prefill = self.backlog_time(settings) * self.backlog_left.unwrap_or(1.0)
             + self.prompt_time(settings) * self.token_cost.unwrap_or(1.0);
         let load = settings.load_latency.as_secs_f64() * 1000.0 * f64::from(self.running);
         let start = settings.base_latency.as_secs_f64() * 1000.0;
@@ -166,6 +168,11 @@
         self.prefill_tokens as f64 / settings.prefill_rate.max(0.1)
     }
 
+    /// Returns the time that the backlog takes if all of it is still to be done, in milliseconds.
+    fn backlog_time(&self, settings: &DispatchSettings) -> f64 {
+        self.prompt_backlog as f64 / settings.prefill_rate.max(0.1)
+    }
+
     /// Returns what is expected of the request at an upstream of normal speed.
     pub fn expected_work(
         &self,
@@ -177,6 +184,8 @@
             nominal: normal.estimate(timing, settings),
             prompt: Duration::from_secs_f64(self.prompt_time(settings) / 1000.0),
             cost: self.token_cost.unwrap_or(1.0),
+            backlog: Duration::from_secs_f64(self.backlog_time(settings) / 1000.0),
+            backlog_left: self.backlog_left.unwrap_or(1.0),
             slowness: self.latency_ratio,
         }
     }
--- a/tests/work_history.rs
+++ b/tests/work_history.rs
@@ -19,6 +19,8 @@
 const REQUEST_RATE: u64 = 400;
 /// Factor by which expected times may be wrong on average.
 const MAX_ERROR: f64 = 1.5;
+/// Share of the known backlog that is still to be done.
+const BACKLOG_LEFT: f64 = 0.6;
 
 const fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
@@ -67,11 +69,13 @@
         let costs = &mut self.vms[vm];
         let cost = costs.model_cost("s", &model(m));
         let slowness = costs.slowness(&engine(e), 1.0);
-        let base = ms(45) + backlog;
+        let base = ms(45) + backlog.mul_f64(costs.backlog_left("s"));
         let nominal = base + prompt.mul_f64(cost);
         let noise = self.random.random_range(0.7..1.4);
-        let took = (base + prompt.mul_f64(true_cost(m))).mul_f64(self.slowness[e] * noise);
-        let expected = ExpectedWork { nominal, prompt, cost, slowness };
+        let work = ms(45) + backlog.mul_f64(BACKLOG_LEFT) + prompt.mul_f64(true_cost(m));
+        let took = work.mul_f64(self.slowness[e] * noise);
+        let backlog_left = costs.backlog_left("s");
+        let expected = ExpectedWork { nominal, prompt, cost, backlog, backlog_left, slowness };
         costs.record_first_event("s", &model(m), &engine(e), took, &expected);
     }
 
@@ -186,7 +190,14 @@
 #[test]
 fn a_wait_behind_other_work_says_nothing_of_a_model() {
     let mut costs = WorkCosts::default();
-    let expected = ExpectedWork { nominal: ms(545), prompt: ms(100), cost: 1.0, slowness: 1.0 };
+    let expected = ExpectedWork {
+        nominal: ms(545),
+        prompt: ms(100),
+        cost: 1.0,
+        backlog: ms(400),
+        backlog_left: 1.0,
+        slowness: 1.0,
+    };
     for _ in 0..50 {
         costs.record_first_event("s", &model(0), &engine(0), ms(2000), &expected);
     }
@@ -194,6 +205,17 @@
     assert!(costs.slowness(&engine(0), 1.0) > 3.0);
 }
 
+/// Guards against requests that are refused for work that engines have done since it was told.
+#[test]
+fn the_share_of_the_backlog_that_is_left_is_learned() {
+    let mut fleet = Fleet { message_loss: 0.0, ..Fleet::new(4) };
+    fleet.run(ms(12_000), VMS);
+    let left: Vec<f64> = fleet.vms.iter().map(|vm| vm.backlog_left("s")).collect();
+    let range = BACKLOG_LEFT / MAX_ERROR..BACKLOG_LEFT * MAX_ERROR;
+    assert!(left.iter().all(|left| range.contains(left)), "{left:?}");
+    assert_eq!(fleet.vms[0].backlog_left("other"), 1.0);
+}
+
 #[test]
 fn one_late_response_weighs_little() {
     let mut history = WorkHistory::new(WorkHistorySettings::default());
