--- a/crates/carob-edge/src/peers/mod.rs
+++ b/crates/carob-edge/src/peers/mod.rs
@@ -38,8 +38,10 @@
 const UPDATE_REPEAT_TIME: Duration = Duration::from_millis(450);
 /// Interval between two usage reports in a fleet with hubs.
 const USAGE_INTERVAL: Duration = Duration::from_millis(400);
-/// Interval between two reports of the work of requests.
+/// Interval between two reports of the work of requests, and the part of it for each vm of a large
+/// fleet, in which a hub answers many.
 const WORK_INTERVAL: Duration = Duration::from_secs(2);
+const WORK_INTERVAL_PER_VM: Duration = Duration::from_millis(20);
 /// Time for which a hub batches usage reports.
 const RELAY_INTERVAL: Duration = Duration::from_millis(120);
 const MAX_MESSAGE_BYTES: usize = 48 << 10;
@@ -66,7 +68,8 @@
         if news.await.is_ok() {
             tokio::time::sleep(MIN_SEND_INTERVAL).await;
         }
-        let tells_work = edge.now().saturating_sub(work_told_at) >= WORK_INTERVAL;
+        let work_interval = WORK_INTERVAL.max(WORK_INTERVAL_PER_VM * edge.fleet_size() as u32);
+        let tells_work = edge.now().saturating_sub(work_told_at) >= work_interval;
         if tells_work {
             work_told_at = edge.now();
         }
--- a/crates/carob-entry/src/caller_api.rs
+++ b/crates/carob-entry/src/caller_api.rs
@@ -65,7 +65,7 @@
                         query: request.query().to_owned(),
                         headers: request.headers().clone(),
                         body,
-                        reserved: Arc::new(reserved),
+                        _reserved: Arc::new(reserved),
                         id: id.to_owned(),
                         started,
                     };
--- a/crates/carob-entry/src/caller_request.rs
+++ b/crates/carob-entry/src/caller_request.rs
@@ -21,7 +21,7 @@
     /// The whole body.
     pub body: Bytes,
     /// The memory that the body takes.
-    pub reserved: Arc<ReservedBody>,
+    pub _reserved: Arc<ReservedBody>,
     /// Request id, from the caller or generated.
     pub id: String,
     /// Time of arrival, since the start of the process.
