--- a/crates/carob-edge/src/attempt.rs
+++ b/crates/carob-edge/src/attempt.rs
@@ -21,6 +21,7 @@
 use crate::paths;
 use crate::pool::IncomingResponse;
 use crate::quarantine;
+use crate::quiet;
 use crate::request::CallerRequest;
 use crate::rooms;
 use crate::turns;
@@ -271,6 +272,7 @@
     let limit = turns::read_limit(edge, &choice.entry, &response.headers);
     let (id, reused) = (&request.caller_headers.request_id, record.is_reused());
     let kind = ResponseKind::classify(status, &response.headers, id, reused);
+    quiet::read(edge, &choice.entry, status, &response.headers);
     rooms::record_head(edge, &choice.entry, choice.room.as_deref(), status, kind);
     if kind == ResponseKind::WrongRequest {
         log::info!(target: "pool", id = id.as_str(), upstream:% = choice.entry.name, status = status, reused = reused; "A response does not belong to its request.");
--- a/crates/carob-edge/src/choose.rs
+++ b/crates/carob-edge/src/choose.rs
@@ -12,6 +12,7 @@
 
 use crate::edge::Edge;
 use crate::paths;
+use crate::quiet;
 use crate::request::CallerRequest;
 use crate::rooms::{self, RoomGuard};
 use crate::stop_admission;
@@ -100,14 +101,21 @@
     eligible: Vec<UpstreamEntry>,
     last_id: Option<u64>,
 ) -> Result<Option<Choice>> {
+    let (eligible, next_open) = quiet::open_upstreams(edge, eligible);
+    if let (true, Some(wait)) = (eligible.is_empty(), next_open) {
+        if wait > max_turn_wait(edge, request) {
+            return Err(refused_for(wait));
+        }
+        tokio::time::sleep(wait).await;
+        return Ok(None);
+    }
     let max_wait = match turns::has_unlimited(edge, &eligible) {
         true => Duration::ZERO,
         false => max_turn_wait(edge, request),
     };
     let (open, next_turn) = turns::open_upstreams(edge, eligible, max_wait);
     if let (true, Some(wait)) = (open.is_empty(), next_turn) {
-        let message = format!("upstreams take no more requests for {} ms", wait.as_millis());
-        return Err(Error::new(ErrorKind::UpstreamUnavailable, message).with_retry_after(wait));
+        return Err(refused_for(wait));
     }
     let mut choice = dispatch_request(edge, request, open, last_id)?;
     edge.paths.table.borrow_mut().record_trial(&choice.entry.name, edge.now());
@@ -118,12 +126,18 @@
             Err(_) => has_turn = false,
         }
     }
-    // The upstream may have announced in the meantime that it is leaving, or started again, or its
-    // data centre is evacuated.
+    // The upstream may have announced in the meantime that it is leaving or wants no requests, or
+    // started again, or its data centre is evacuated.
     let view = edge.view.borrow();
     let (name, started_ms) = (&choice.entry.name, choice.entry.started_ms);
     let accepts = view.upstreams.accepting_run(name, started_ms).is_some();
-    Ok((has_turn && accepts).then_some(choice))
+    let wants = accepts && !quiet::is_quiet(edge, &choice.entry);
+    Ok((has_turn && wants).then_some(choice))
+}
+
+fn refused_for(wait: Duration) -> Error {
+    let message = format!("upstreams take no more requests for {} ms", wait.as_millis());
+    Error::new(ErrorKind::UpstreamUnavailable, message).with_retry_after(wait)
 }
 
 /// Returns how long a request waits for a turn where no other upstream can take it.
--- a/crates/carob-edge/src/edge.rs
+++ b/crates/carob-edge/src/edge.rs
@@ -12,7 +12,7 @@
 use carobglade::{
     CallerTimeouts, CallerTimeoutsSettings, DutyLeases, DutyLeasesSettings, HubSelector,
     HubSelectorSettings, Incarnation, Load, LoadTracker, ModelDemand, PlacementGossip,
-    PlatformConfig, PromptQuarantine, RateLimiter, RateLimiterSettings, RecentMaximum,
+    PlatformConfig, PromptQuarantine, QuietTimes, RateLimiter, RateLimiterSettings, RecentMaximum,
     ResponseTimes, RetryBudget, RetryBudgetSettings, Suspect, Suspects, TokenPace, Tokens,
     UpstreamCrash, UpstreamLimits, UpstreamName, UpstreamRooms, UrgentDemand, UsageRelay, VmName,
     VmProfile, WorkCosts,
@@ -104,6 +104,8 @@
     pub usage_relay: RefCell<UsageRelay>,
     /// Cached sums over all vms with the time when they were computed, for digests to members.
     totals: RefCell<Option<(Duration, Rc<Totals>)>>,
+    /// Upstreams that want no requests for a while.
+    pub quiet_times: RefCell<QuietTimes>,
     /// What requests for each model cost, and how slow each upstream is.
     pub work: RefCell<WorkCosts>,
     /// Requested adapters, and the placement changes that were announced.
@@ -225,6 +227,7 @@
             hubs: RefCell::new(hubs),
             usage_relay: RefCell::default(),
             totals: RefCell::default(),
+            quiet_times: RefCell::default(),
             work: RefCell::default(),
             placement: RefCell::default(),
             pool,
@@ -342,6 +345,7 @@
         self.paths.table.borrow_mut().remove(name);
         self.loads.borrow_mut().reset_stats(name);
         self.work.borrow_mut().reset_upstream(name);
+        self.quiet_times.borrow_mut().remove(name);
         self.placement.borrow_mut().remove_updates(name);
     }
 
--- a/crates/carob-edge/src/lib.rs
+++ b/crates/carob-edge/src/lib.rs
@@ -41,6 +41,7 @@
 mod pool;
 mod process;
 mod quarantine;
+mod quiet;
 mod readiness;
 mod relay;
 mod request;
--- a/crates/carob-edge/src/metrics.rs
+++ b/crates/carob-edge/src/metrics.rs
@@ -21,6 +21,7 @@
     retries: Counter<u64>,
     hedges: Counter<u64>,
     not_continued: Counter<u64>,
+    quiet_times: Counter<u64>,
     room_refusals: Counter<u64>,
     room_verdicts: Counter<u64>,
     idle_closes: Counter<u64>,
@@ -87,6 +88,10 @@
                 "streams_not_continued",
                 "Responses that did not go on with the next event of their stream",
             ),
+            quiet_times: counter(
+                "upstream_quiet_times",
+                "Times for which upstreams that turned a request away wanted none",
+            ),
             room_refusals: counter(
                 "room_refusals",
                 "Requests that a brittle upstream had no room for",
@@ -209,6 +214,11 @@
         self.not_continued.add(1, &[]);
     }
 
+    /// Counts a time for which an upstream wants no requests.
+    pub fn record_quiet_time(&self) {
+        self.quiet_times.add(1, &[]);
+    }
+
     /// Counts a request that was not sent to a brittle upstream for want of room.
     pub fn record_room_refusal(&self) {
         self.room_refusals.add(1, &[]);
--- a/crates/carob-edge/src/process.rs
+++ b/crates/carob-edge/src/process.rs
@@ -113,6 +113,7 @@
         paths::maintain(&edge);
         edge.limits.borrow_mut().expire(edge.now());
         edge.rooms.borrow_mut().expire(edge.now());
+        edge.quiet_times.borrow_mut().expire(edge.now());
         edge.rate_limiter.borrow_mut().settle_if_known(edge.now());
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -70,7 +70,7 @@
     ModelDemand, ModelOrder, OrderIntent, OrderKind, OrderOutcome, OrderResolution, OrderTarget,
     OrderTracker, OrderTrackerSettings, OriginSource, PEER_LOAD_TTL, PathChange, PlacementGossip,
     PlacementUpdate, PromptQuarantine, PromptVerdict, QUARANTINE_THRESHOLD, QuarantineReport,
-    RecentChanges, Record, Replay, ReplayPage, ReplayStatus, ReplicaPlanner,
+    QuietTimes, RecentChanges, Record, Replay, ReplayPage, ReplayStatus, ReplicaPlanner,
     ReplicaPlannerSettings, RequestOutcome, ResponseTimes, RoomEvent, RoomNotice, RoomRequest,
     RoomTicket, SLOT_LEASE, SLOTS, SLOTS_PER_GROUP, ServiceVersions, ServiceVersionsSettings,
     SharedPrompt, SlotChange, SlotHolder, SlotTable, Snapshot, StateMachine, StreamKey,
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -18,6 +18,7 @@
 pub mod placement;
 mod placement_gossip;
 mod prompt_quarantine;
+mod quiet_times;
 pub mod quota;
 mod record;
 mod replay;
@@ -61,6 +62,7 @@
     BlockRecord, BlockedPrompt, Evidence, EvidenceStrength, PromptQuarantine, PromptVerdict,
     QuarantineReport, SharedPrompt, Suspect, UpstreamCrash, VerdictChange, VerdictReason,
 };
+pub use quiet_times::QuietTimes;
 pub use record::{
     Claim, ClaimOutcome, ClaimRef, ConfigChange, Fingerprint, Join, LogEntry, OrderIntent,
     OrderKind, OrderResolution, Record, RequestOutcome, SlotChange, Snapshot, Suspicion,
