A connection that gives way goes on if its request became complete meanwhile

By reading: the condition on which a connection gives way was asked when the wait began, not when the connection was chosen, so a request whose body became complete in between would have been dropped while it ran. It is asked at the moment now. No test: the moment lies between two polls of one task. The crowds of connections and bodies of misbehaving_clients pass.

--- a/crates/carob-edge/src/listener.rs
+++ b/crates/carob-edge/src/listener.rs
@@ -163,7 +163,11 @@
                 writable = true;
                 break Ok(());
             }
-            () = gate.evicted(), if state.may_give_way() => {
+            () = gate.evicted() => {
+                // A request may have become complete since its connection was chosen.
+                if !state.may_give_way() {
+                    continue;
+                }
                 let partial = state.head_began().is_some();
                 edge.metrics.record_idle_close(CloseReason::Replaced.as_str(), partial);
                 return;
