carob-entry: a body that is too long gets its refusal again

Cause: refused by the length in the head, before a byte of the body was read; closing a connection with unread bytes resets it, and the refusal is lost.

Change: such a body is read up to the limit as before, and what is left of one that is refused for want of memory is read for a second at most.

--- a/benches/carob-bench/tests/misbehaving_clients.rs
+++ b/benches/carob-bench/tests/misbehaving_clients.rs
@@ -168,17 +168,17 @@
 }
 
 crowds! {
-    connections_of_callers_that_only_open: Nothing, false, "/v1/completions";
-    connections_that_only_open_where_operators_ask: Nothing, true, "/readyz";
-    heads_of_callers_that_stop_half_way: HalfHead, false, "/v1/completions";
-    heads_that_stop_half_way_where_operators_ask: HalfHead, true, "/readyz";
-    bodies_in_one_piece_short_of_their_end: OnePiece, false, "/v1/completions";
-    bodies_in_one_piece_at_a_path_without_a_route: OnePiece, false, "/nowhere";
-    bodies_in_one_piece_where_operators_ask: OnePiece, true, "/readyz";
-    bodies_in_chunks_short_of_their_end: Chunks, false, "/v1/completions";
-    bodies_in_chunks_at_a_path_without_a_route: Chunks, false, "/nowhere";
-    bodies_in_chunks_where_operators_ask: Chunks, true, "/readyz";
-    requests_sent_ahead: Pipelined, false, "/v1/completions";
-    requests_sent_ahead_at_a_path_without_a_route: Pipelined, false, "/nowhere";
-    requests_sent_ahead_where_operators_ask: Pipelined, true, "/readyz";
+    entry_connections_that_only_open: Nothing, false, "/v1/completions";
+    entry_connections_that_only_open_where_operators_ask: Nothing, true, "/readyz";
+    entry_heads_that_stop_half_way: HalfHead, false, "/v1/completions";
+    entry_heads_that_stop_half_way_where_operators_ask: HalfHead, true, "/readyz";
+    entry_bodies_in_one_piece_short_of_their_end: OnePiece, false, "/v1/completions";
+    entry_bodies_in_one_piece_at_a_path_without_a_route: OnePiece, false, "/nowhere";
+    entry_bodies_in_one_piece_where_operators_ask: OnePiece, true, "/readyz";
+    entry_bodies_in_chunks_short_of_their_end: Chunks, false, "/v1/completions";
+    entry_bodies_in_chunks_at_a_path_without_a_route: Chunks, false, "/nowhere";
+    entry_bodies_in_chunks_where_operators_ask: Chunks, true, "/readyz";
+    entry_requests_sent_ahead: Pipelined, false, "/v1/completions";
+    entry_requests_sent_ahead_at_a_path_without_a_route: Pipelined, false, "/nowhere";
+    entry_requests_sent_ahead_where_operators_ask: Pipelined, true, "/readyz";
 }
--- a/crates/carob-net/src/server.rs
+++ b/crates/carob-net/src/server.rs
@@ -27,6 +27,8 @@
 const MAX_HEADERS: usize = 64;
 /// Time in which some of the requests that hold the memory for bodies have ended.
 const OVERLOADED_RETRY_AFTER: Duration = Duration::from_millis(500);
+/// Time for which the body of a refused request is read and dropped.
+const DISCARD_TIMEOUT: Duration = Duration::from_secs(1);
 const MAX_HEAD_BYTES: usize = 32 * 1024; // of the header section of one request
 
 /// Options for [`serve`].
@@ -124,19 +126,33 @@
     ) -> carobglade::Result<Bytes> {
         let length = self.parts.headers.get(CONTENT_LENGTH);
         let length = length.and_then(|value| value.to_str().ok()?.parse().ok()).unwrap_or(0);
-        if length > limit {
-            return Err(too_large(limit));
-        }
-        let reading = read_all(&mut self.body, length, limit, reserved);
-        tokio::time::timeout(timeout, reading).await.unwrap_or_else(|_| {
+        // One that is too long is read up to the limit, so that its refusal arrives.
+        let reading = read_all(&mut self.body, limit.min(length), limit, reserved);
+        let read = tokio::time::timeout(timeout, reading).await.unwrap_or_else(|_| {
             let message = format!("body did not arrive within {} ms", timeout.as_millis());
             Err(Error::new(ErrorKind::InvalidRequest, message))
-        })
+        });
+        if read.as_ref().is_err_and(|err| err.kind() == ErrorKind::Overloaded) {
+            discard(&mut self.body, limit).await;
+        }
+        read
     }
 }
 
-fn too_large(limit: usize) -> Error {
-    Error::new(ErrorKind::TooLarge, format!("body is longer than {limit} bytes"))
+/// Reads what is left of the body of a request that is refused, for a moment, so that the refusal is
+/// not lost with the connection.
+async fn discard(body: &mut RequestBody, limit: usize) {
+    let discarding = async {
+        let mut left = limit;
+        while let Some(Ok(chunk)) = body.data().await {
+            left = left.saturating_sub(chunk.len());
+            if left == 0 {
+                return;
+            }
+        }
+    };
+    // What comes later is not waited for.
+    let _ = tokio::time::timeout(DISCARD_TIMEOUT, discarding).await;
 }
 
 fn reserve(reserved: &mut ReservedBody, bytes: usize) -> carobglade::Result<()> {
@@ -160,7 +176,8 @@
             Error::new(ErrorKind::InvalidRequest, format!("body broke off: {err}"))
         })?;
         if buf.len() + chunk.len() > limit {
-            return Err(too_large(limit));
+            let message = format!("body is longer than {limit} bytes");
+            return Err(Error::new(ErrorKind::TooLarge, message));
         }
         reserve(reserved, buf.len() + chunk.len())?;
         buf.extend_from_slice(&chunk);
