--- a/review/lab-2/src/lib.rs
+++ b/review/lab-2/src/lib.rs
@@ -1,10 +1,12 @@
 //! Parts of the cases of this review: machines that run the project's program as the deploy file
-//! says, a client, and the record of a case.
+//! says, a server of streams, a client, and the record of a case.
 
 mod http;
 mod machine;
 mod record;
+mod stream_server;
 
 pub use http::{Answer, exchange, exchange_on};
 pub use machine::{Machine, MachineLimits};
 pub use record::{Record, Verdict, has_trouble};
+pub use stream_server::{StreamServer, StreamServerSettings};
