--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -7,4 +7,4 @@
 [ -x "$program" ] && [ -x ../../target/release/carob-edge ] || exit 2
 # The descriptors of the machine in the settings, for this script and what it starts.
 ulimit -S -n 3075 || exit 2
-exec timeout -k 5 100 "$program" crowd .
+exec "$program" crowd .
--- a/review/lab-3/src/fleet.rs
+++ b/review/lab-3/src/fleet.rs
@@ -122,6 +122,20 @@
         line.split_whitespace().nth(1)?.parse().ok()
     }
 
+    /// Sends a signal to the process, by its name.
+    ///
+    /// # Errors
+    ///
+    /// When the signal cannot be sent.
+    pub fn signal(&self, name: &str) -> Result<()> {
+        let sent =
+            Command::new("kill").arg(format!("-{name}")).arg(self.pid().to_string()).status()?;
+        if !sent.success() {
+            bail!("signal {name} was not sent");
+        }
+        Ok(())
+    }
+
     /// Ends the process at once.
     pub fn kill(&mut self) {
         let _ = self.child.kill();
--- a/review/lab-3/src/main.rs
+++ b/review/lab-3/src/main.rs
@@ -3,9 +3,37 @@
 mod crowd;
 mod fleet;
 mod record;
+mod resumed_streams;
+mod stream_client;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
+use std::time::Duration;
+
+use eyre::{Result, bail, eyre};
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::record::Record;
+
+/// Longest time of a run.
+const MAX_TIME: Duration = Duration::from_secs(110);
+
+/// Runs a case; returns whether its rule held.
+async fn run(case: &str, trouble: bool, record: &mut Record) -> Result<bool> {
+    match case {
+        "crowd" => crowd::run(trouble, record).await,
+        "resumed-streams" => resumed_streams::run(trouble, record).await,
+        _ => bail!("there is no case {case}"),
+    }
+}
+
+/// Completes when the run is asked to end. All processes that it started end with it.
+async fn ended() {
+    match signal(SignalKind::terminate()) {
+        Ok(mut terminate) => drop(terminate.recv().await),
+        Err(_) => std::future::pending().await,
+    }
+}
 
 #[tokio::main]
 async fn main() -> ExitCode {
@@ -17,9 +45,10 @@
     let Ok(mut record) = record::Record::create(&PathBuf::from(folder).join("record.txt")) else {
         return ExitCode::from(2);
     };
-    let held = match case.as_str() {
-        "crowd" => crowd::run(trouble, &mut record).await,
-        _ => return ExitCode::from(2),
+    let held = tokio::select! {
+        held = run(&case, trouble, &mut record) => held,
+        () = ended() => Err(eyre!("the run was ended")),
+        () = tokio::time::sleep(MAX_TIME) => Err(eyre!("the run took too long")),
     };
     match held {
         Ok(true) => ExitCode::SUCCESS,
