--- a/review/lab-3/src/fleet.rs
+++ b/review/lab-3/src/fleet.rs
@@ -37,6 +37,7 @@
     pub clients: SocketAddr,
     /// Address that the load balancer asks.
     pub ready: SocketAddr,
+    settings: Value,
 }
 
 /// Returns the root of the repository.
@@ -49,7 +50,6 @@
     zone: &str,
     store: SocketAddr,
     machine: Machine,
-    first: bool,
 ) -> (Value, [SocketAddr; 2]) {
     let (clients, ready) = (free_address(), free_address());
     let (one, two) = (free_address().port(), free_address().port());
@@ -60,14 +60,26 @@
         "listen": { "callers": clients, "ready": ready },
         "ports": { "first": one.min(two), "last": one.max(two) },
         "store": { "address": store, "shortest": 1000, "parts": 8 },
-        "first": first,
+        "first": true,
         "bounds": { "revoke": 5000, "grace": 8, "lease": 3000, "retries": 0.2, "spare": 52, "tokens": 17000 },
     });
     (value, [clients, ready])
 }
 
+/// Starts the program of the deploy file with these settings.
+fn spawn(folder: &Path, settings: &Value) -> Result<Child> {
+    let name = settings["vm"].as_str().unwrap_or_default();
+    let file = folder.join(format!("{name}.json"));
+    std::fs::write(&file, settings.to_string())?;
+    let log = File::create(folder.join(format!("{name}.log")))?;
+    let mut command = Command::new(root().join(PROGRAM));
+    command.current_dir(root()).env(SETTINGS_VARIABLE, &file);
+    command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
+    command.spawn().wrap_err("the program of the deploy file is missing")
+}
+
 impl Edge {
-    /// Starts a process and waits until it is ready.
+    /// Starts a process, at the first start of the whole system, and waits until it is ready.
     ///
     /// # Errors
     ///
@@ -79,20 +91,24 @@
         store: SocketAddr,
         machine: Machine,
     ) -> Result<Self> {
-        let (value, [clients, ready]) = settings(name, zone, store, machine, true);
-        let (file, output) =
-            (folder.join(format!("{name}.json")), folder.join(format!("{name}.log")));
-        std::fs::write(&file, value.to_string())?;
-        let log = File::create(&output)?;
-        let mut command = Command::new(root().join(PROGRAM));
-        command.current_dir(root()).env(SETTINGS_VARIABLE, &file);
-        command.stdin(Stdio::null()).stdout(log.try_clone()?).stderr(log);
-        let child = command.spawn().wrap_err("the program of the deploy file is missing")?;
-        let edge = Edge { child, clients, ready };
+        let (settings, [clients, ready]) = settings(name, zone, store, machine);
+        let child = spawn(folder, &settings)?;
+        let edge = Edge { child, clients, ready, settings };
         edge.wait_ready().await?;
         Ok(edge)
     }
 
+    /// Starts the process again after it was killed, and waits until it is ready.
+    ///
+    /// # Errors
+    ///
+    /// As [`start`](Self::start).
+    pub async fn restart(&mut self, folder: &Path) -> Result<()> {
+        self.settings["first"] = json!(false);
+        self.child = spawn(folder, &self.settings)?;
+        self.wait_ready().await
+    }
+
     async fn wait_ready(&self) -> Result<()> {
         let begin = Instant::now();
         while begin.elapsed() < START_TIME {
--- a/review/lab-3/src/main.rs
+++ b/review/lab-3/src/main.rs
@@ -5,6 +5,7 @@
 mod record;
 mod resumed_streams;
 mod stream_client;
+mod withdrawn_key;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -23,6 +24,7 @@
     match case {
         "crowd" => crowd::run(trouble, record).await,
         "resumed-streams" => resumed_streams::run(trouble, record).await,
+        "withdrawn-key" => withdrawn_key::run(trouble, record).await,
         _ => bail!("there is no case {case}"),
     }
 }
