Review case 14: a part behind the sixteenth crashes servers without end

Disruption: one part of prompts crashes each server that begins to write an answer on it; the prompts have 17 shared parts before it.

--- a/review/lab-3/src/main.rs
+++ b/review/lab-3/src/main.rs
@@ -1,6 +1,7 @@
 //! Runs one case of the review: exit code 1 if its rule was broken, 0 if it held, 2 if it could not run.
 
 mod crowd;
+mod deadly_part;
 mod fleet;
 mod record;
 mod resumed_streams;
@@ -25,6 +26,7 @@
         "crowd" => crowd::run(trouble, record).await,
         "resumed-streams" => resumed_streams::run(trouble, record).await,
         "withdrawn-key" => withdrawn_key::run(trouble, record).await,
+        "deadly-part" => deadly_part::run(trouble, record).await,
         _ => bail!("there is no case {case}"),
     }
 }
--- a/review/lab-3/src/resumed_streams.rs
+++ b/review/lab-3/src/resumed_streams.rs
@@ -117,7 +117,8 @@
 
 fn new_request(label: &str, number: usize) -> StreamRequest {
     let id = format!("{label}{number:08x}");
-    StreamRequest { path: "/plan/a".to_owned(), id, deadline: DEADLINE, resumes: None }
+    let prompt = format!("a1:300,{id}:100");
+    StreamRequest { path: "/plan/a".to_owned(), id, deadline: DEADLINE, prompt, resumes: None }
 }
 
 async fn begin_streams(address: SocketAddr) -> Vec<BegunStream> {
--- a/review/lab-3/src/stream_client.rs
+++ b/review/lab-3/src/stream_client.rs
@@ -19,6 +19,8 @@
     pub id: String,
     /// Time that the client still waits.
     pub deadline: Duration,
+    /// Parts of the prompt.
+    pub prompt: String,
     /// The last event that the client has, and the id of the attempt that brought the first.
     pub resumes: Option<(u64, String)>,
 }
@@ -30,11 +32,11 @@
         });
         format!(
             "POST {} HTTP/1.1\r\nhost: site.example\r\nkey: key-one\r\nrequest-id: {}\r\ndeadline-ms: {}\r\n\
-             model: large\r\ntoken-usage: 400,90\r\nprompt-prefix: a1:300,{}:100\r\n{resumption}content-length: 4\r\n\r\nbody",
+             model: large\r\ntoken-usage: 400,90\r\nprompt-prefix: {}\r\n{resumption}content-length: 4\r\n\r\nbody",
             self.path,
             self.id,
             self.deadline.as_millis(),
-            self.id
+            self.prompt
         )
     }
 }
