--- a/review/lab-3/src/deadly_part.rs
+++ b/review/lab-3/src/deadly_part.rs
@@ -158,7 +158,7 @@
 async fn send(address: SocketAddr, number: usize, shared: usize, deadly: bool) -> Outcome {
     let at = Instant::now();
     let request = StreamRequest {
-        path: if number % 2 == 0 { "/plan/a" } else { "/draft/a" }.to_owned(),
+        path: if number.is_multiple_of(2) { "/plan/a" } else { "/draft/a" }.to_owned(),
         id: format!("{number:08x}"),
         deadline: DEADLINE,
         prompt: prompt(number, shared, deadly),
