--- a/review/lab-3/src/fleet.rs
+++ b/review/lab-3/src/fleet.rs
@@ -131,13 +131,6 @@
         self.child.id()
     }
 
-    /// Returns a figure of the process's status in KiB, such as `VmRSS`.
-    pub fn memory_kib(&self, field: &str) -> Option<u64> {
-        let text = std::fs::read_to_string(format!("/proc/{}/status", self.pid())).ok()?;
-        let line = text.lines().find(|line| line.starts_with(field))?;
-        line.split_whitespace().nth(1)?.parse().ok()
-    }
-
     /// Sends a signal to the process, by its name.
     ///
     /// # Errors
